--- /dev/null
+++ b/tests/test_main.cc
@@ -0,0 +1,4 @@
+// Entry point of the unit tests.
+
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
