Add the dispatcher, attempts, endpoint leases and slot division

Cause: nothing yet decides which start is allowed and what an answer that did not arrive means. Ruled out: one exclusive owner that starts every attempt of an endpoint. The receiving daemon would lose sight of its task's outcome when the owner dies, and a task's bytes would cross another daemon. Instead the owner lends slots and the receiving daemon starts the attempt under its own lease. Change: CheckStart() runs every check in one call before a start; an attempt without an answer is fenced; a renewal names the absolute end of the lease in the endpoint's clock; slots are divided by weighted max-min. Conclusion: the guards of a start exist; they are not wired yet.

--- /dev/null
+++ b/src/coordination/dispatcher.h
@@ -0,0 +1,328 @@
+// Starts tasks on endpoints: waiting queues, checks before a start, outcomes.
+//
+// Index:
+//   [SECTION] Concepts
+//   [SECTION] Tasks
+//   [SECTION] Refusals
+//   [SECTION] Actions
+//   [SECTION] Dispatcher
+//
+// A task that was submitted waits in its queue. Owners of endpoints grant
+// slots (slot_allocator.h); a granted slot takes the oldest waiting task of its
+// queue through CheckStart() and becomes an attempt. All checks run in one
+// call, immediately before the start; the endpoint's lease and start deadline
+// stand behind them.
+//
+// Not thread-safe: one event loop owns each value. Inputs append to actions,
+// which the caller takes with TakeActions() after each input.
+
+#ifndef SRC_COORDINATION_DISPATCHER_H_
+#define SRC_COORDINATION_DISPATCHER_H_
+
+#include <concepts>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "src/coordination/attempt.h"
+#include "src/coordination/endpoint_lease.h"
+#include "src/state/clock.h"
+#include "src/state/ids.h"
+#include "src/state/settings_tree.h"
+#include "src/state/units.h"
+
+namespace peridot {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Concepts
+//-----------------------------------------------------------------------------
+
+// The settings in force and the proof that they are.
+template <typename S>
+concept SettingsView = requires(const S& settings,
+                                std::string_view name,
+                                const KeyId& key) {
+  { settings.FindQueue(name) } -> std::same_as<const QueueSettings*>;
+  { settings.IsZoneIn(name) } -> std::same_as<bool>;
+  // Null if the key does not exist or was withdrawn.
+  { settings.TeamOfKey(key) } -> std::same_as<const TeamId*>;
+  // Until when this daemon may act on these settings.
+  { settings.ProofExpiry() } -> std::same_as<Instant>;
+};
+
+// Permits of the teams' upper limits that this daemon holds.
+template <typename P>
+concept PermitPool = requires(P& permits, const TeamId& team) {
+  { permits.TryAcquire(team) } -> std::same_as<bool>;
+  permits.Release(team);
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Tasks
+//-----------------------------------------------------------------------------
+
+struct TaskSpec {
+  TaskId id;                // default: empty; unique
+  QueueId queue;            // default: empty
+  KeyId key;                // default: empty, allowed on open queues only
+  bool idempotent = false;  // default: false
+  bool journaled = false;   // default: false; attempts need a recorded intent
+  Instant deadline{};       // default: epoch
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Refusals
+//-----------------------------------------------------------------------------
+
+// Why a task is refused, or what its start waits for.
+enum class StartBlock {
+  kNone,
+  kUnknownQueue,
+  kKeyMissing,
+  kKeyUnknown,
+  kKeyWrongTeam,
+  kSettingsStale,
+  kZoneOut,
+  kEndpointLeaving,
+  kEndpointLease,
+  kEndpointNotProven,
+  kTeamLimit,
+  kNoSlot,
+  kDeadline,
+  kQueueFull,
+  kShuttingDown,
+};
+
+// Returns a stable lower-case name, as in "team_limit".
+const char* StartBlockName(StartBlock block);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Actions
+//-----------------------------------------------------------------------------
+
+// Send this attempt to its endpoint now.
+struct StartAttempt {
+  TaskId task;
+  AttemptId attempt;
+  EndpointId endpoint;
+  LeaseId lease;
+  BootId boot;
+  std::int64_t not_after_us = 0;  // endpoint's clock
+  Duration run_time{};            // declared
+  bool idempotent = false;
+};
+
+// Record the intent in the journal, then call OnIntentRecorded().
+struct RecordIntent {
+  TaskId task;
+  AttemptId attempt;
+  EndpointId endpoint;
+};
+
+// Fence the attempt over a new connection after the delay.
+struct FenceAttempt {
+  TaskId task;
+  AttemptId attempt;
+  EndpointId endpoint;
+  BootId boot;       // the attempt was sent under this boot
+  Duration delay{};  // default: 0
+};
+
+// Stop the attempt at its endpoint. Its end is reported like any other.
+struct StopAttempt {
+  AttemptId attempt;
+  EndpointId endpoint;
+};
+
+// The task has ended; answer its caller.
+struct FinishTask {
+  TaskId task;
+  TaskOutcome outcome = TaskOutcome::kNone;
+  Ran ran = Ran::kUnknown;
+  StartBlock block = StartBlock::kNone;  // why it never started
+};
+
+// The granted slot is not needed any more; tell its owner.
+struct ReturnSlot {
+  SessionId owner;
+  std::uint64_t token = 0;
+  TeamId team;
+  // The slot could not be used although tasks wait. The owner keeps it back
+  // for a while, so that the same grant is not made again at once.
+  bool refused = false;
+};
+
+using DispatchAction = std::variant<StartAttempt,
+                                    RecordIntent,
+                                    FenceAttempt,
+                                    StopAttempt,
+                                    FinishTask,
+                                    ReturnSlot>;
+
+// A slot that an owner granted for one queue.
+struct SlotGrant {
+  SessionId owner;          // default: none
+  std::uint64_t token = 0;  // default: 0; unique per owner
+  EndpointId endpoint;      // default: empty
+  ZoneId zone;              // default: empty
+  QueueId queue;            // default: empty
+  TeamId team;              // default: empty; that the slot is counted for
+  Instant expires{};        // default: epoch; unused after this: returned
+};
+
+struct DispatcherConfig {
+  std::size_t max_waiting = 10'000;  // default: 10,000 tasks per queue
+  // Delay between two fences of an attempt that runs on or does not answer.
+  Duration fence_interval = std::chrono::milliseconds(250);  // default: 250 ms
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Dispatcher
+//-----------------------------------------------------------------------------
+
+template <SettingsView Settings, PermitPool Permits>
+class Dispatcher {
+ public:
+  // settings and permits must outlive the dispatcher. name makes attempt ids
+  // unique across daemons and incarnations.
+  Dispatcher(const Settings* settings,
+             Permits* permits,
+             std::string name,
+             DispatcherConfig config = {});
+
+  // Returns why a task would not be admitted now, or kNone.
+  StartBlock CheckAdmission(const TaskSpec& spec, Instant now) const;
+
+  // Admits a task or returns why not. A task that was admitted ends with
+  // exactly one FinishTask.
+  StartBlock OnSubmit(const TaskSpec& spec, Instant now);
+
+  // A slot was granted to this daemon.
+  void OnGrant(const SlotGrant& grant, Instant now);
+
+  // The intent of an attempt is committed, or could not be.
+  void OnIntentRecorded(const TaskId& task, bool committed, Instant now);
+
+  // The request of an attempt ended.
+  void OnReply(const TaskId& task,
+               const AttemptId& attempt,
+               AttemptReply reply,
+               Instant now);
+
+  // A fence was answered.
+  void OnFence(const TaskId& task,
+               const AttemptId& attempt,
+               FenceReply reply,
+               Instant now);
+
+  // The caller cancelled. Returns false for an unknown task.
+  bool OnCancel(const TaskId& task, Instant now);
+
+  // Ends tasks whose deadline has passed and returns unused slots.
+  void OnTick(Instant now);
+
+  // Refuses new tasks from now on; those admitted go on.
+  void OnShutdown() { this->shutting_down = true; }
+
+  // The lease on an endpoint; created on first use.
+  EndpointLease& LeaseOf(const EndpointId& endpoint);
+  const std::map<EndpointId, EndpointLease>& Leases() const {
+    return this->leases;
+  }
+
+  // Forgets an endpoint that the platform no longer lists. Its attempts go on.
+  void OnEndpointGone(const EndpointId& endpoint);
+
+  // Number of tasks that wait for a slot, and the wait of the oldest.
+  std::int64_t Waiting(const QueueId& queue) const;
+  Duration LongestWait(const QueueId& queue, Instant now) const;
+  std::vector<QueueId> QueuesWithDemand() const;
+
+  // Whether this daemon has an attempt on the endpoint, or a slot for one.
+  bool UsesEndpoint(const EndpointId& endpoint) const;
+
+  // Tasks that have not ended, and attempts whose end is not known.
+  std::size_t OpenTasks() const { return this->tasks.size(); }
+  std::size_t OpenAttempts() const { return this->in_flight.size(); }
+
+  // Why the task has not started, as far as is known.
+  StartBlock LastBlock(const TaskId& task) const;
+
+  std::vector<DispatchAction> TakeActions() {
+    return std::exchange(this->actions, {});
+  }
+
+ private:
+  // One admitted task.
+  struct Task {
+    TaskSpec spec;
+    TaskExecution execution;
+    Instant submitted{};
+    StartBlock last_block = StartBlock::kNoSlot;
+    std::optional<std::int64_t> waiting_key;  // position in its queue
+    bool intent_pending = false;
+  };
+
+  // An attempt that may run: it keeps its permit and its slot.
+  struct InFlight {
+    TaskId task;
+    EndpointId endpoint;
+    TeamId permit_team;
+    LeaseId lease;
+    BootId boot;
+    SlotGrant grant;
+    bool sent = false;
+  };
+
+  using WaitingList = std::map<std::int64_t, TaskId>;
+
+  StartBlock CheckCaller(const TaskSpec& spec,
+                         const QueueSettings& queue) const;
+  StartBlock CheckStart(const TaskSpec& spec,
+                        const SlotGrant& grant,
+                        Instant now) const;
+
+  bool UseGrant(const SlotGrant& grant, Instant now);
+  bool TryStart(Task* task, const SlotGrant& grant, Instant now);
+  void SendAttempt(Task* task, const AttemptId& attempt, Instant now);
+  void FenceLater(Task* task, const AttemptId& attempt, Duration delay);
+  void Apply(Task* task, const AttemptId& attempt, TaskStep step, Instant now);
+  void ResolveOrphan(const AttemptId& attempt, bool ended);
+  void EndAttempt(const AttemptId& attempt, bool refused);
+  FenceReply JudgeFence(const AttemptId& attempt,
+                        FenceReply reply,
+                        Instant now) const;
+  void Enqueue(Task* task);
+  void Dequeue(Task* task);
+  void Finish(Task* task, StartBlock block);
+  void GiveBack(const SlotGrant& grant, bool refused);
+  AttemptId NextAttemptId();
+
+  const Settings* settings;
+  Permits* permits;
+  std::string name;
+  DispatcherConfig config;
+  bool shutting_down = false;
+  std::uint64_t next_attempt = 1;
+  std::int64_t next_waiting_key = 0;
+  std::unordered_map<TaskId, Task> tasks;
+  std::map<QueueId, WaitingList> waiting;
+  std::multimap<Instant, TaskId> deadlines;
+  std::unordered_map<AttemptId, InFlight> in_flight;
+  std::vector<SlotGrant> unused_grants;  // wait for a lease on the endpoint
+  std::map<EndpointId, EndpointLease> leases;
+  std::vector<DispatchAction> actions;
+};
+
+}  // namespace peridot
+
+#include "src/coordination/dispatcher_internal.h"  // IWYU pragma: export
+
+#endif  // SRC_COORDINATION_DISPATCHER_H_
--- /dev/null
+++ b/src/coordination/slot_allocator.h
@@ -0,0 +1,122 @@
+// Division of one daemon's endpoint slots among teams, queues and daemons.
+//
+// Index:
+//   [SECTION] Tunables
+//   [SECTION] Demand
+//   [SECTION] SlotAllocator
+//
+// The owner of an endpoint hands out its slots. Every daemon with waiting tasks
+// of a pool registers its demand with every owner of endpoints of that pool, so
+// each owner divides its slots by the same rule over the same demand: weighted
+// max-min over teams, then by priority over the team's queues, then the longest
+// wait. No owner leaves a slot idle while any registered demand waits.
+//
+// Not thread-safe: one event loop owns each value.
+//
+// Known shortcoming: a slot is the only resource; processors, memory and
+// accelerators are not yet weighed (dominant resource fairness).
+
+#ifndef SRC_COORDINATION_SLOT_ALLOCATOR_H_
+#define SRC_COORDINATION_SLOT_ALLOCATOR_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "src/state/clock.h"
+#include "src/state/ids.h"
+#include "src/state/settings_schema.h"
+#include "src/state/units.h"
+
+namespace peridot {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Tunables
+//-----------------------------------------------------------------------------
+
+struct SlotAllocatorConfig {
+  // Demand that is not registered again lapses, so that a dead daemon's demand
+  // does not draw slots for long.
+  Duration demand_ttl = std::chrono::seconds(1);  // default: 1 s
+  // A rebuild that has waited this long is served like daily work, so that it
+  // finishes under constant daily load.
+  Duration ageing = std::chrono::minutes(10);  // default: 10 min
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Demand
+//-----------------------------------------------------------------------------
+
+// Tasks of one queue that wait at one daemon.
+struct SlotDemand {
+  SessionId daemon;                      // default: none
+  QueueId queue;                         // default: empty
+  TeamId team;                           // default: empty
+  Priority priority = Priority::kDaily;  // default: kDaily
+  Share share = Share(1);                // default: 1
+  std::int64_t waiting = 0;              // default: 0; unit: tasks
+  Duration longest_wait{};               // default: 0; of the oldest task
+};
+
+// The demand that gets the next slot.
+struct SlotPick {
+  SessionId daemon;  // default: none
+  QueueId queue;     // default: empty
+  TeamId team;       // default: empty
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] SlotAllocator
+//-----------------------------------------------------------------------------
+
+class SlotAllocator {
+ public:
+  explicit SlotAllocator(SlotAllocatorConfig config = {});
+
+  // Replaces the demand of (daemon, queue). waiting == 0 withdraws it.
+  void OnDemand(const SlotDemand& demand, Instant now);
+
+  // Drops all demand of a daemon that left or was fenced.
+  void OnDaemonGone(const DaemonId& daemon);
+
+  // Chooses the demand that gets the next free slot, counts the slot as used by
+  // its team and takes one task off the demand. Returns nothing if no demand
+  // waits. Cost: linear in the number of teams with demand; no allocation
+  // except in the result's ids.
+  std::optional<SlotPick> Pick(Instant now);
+
+  // A slot that Pick() gave to the team is free again.
+  void OnReleased(const TeamId& team);
+
+  // Slots in use by the team through this owner.
+  std::int64_t InUse(const TeamId& team) const;
+
+  // Whether any demand waits.
+  bool HasDemand(Instant now) const;
+
+ private:
+  struct Entry {
+    SlotDemand demand;
+    Instant registered{};
+  };
+  struct Team {
+    TeamId id;
+    Share share = Share(1);
+    std::int64_t in_use = 0;
+    std::vector<Entry> entries;
+  };
+
+  Team& TeamOf(const TeamId& id);
+  bool IsLive(const Entry& entry, Instant now) const;
+  Entry* BestEntry(Team* team, Instant now) const;
+  int RankOf(const Entry& entry, Instant now) const;
+
+  SlotAllocatorConfig config;
+  std::vector<Team> teams;              // default: none
+  std::map<TeamId, std::size_t> index;  // default: none; into teams
+};
+
+}  // namespace peridot
+
+#endif  // SRC_COORDINATION_SLOT_ALLOCATOR_H_
--- /dev/null
+++ b/tests/endpoint_lease_test.cc
@@ -0,0 +1,112 @@
+// Tests of the lease on an endpoint and of the clock mapping.
+
+#include "src/coordination/endpoint_lease.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <random>
+
+namespace peridot {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const Instant kStart = Instant{} + seconds(100);
+
+EndpointReport Report(std::int64_t clock_us) {
+  return {.lease = LeaseId("l1"),
+          .boot = BootId("b1"),
+          .clock_us = clock_us,
+          .slots = SlotCount(8)};
+}
+
+TEST_CASE("no clock drift within the bound lets a start outlive its proof",
+          "[endpoint_lease]") {
+  // Guards the conversion of the proof's expiry into the endpoint's clock: for
+  // any rate within 1% and any place of the reading between send and receipt,
+  // the endpoint passes not_after before this daemon passes the expiry.
+  std::mt19937_64 random(11);
+  std::uniform_int_distribution<std::int64_t> rate_ppm(-10'000, 10'000);
+  std::uniform_int_distribution<std::int64_t> flight_us(0, 400'000);
+  std::uniform_int_distribution<std::int64_t> left_us(0, 5'000'000);
+  for (int i = 0; i < 2'000; ++i) {
+    const Instant sent = kStart;
+    const Instant read = sent + microseconds(flight_us(random));
+    const Instant received = read + microseconds(flight_us(random));
+    const Instant expiry = received + microseconds(left_us(random));
+    const double rate = 1.0 + static_cast<double>(rate_ppm(random)) / 1e6;
+    EndpointLease lease;
+    lease.OnReport(Report(7'000'000), sent, received);
+    const double passed_us =
+        static_cast<double>(lease.NotAfterUs(expiry) - 7'000'000) / rate;
+    const double allowed_us =
+        static_cast<double>((expiry - read).count()) / 1'000.0;
+    REQUIRE(passed_us <= allowed_us);
+  }
+}
+
+TEST_CASE("a lease that was not renewed permits no start", "[endpoint_lease]") {
+  EndpointLease lease;
+  REQUIRE(lease.CheckStart(kStart, true) == LeaseRefusal::kNoLease);
+  lease.OnReport(Report(0), kStart, kStart + milliseconds(1));
+  REQUIRE(lease.CheckStart(kStart + milliseconds(2), true) ==
+          LeaseRefusal::kNone);
+  REQUIRE(lease.CheckStart(kStart + seconds(2), true) ==
+          LeaseRefusal::kNoLease);
+}
+
+TEST_CASE("a non-idempotent start needs a recent answer", "[endpoint_lease]") {
+  EndpointLease lease;
+  lease.OnReport(Report(0), kStart, kStart);
+  const Instant later = kStart + milliseconds(1'500);
+  REQUIRE(lease.CheckStart(later, true) == LeaseRefusal::kNone);
+  REQUIRE(lease.CheckStart(later, false) == LeaseRefusal::kNotProvenLive);
+}
+
+TEST_CASE("leaving stays until the endpoint has started again",
+          "[endpoint_lease]") {
+  // Guards against a late answer that was written before the host left.
+  EndpointLease lease;
+  lease.OnReport(Report(0), kStart, kStart);
+  lease.OnLeaving();
+  lease.OnReport(Report(1'000), kStart, kStart);
+  REQUIRE(lease.CheckStart(kStart, true) == LeaseRefusal::kLeaving);
+  EndpointReport restarted = Report(0);
+  restarted.boot = BootId("b2");
+  lease.OnReport(restarted, kStart, kStart);
+  REQUIRE(lease.CheckStart(kStart, true) == LeaseRefusal::kNone);
+}
+
+TEST_CASE("a silent connection is replaced after its limit",
+          "[endpoint_lease]") {
+  EndpointLease lease;
+  REQUIRE(lease.OnTick(kStart).request == LeaseRequest::kAcquire);
+  REQUIRE(lease.OnTick(kStart + milliseconds(900)).request ==
+          LeaseRequest::kNone);
+  const LeaseTick tick = lease.OnTick(kStart + seconds(1));
+  REQUIRE(tick.replace_connection);
+  REQUIRE(tick.request == LeaseRequest::kAcquire);
+}
+
+TEST_CASE("a renewal never extends the lease past what the holder assumes",
+          "[endpoint_lease]") {
+  // Guards against a heartbeat that is delivered long after it was sent.
+  EndpointLease lease;
+  lease.OnReport(Report(1'000'000), kStart, kStart);
+  const Instant renewal = kStart + seconds(1);
+  REQUIRE(lease.OnTick(renewal).request == LeaseRequest::kHeartbeat);
+  const double until_us =
+      static_cast<double>(lease.RenewUntilUs(renewal) - 1'000'000);
+  const double slowest_clock = until_us / 0.99;
+  Instant stopped = renewal;
+  while (!lease.IsSurelyStopped(LeaseId("l1"), stopped)) {
+    stopped += milliseconds(1);
+  }
+  REQUIRE(static_cast<double>((stopped - kStart).count()) / 1'000.0 >=
+          slowest_clock - 1'000);
+}
+
+}  // namespace
+}  // namespace peridot
