--- /dev/null
+++ b/stand_ins/endpoint_model.cc
@@ -0,0 +1,405 @@
+#include "stand_ins/endpoint_model.h"
+
+#include <openssl/evp.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace peridot::stand_ins {
+
+using internal::KnownAttempt;
+
+namespace {
+
+std::int64_t Micros(Duration d) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(d).count();
+}
+
+void SetBody(AttemptAnswer& answer, std::string body) {
+  answer.digest = Sha256Hex(body);
+  answer.length = body.size();
+  answer.body = std::move(body);
+}
+
+// The answer of an attempt that nobody sent, for a wrong answer when no other
+// attempt has ended yet.
+AttemptAnswer StrangeAnswer() {
+  AttemptAnswer answer;
+  answer.attempt = AttemptId("another-attempt");
+  answer.state = AttemptState::kDone;
+  SetBody(answer, "ok another payload");
+  return answer;
+}
+
+}  // namespace
+
+const char* AttemptStateName(AttemptState state) {
+  switch (state) {
+    case AttemptState::kNeverStarted:
+      return "never_started";
+    case AttemptState::kRunning:
+      return "running";
+    case AttemptState::kDone:
+      return "done";
+    case AttemptState::kFailed:
+      return "failed";
+    case AttemptState::kStopped:
+      return "stopped";
+    case AttemptState::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+const char* StartRefusalName(StartRefusal refusal) {
+  switch (refusal) {
+    case StartRefusal::kNone:
+      return "none";
+    case StartRefusal::kLease:
+      return "lease";
+    case StartRefusal::kNotAfter:
+      return "not_after";
+    case StartRefusal::kBoot:
+      return "boot";
+    case StartRefusal::kSlots:
+      return "slots";
+    case StartRefusal::kLeaving:
+      return "leaving";
+    case StartRefusal::kFenced:
+      return "fenced";
+  }
+  return "none";
+}
+
+std::string Sha256Hex(std::string_view bytes) {
+  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+  unsigned int size = 0;
+  EVP_Digest(bytes.data(), bytes.size(), digest.data(), &size, EVP_sha256(),
+             nullptr);
+  constexpr char kHex[] = "0123456789abcdef";
+  std::string hex;
+  hex.reserve(static_cast<std::size_t>(size) * 2);
+  for (unsigned int i = 0; i < size; ++i) {
+    hex.push_back(kHex[digest[i] >> 4]);
+    hex.push_back(kHex[digest[i] & 0xf]);
+  }
+  return hex;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Clock
+//-----------------------------------------------------------------------------
+
+EndpointModel::EndpointModel(EndpointOptions options)
+    : options(std::move(options)) {
+  this->boot =
+      BootId(this->options.boot_prefix + std::to_string(++this->boot_count));
+}
+
+std::int64_t EndpointModel::ClockMicros(Instant now) const {
+  const Duration elapsed = now.time_since_epoch();
+  return Micros(this->options.clock_offset + elapsed +
+                elapsed / 100 * this->options.drift_percent);
+}
+
+Duration EndpointModel::OnCallersClock(Duration own) const {
+  return own / (100 + this->options.drift_percent) * 100;
+}
+
+std::optional<Instant> EndpointModel::NextEvent() const {
+  std::optional<Instant> next;
+  if (this->held)
+    next = this->held->lapses;
+  if (!this->due.empty())
+    next = std::min(next.value_or(Instant::max()), this->due.begin()->first);
+  if (!this->ended.empty())
+    next = Instant{};
+  if (next)
+    next = std::max(*next, this->paused_until);
+  return next;
+}
+
+std::vector<AttemptAnswer> EndpointModel::Advance(Instant now) {
+  this->ProcessDue(now);
+  if (now < this->paused_until)
+    return {};
+  std::vector<AttemptAnswer> answers = std::exchange(this->ended, {});
+  for (AttemptAnswer& answer : answers) {
+    AttemptAnswer original = answer;
+    this->ApplyAnswerFaults(answer);
+    if (original.state == AttemptState::kDone)
+      this->last_done = std::move(original);
+  }
+  return answers;
+}
+
+// Ends tasks and the lease in the order of their instants. A task that is due
+// at the very instant of the lapse ends first.
+void EndpointModel::ProcessDue(Instant now) {
+  if (now < this->paused_until)
+    return;
+  const Instant lapses = this->held ? this->held->lapses : Instant::max();
+  const Instant last = std::min(now, lapses);
+  while (!this->due.empty() && this->due.begin()->first <= last) {
+    const auto [at, attempt] = *this->due.begin();
+    this->EndTask(attempt, AttemptState::kDone,
+                  std::max(at, this->paused_until));
+  }
+  if (lapses <= now)
+    this->EndLease(std::max(lapses, this->paused_until));
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Leases
+//-----------------------------------------------------------------------------
+
+LeaseAnswer EndpointModel::Lease(const LeaseRequest& request, Instant now) {
+  this->ProcessDue(now);
+  if (this->held && (this->held->holder != request.holder ||
+                     this->held->incarnation > request.incarnation)) {
+    const Duration remaining = this->held->lapses - now;
+    return LeaseRefusal{this->held->holder, remaining};
+  }
+  if (this->held && this->held->incarnation < request.incarnation)
+    this->EndLease(now);
+  if (!this->held) {
+    this->held.emplace();
+    this->held->lease = LeaseId(this->boot.value + "-lease" +
+                                std::to_string(++this->lease_count));
+    this->held->holder = request.holder;
+    this->held->incarnation = request.incarnation;
+  }
+  this->held->duration = request.duration;
+  this->RenewLease(now);
+  return LeaseGrant{this->held->lease, this->boot, this->ClockMicros(now),
+                    this->options.slots, this->faults.leaving};
+}
+
+bool EndpointModel::Release(const LeaseId& lease, Instant now) {
+  this->ProcessDue(now);
+  if (!this->held || this->held->lease != lease)
+    return false;
+  this->EndLease(now);
+  return true;
+}
+
+std::optional<HeartbeatAnswer> EndpointModel::Heartbeat(const LeaseId& lease,
+                                                        Instant now) {
+  this->ProcessDue(now);
+  if (!this->held || this->held->lease != lease)
+    return std::nullopt;
+  this->RenewLease(now);
+  HeartbeatAnswer answer;
+  answer.boot = this->boot;
+  answer.clock_us = this->ClockMicros(now);
+  answer.leaving = this->faults.leaving;
+  answer.used = this->used;
+  for (const auto& [at, attempt] : this->due) {
+    answer.running.push_back(attempt);
+  }
+  std::sort(answer.running.begin(), answer.running.end());
+  return answer;
+}
+
+void EndpointModel::RenewLease(Instant now) {
+  this->held->lapses = now + this->OnCallersClock(this->held->duration);
+}
+
+// Stops every running task: only the holder of the lease can have started one.
+void EndpointModel::EndLease(Instant at) {
+  while (!this->due.empty()) {
+    const AttemptId attempt = this->due.begin()->second;
+    this->EndTask(attempt, AttemptState::kStopped, at);
+  }
+  this->held.reset();
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Attempts
+//-----------------------------------------------------------------------------
+
+AttemptAnswer EndpointModel::Start(const AttemptRequest& request, Instant now) {
+  this->ProcessDue(now);
+  AttemptAnswer answer;
+  const auto known = this->tasks.find(request.attempt);
+  if (known != this->tasks.end()) {
+    answer = known->second.answer;
+  } else {
+    const StartRefusal refusal = this->CheckStart(request, now);
+    answer = refusal == StartRefusal::kNone
+                 ? this->Begin(request, now)
+                 : this->RecordRefusal(request.attempt, refusal);
+  }
+  if (answer.state != AttemptState::kRunning)
+    this->ApplyAnswerFaults(answer);
+  return answer;
+}
+
+StartRefusal EndpointModel::CheckStart(const AttemptRequest& request,
+                                       Instant now) const {
+  if (request.boot != this->boot)
+    return StartRefusal::kBoot;
+  if (!this->held || this->held->lease != request.lease)
+    return StartRefusal::kLease;
+  if (this->ClockMicros(now) > request.not_after_us)
+    return StartRefusal::kNotAfter;
+  if (this->faults.leaving)
+    return StartRefusal::kLeaving;
+  if (this->used + request.slots > this->options.slots)
+    return StartRefusal::kSlots;
+  return StartRefusal::kNone;
+}
+
+AttemptAnswer EndpointModel::Begin(const AttemptRequest& request, Instant now) {
+  KnownAttempt task;
+  task.answer.in_reply_to = request.attempt;
+  task.answer.attempt = request.attempt;
+  task.answer.state = AttemptState::kRunning;
+  task.slots = request.slots;
+  task.payload = request.payload;
+  task.due = now + request.run;
+  task.run_index = this->runs.size();
+  this->runs.push_back({request.attempt, request.task, request.team, now});
+  this->used += request.slots;
+  this->due.emplace(task.due, request.attempt);
+  AttemptAnswer answer = task.answer;
+  this->tasks.emplace(request.attempt, std::move(task));
+  if (this->faults.fail_all)
+    this->EndTask(request.attempt, AttemptState::kFailed, now);
+  return answer;
+}
+
+AttemptAnswer EndpointModel::RecordRefusal(const AttemptId& attempt,
+                                           StartRefusal reason) {
+  KnownAttempt task;
+  task.answer.in_reply_to = attempt;
+  task.answer.attempt = attempt;
+  task.answer.state = AttemptState::kNeverStarted;
+  task.answer.reason = reason;
+  return this->tasks.emplace(attempt, std::move(task)).first->second.answer;
+}
+
+void EndpointModel::EndTask(const AttemptId& attempt,
+                            AttemptState state,
+                            Instant at) {
+  KnownAttempt& task = this->tasks.at(attempt);
+  this->due.erase({task.due, attempt});
+  this->used -= task.slots;
+  this->runs[task.run_index].ended = at;
+  this->runs[task.run_index].outcome = state;
+  task.answer.state = state;
+  if (state == AttemptState::kDone)
+    SetBody(task.answer, "ok " + task.payload);
+  task.payload.clear();
+
+  this->ended.push_back(task.answer);
+}
+
+void EndpointModel::ApplyAnswerFaults(AttemptAnswer& answer) {
+  if (this->faults.lose_answers > 0) {
+    --this->faults.lose_answers;
+    answer.lost = true;
+    return;
+  }
+  if (answer.state != AttemptState::kDone)
+    return;
+  if (this->faults.wrong_answers > 0) {
+    --this->faults.wrong_answers;
+    const AttemptId asked = answer.in_reply_to;
+    const bool other = this->last_done && this->last_done->attempt != asked;
+    answer = other ? *this->last_done : StrangeAnswer();
+    answer.in_reply_to = asked;
+    return;
+  }
+  if (this->faults.truncate > 0) {
+    --this->faults.truncate;
+    answer.body.resize(answer.body.size() / 2);
+  }
+}
+
+AttemptAnswer EndpointModel::Fence(const AttemptId& attempt,
+                                   const BootId& sent_under,
+                                   Instant now) {
+  this->ProcessDue(now);
+  if (!sent_under.value.empty() && sent_under != this->boot) {
+    AttemptAnswer unknown;
+    unknown.in_reply_to = attempt;
+    unknown.attempt = attempt;
+    return unknown;
+  }
+  const auto known = this->tasks.find(attempt);
+  if (known != this->tasks.end())
+    return known->second.answer;
+  return this->RecordRefusal(attempt, StartRefusal::kFenced);
+}
+
+AttemptAnswer EndpointModel::Cancel(const AttemptId& attempt,
+                                    const BootId& sent_under,
+                                    Instant now) {
+  AttemptAnswer answer = this->Fence(attempt, sent_under, now);
+  if (answer.state != AttemptState::kRunning)
+    return answer;
+  this->EndTask(attempt, AttemptState::kStopped, now);
+  return this->tasks.at(attempt).answer;
+}
+
+std::optional<AttemptAnswer> EndpointModel::Look(const AttemptId& attempt,
+                                                 Instant now) {
+  this->ProcessDue(now);
+  const auto known = this->tasks.find(attempt);
+  if (known == this->tasks.end())
+    return std::nullopt;
+  return known->second.answer;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Connections, pause and restart
+//-----------------------------------------------------------------------------
+
+std::optional<std::uint64_t> EndpointModel::Connect() {
+  const auto open = static_cast<std::int64_t>(this->open_connections.size());
+  if (open >= this->options.connections)
+    return std::nullopt;
+  this->open_connections.insert(++this->connection_count);
+  return this->connection_count;
+}
+
+void EndpointModel::Disconnect(std::uint64_t connection) {
+  this->open_connections.erase(connection);
+}
+
+bool EndpointModel::IsSilent(std::uint64_t connection) const {
+  return connection <= this->silent_up_to;
+}
+
+void EndpointModel::SilenceOpenConnections() {
+  this->silent_up_to = this->connection_count;
+}
+
+// A task makes no progress during the pause, so its end moves by the length.
+// The lease lapses by the clock, which goes on.
+void EndpointModel::Pause(Duration length, Instant now) {
+  this->ProcessDue(now);
+  this->paused_until = std::max(this->paused_until, now) + length;
+  std::set<std::pair<Instant, AttemptId>> moved;
+  for (const auto& [at, attempt] : this->due) {
+    this->tasks.at(attempt).due = at + length;
+    moved.emplace(at + length, attempt);
+  }
+  this->due = std::move(moved);
+}
+
+void EndpointModel::Restart(Instant now) {
+  this->ProcessDue(now);
+  this->EndLease(now);
+  this->boot =
+      BootId(this->options.boot_prefix + std::to_string(++this->boot_count));
+  this->tasks.clear();
+  this->ended.clear();
+  this->last_done.reset();
+  this->open_connections.clear();
+  this->paused_until = Instant{};
+}
+
+}  // namespace peridot::stand_ins
