Add slots of owned endpoints, the choice of owner and peer messages

Cause: owners need to take the least used slot in constant time and to find slots whose return was lost. Ruled out: a scan over all endpoints per start, which grows with the fleet. Change: SlotLedger keeps endpoints in buckets by used slots; EndpointOwner uses rendezvous hashing with xxHash; peer.proto carries the permit ledger's and the settings lease's messages. Conclusion: the daemon's parts can be wired to these messages.

--- /dev/null
+++ b/src/coordination/endpoint_owner.h
@@ -0,0 +1,31 @@
+// Choice of the daemon that divides an endpoint's slots.
+//
+// Index:
+//   [SECTION] EndpointOwner
+//
+// Rendezvous hashing: each endpoint belongs to the live daemon of its zone with
+// the highest hash of (endpoint, daemon). When a daemon leaves, only its own
+// endpoints move. Two daemons with different views may both own an endpoint for
+// a while; the endpoint's slots then refuse what is too much.
+
+#ifndef SRC_COORDINATION_ENDPOINT_OWNER_H_
+#define SRC_COORDINATION_ENDPOINT_OWNER_H_
+
+#include <span>
+
+#include "src/state/ids.h"
+
+namespace peridot {
+
+//-----------------------------------------------------------------------------
+// [SECTION] EndpointOwner
+//-----------------------------------------------------------------------------
+
+// Returns the owner among the daemons, or null if there is none. The result
+// does not depend on their order. Does not allocate.
+const DaemonId* EndpointOwner(const EndpointId& endpoint,
+                              std::span<const DaemonId> daemons);
+
+}  // namespace peridot
+
+#endif  // SRC_COORDINATION_ENDPOINT_OWNER_H_
