--- a/stand_ins/endpoint_model.h
+++ b/stand_ins/endpoint_model.h
@@ -53,7 +53,7 @@
 //-----------------------------------------------------------------------------
 
 struct EndpointOptions {
-  EndpointId id;                   // default: empty
+  EndpointId id{};                 // default: empty
   SlotCount slots{8};              // default: 8, the size given in 1.3
   std::int64_t connections = 64;   // default: 64, the size given in 1.3
   std::string boot_prefix = "b";   // default: "b"; boot ids are prefix + number
@@ -76,32 +76,32 @@
 //-----------------------------------------------------------------------------
 
 struct LeaseRequest {
-  DaemonId holder;          // default: empty
-  Incarnation incarnation;  // default: 0
-  Duration duration{};      // default: 0; by the endpoint's clock
+  DaemonId holder{};          // default: empty
+  Incarnation incarnation{};  // default: 0
+  Duration duration{};        // default: 0; by the endpoint's clock
 };
 
 struct LeaseGrant {
-  LeaseId lease;              // default: empty
-  BootId boot;                // default: empty
+  LeaseId lease{};            // default: empty
+  BootId boot{};              // default: empty
   std::int64_t clock_us = 0;  // default: 0 us; the endpoint's clock
-  SlotCount slots;            // default: 0
+  SlotCount slots{};          // default: 0
   bool leaving = false;       // default: false
 };
 
 struct LeaseRefusal {
-  DaemonId holder;       // default: empty
+  DaemonId holder{};     // default: empty
   Duration remaining{};  // default: 0; until it lapses
 };
 
 using LeaseAnswer = std::variant<LeaseGrant, LeaseRefusal>;
 
 struct HeartbeatAnswer {
-  BootId boot;                     // default: empty
-  std::int64_t clock_us = 0;       // default: 0 us; the endpoint's clock
-  bool leaving = false;            // default: false
-  std::vector<AttemptId> running;  // default: none; ordered
-  SlotCount used;                  // default: 0
+  BootId boot{};                     // default: empty
+  std::int64_t clock_us = 0;         // default: 0 us; the endpoint's clock
+  bool leaving = false;              // default: false
+  std::vector<AttemptId> running{};  // default: none; ordered
+  SlotCount used{};                  // default: 0
 };
 
 //-----------------------------------------------------------------------------
@@ -132,24 +132,25 @@
 const char* StartRefusalName(StartRefusal refusal);
 
 struct AttemptRequest {
-  AttemptId attempt;              // default: empty
-  TaskId task;                    // default: empty; for the record of runs
-  TeamId team;                    // default: empty; for the record of runs
-  LeaseId lease;                  // default: empty
-  BootId boot;                    // default: empty
+  AttemptId attempt{};            // default: empty
+  TaskId task{};                  // default: empty; for the record of runs
+  TeamId team{};                  // default: empty; for the record of runs
+  LeaseId lease{};                // default: empty
+  BootId boot{};                  // default: empty
   std::int64_t not_after_us = 0;  // default: 0 us; the endpoint's clock
   Duration run{};                 // default: 0; how long the task runs
   SlotCount slots{1};             // default: 1
-  std::string payload;            // default: empty
+  std::string payload{};          // default: empty
 };
 
 struct AttemptAnswer {
-  AttemptId in_reply_to;  // default: empty; attempt whose request this answers
-  AttemptId attempt;      // default: empty; named in the answer
+  AttemptId
+      in_reply_to{};    // default: empty; attempt whose request this answers
+  AttemptId attempt{};  // default: empty; named in the answer
   AttemptState state = AttemptState::kUnknown;  // default: kUnknown
   StartRefusal reason = StartRefusal::kNone;    // default: kNone
-  std::string body;        // default: empty; "ok " + payload when done
-  std::string digest;      // default: empty; SHA-256 in hex of the whole body
+  std::string body{};      // default: empty; "ok " + payload when done
+  std::string digest{};    // default: empty; SHA-256 in hex of the whole body
   std::size_t length = 0;  // default: 0 bytes; of the whole body
   bool lost = false;       // default: false; by fault, closes the connection
 };
@@ -157,11 +158,11 @@
 // One run of a task, as the endpoint itself saw it. Times are the caller's, so
 // that records of several endpoints can be compared.
 struct RunRecord {
-  AttemptId attempt;  // default: empty
-  TaskId task;        // default: empty
-  TeamId team;        // default: empty
-  Instant started{};  // default: epoch
-  Instant ended{};    // default: epoch while it runs
+  AttemptId attempt{};  // default: empty
+  TaskId task{};        // default: empty
+  TeamId team{};        // default: empty
+  Instant started{};    // default: epoch
+  Instant ended{};      // default: epoch while it runs
   AttemptState outcome = AttemptState::kRunning;  // default: kRunning
 };
 
@@ -177,19 +178,19 @@
 // What the endpoint knows of one attempt.
 struct KnownAttempt {
   AttemptAnswer answer;       // as known so far
-  SlotCount slots;            // default: 0
-  std::string payload;        // default: empty
+  SlotCount slots{};          // default: 0
+  std::string payload{};      // default: empty
   Instant due{};              // default: epoch; end of the run
   std::size_t run_index = 0;  // default: 0; into `runs`
 };
 
 // The valid owner lease.
 struct HeldLease {
-  LeaseId lease;            // default: empty
-  DaemonId holder;          // default: empty
-  Incarnation incarnation;  // default: 0
-  Duration duration{};      // default: 0
-  Instant lapses{};         // default: epoch; caller's time
+  LeaseId lease{};            // default: empty
+  DaemonId holder{};          // default: empty
+  Incarnation incarnation{};  // default: 0
+  Duration duration{};        // default: 0
+  Instant lapses{};           // default: epoch; caller's time
 };
 
 }  // namespace internal
--- a/stand_ins/table_store.h
+++ b/stand_ins/table_store.h
@@ -10,8 +10,8 @@
 //
 // Example:
 //   TableStore store;
-//   auto answer = store.Transact({"op1", {{"k", RowVersion(0)}}, {{"k", "v"}}},
-//                                now);
+//   auto answer = store.Transact(
+//       {"op1", {{"k", RowVersion(0)}}, {{"k", "v"}}, {}}, now);
 //   answer.value().outcome == CommitOutcome::kCommitted;
 //   store.Read({.keys = {"k"}}, now).value().front().value == "v";
 //
@@ -29,6 +29,7 @@
 #include "src/state/clock.h"
 #include "src/state/error.h"
 #include "src/state/table_types.h"
+#include "stand_ins/store_faults.h"
 #include "stand_ins/token_bucket.h"
 
 namespace peridot::stand_ins {
@@ -37,21 +38,17 @@
 // [SECTION] Faults
 //-----------------------------------------------------------------------------
 
-struct TableFaults {
-  bool down = false;                // default: false; refuse everything
-  Duration latency{};               // default: 0; added to each answer
-  std::int64_t lose_answers = 0;    // default: 0; next transactions' answers
-  std::int64_t writes_per_s = 300;  // default: 300 transactions/s
-  std::int64_t reads_per_s = 2000;  // default: 2,000 reads/s
-};
+// A write is one transaction, whatever its number of rows. The model does not
+// wait: whoever drives it delays answers by `latency`.
+using TableFaults = StoreFaults;
 
 //-----------------------------------------------------------------------------
 // [SECTION] Reads
 //-----------------------------------------------------------------------------
 
 struct TableReadRequest {
-  std::vector<std::string> keys;      // default: none
-  std::vector<std::string> prefixes;  // default: none; "" matches every key
+  std::vector<std::string> keys{};      // default: none
+  std::vector<std::string> prefixes{};  // default: none; "" matches every key
 };
 
 //-----------------------------------------------------------------------------
--- /dev/null
+++ b/tests/stand_in_endpoint_test.cc
@@ -0,0 +1,279 @@
+// Tests of the endpoint's model: a rule that it does not keep would make the
+// daemon's tests pass for nothing.
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <variant>
+
+#include "stand_ins/endpoint_model.h"
+
+namespace peridot::stand_ins {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Instant kStart = Instant{} + seconds(100);
+constexpr Duration kLease = seconds(2);
+
+// An endpoint whose lease belongs to daemon d1.
+struct Held {
+  EndpointModel endpoint;
+  LeaseGrant grant;
+
+  explicit Held(EndpointOptions options = {.id = EndpointId("e1")})
+      : endpoint(std::move(options)),
+        grant(std::get<LeaseGrant>(Ask("d1", 1, kStart))) {}
+
+  LeaseAnswer Ask(const char* holder, std::uint64_t incarnation, Instant now) {
+    return this->endpoint.Lease(
+        {DaemonId(holder), Incarnation(incarnation), kLease}, now);
+  }
+
+  AttemptRequest Request(const char* id, Duration run) const {
+    return {.attempt = AttemptId(id),
+            .task = TaskId("t"),
+            .team = TeamId("counts"),
+            .lease = this->grant.lease,
+            .boot = this->grant.boot,
+            .not_after_us = this->grant.clock_us + 60'000'000,
+            .run = run,
+            .payload = id};
+  }
+
+  AttemptAnswer Start(const char* id, Duration run, Instant now = kStart) {
+    return this->endpoint.Start(this->Request(id, run), now);
+  }
+
+  AttemptState Fence(const char* id, Instant now = kStart) {
+    return this->endpoint.Fence(AttemptId(id), this->grant.boot, now).state;
+  }
+};
+
+TEST_CASE("a lease has one holder at a time", "[endpoint]") {
+  Held held;
+  const auto refusal =
+      std::get<LeaseRefusal>(held.Ask("d2", 9, kStart + seconds(1)));
+  REQUIRE(refusal.holder == DaemonId("d1"));
+  REQUIRE(refusal.remaining == seconds(1));
+
+  const auto renewed =
+      std::get<LeaseGrant>(held.Ask("d1", 1, kStart + seconds(1)));
+  REQUIRE(renewed.lease == held.grant.lease);
+  REQUIRE(std::holds_alternative<LeaseRefusal>(
+      held.Ask("d2", 1, kStart + milliseconds(2'999))));
+  const auto next =
+      std::get<LeaseGrant>(held.Ask("d2", 1, kStart + seconds(3)));
+  REQUIRE(next.lease != held.grant.lease);
+  REQUIRE_FALSE(held.endpoint.Heartbeat(held.grant.lease, kStart + seconds(3)));
+  REQUIRE(held.Start("late", seconds(1), kStart + seconds(3)).reason ==
+          StartRefusal::kLease);
+}
+
+// A restarted daemon must not wait for its own earlier lease, and an earlier
+// incarnation must not take it back.
+TEST_CASE("a later incarnation replaces the earlier one", "[endpoint]") {
+  Held held;
+  held.Start("a", seconds(1));
+  const auto second = std::get<LeaseGrant>(held.Ask("d1", 2, kStart));
+  REQUIRE(second.lease != held.grant.lease);
+  REQUIRE(held.Fence("a") == AttemptState::kStopped);
+  REQUIRE(std::holds_alternative<LeaseRefusal>(held.Ask("d1", 1, kStart)));
+}
+
+TEST_CASE("heartbeats renew the lease, a lapse stops its tasks", "[endpoint]") {
+  Held held;
+  held.Start("short", milliseconds(1'500));
+  held.Start("long", seconds(60));
+  const auto beat =
+      held.endpoint.Heartbeat(held.grant.lease, kStart + seconds(1));
+  REQUIRE(beat->running == std::vector{AttemptId("long"), AttemptId("short")});
+  REQUIRE(beat->clock_us == held.grant.clock_us + 1'000'000);
+
+  const auto answers = held.endpoint.Advance(kStart + seconds(10));
+  REQUIRE(answers.size() == 2);
+  REQUIRE(answers[0].state == AttemptState::kDone);
+  REQUIRE(answers[0].body == "ok short");
+  REQUIRE(answers[0].digest == Sha256Hex("ok short"));
+  REQUIRE(answers[1].state == AttemptState::kStopped);
+  const RunRecord& record = held.endpoint.Runs().at(1);
+  REQUIRE(record.attempt == AttemptId("long"));
+  REQUIRE(record.started == kStart);
+  REQUIRE(record.ended == kStart + seconds(3));
+  REQUIRE(record.outcome == AttemptState::kStopped);
+}
+
+TEST_CASE("a release ends the lease and its tasks", "[endpoint]") {
+  Held held;
+  held.Start("a", seconds(1));
+  REQUIRE_FALSE(held.endpoint.Release(LeaseId("other"), kStart));
+  REQUIRE(held.endpoint.Release(held.grant.lease, kStart));
+  REQUIRE(held.Fence("a") == AttemptState::kStopped);
+  REQUIRE(std::holds_alternative<LeaseGrant>(held.Ask("d2", 1, kStart)));
+}
+
+// A daemon that was paused must not start anything when it wakes.
+TEST_CASE("a start after not_after is refused", "[endpoint]") {
+  Held held;
+  AttemptRequest request = held.Request("a", seconds(1));
+  request.not_after_us = held.grant.clock_us + 1'000;
+  const Instant last = kStart + milliseconds(1);
+  const auto late = held.endpoint.Start(request, last + milliseconds(1));
+  REQUIRE(late.state == AttemptState::kNeverStarted);
+  REQUIRE(late.reason == StartRefusal::kNotAfter);
+
+  Held in_time;
+  REQUIRE(in_time.endpoint.Start(request, last).state ==
+          AttemptState::kRunning);
+}
+
+// The endpoint judges by its own clock, which may be fast or slow.
+TEST_CASE("lease and not_after follow the endpoint's clock", "[endpoint]") {
+  Held fast({.drift_percent = 1});
+  REQUIRE(fast.endpoint.ClockMicros(kStart + seconds(100)) -
+              fast.endpoint.ClockMicros(kStart) ==
+          101'000'000);
+  REQUIRE(std::holds_alternative<LeaseGrant>(
+      fast.Ask("d2", 1, kStart + milliseconds(1'981))));
+  Held slow({.drift_percent = -1});
+  REQUIRE(std::holds_alternative<LeaseRefusal>(
+      slow.Ask("d2", 1, kStart + milliseconds(2'019))));
+}
+
+TEST_CASE("slots bound the running tasks", "[endpoint]") {
+  Held held({.slots = SlotCount(2)});
+  held.Start("a", seconds(1));
+  held.Start("b", seconds(1));
+  REQUIRE(held.Start("c", seconds(1)).reason == StartRefusal::kSlots);
+  held.endpoint.Advance(kStart + seconds(1));
+  REQUIRE(held.Start("d", seconds(1), kStart + seconds(1)).state ==
+          AttemptState::kRunning);
+  AttemptRequest wide = held.Request("wide", seconds(1));
+  wide.slots = SlotCount(2);
+  REQUIRE(held.endpoint.Start(wide, kStart + seconds(1)).reason ==
+          StartRefusal::kSlots);
+}
+
+// "never_started" would be false if the attempt could still start.
+TEST_CASE("a fence before the start forbids it", "[endpoint]") {
+  Held held;
+  REQUIRE(held.Fence("a") == AttemptState::kNeverStarted);
+  const auto late = held.Start("a", seconds(1));
+  REQUIRE(late.state == AttemptState::kNeverStarted);
+  REQUIRE(late.reason == StartRefusal::kFenced);
+  REQUIRE(held.endpoint.Runs().empty());
+}
+
+TEST_CASE("a fence after the start reports it and lets it run", "[endpoint]") {
+  Held held;
+  held.Start("a", seconds(1));
+  REQUIRE(held.Fence("a") == AttemptState::kRunning);
+  REQUIRE(held.endpoint.Advance(kStart + seconds(1)).size() == 1);
+  const auto done =
+      held.endpoint.Fence(AttemptId("a"), held.grant.boot, kStart + seconds(1));
+  REQUIRE(done.state == AttemptState::kDone);
+  REQUIRE(done.body == "ok a");
+}
+
+// A refused attempt may be retried elsewhere, so it must never start here.
+TEST_CASE("a refused attempt does not start when it is repeated",
+          "[endpoint]") {
+  Held held;
+  held.endpoint.SetFaults({.leaving = true});
+  REQUIRE(held.Start("a", seconds(1)).reason == StartRefusal::kLeaving);
+  held.endpoint.SetFaults({});
+  REQUIRE(held.Start("a", seconds(1)).state == AttemptState::kNeverStarted);
+  REQUIRE(held.endpoint.Runs().empty());
+}
+
+TEST_CASE("a repeated attempt runs once", "[endpoint]") {
+  Held held;
+  held.Start("a", seconds(1));
+  REQUIRE(held.Start("a", seconds(1)).state == AttemptState::kRunning);
+  held.endpoint.Advance(kStart + seconds(1));
+  REQUIRE(held.Start("a", seconds(1), kStart + seconds(1)).body == "ok a");
+  REQUIRE(held.endpoint.Runs().size() == 1);
+}
+
+TEST_CASE("a cancel stops a task and forbids a start", "[endpoint]") {
+  Held held;
+  held.Start("a", seconds(1));
+  REQUIRE(held.endpoint.Cancel(AttemptId("a"), {}, kStart).state ==
+          AttemptState::kStopped);
+  REQUIRE(held.endpoint.Cancel(AttemptId("b"), {}, kStart).state ==
+          AttemptState::kNeverStarted);
+  REQUIRE(held.Start("b", seconds(1)).reason == StartRefusal::kFenced);
+  REQUIRE(held.endpoint.Heartbeat(held.grant.lease, kStart)->used ==
+          SlotCount(0));
+}
+
+// After a restart the endpoint has forgotten what it ran: "never_started"
+// would let a non-idempotent task run twice.
+TEST_CASE("attempts of an earlier boot are unknown", "[endpoint]") {
+  Held held;
+  held.Start("a", seconds(1));
+  held.endpoint.Restart(kStart);
+  REQUIRE(held.endpoint.Boot() != held.grant.boot);
+  REQUIRE(held.Fence("a") == AttemptState::kUnknown);
+  REQUIRE(held.Start("b", seconds(1)).reason == StartRefusal::kBoot);
+  REQUIRE(held.endpoint.Runs().at(0).outcome == AttemptState::kStopped);
+  REQUIRE(held.endpoint.Advance(kStart + seconds(5)).empty());
+  REQUIRE(std::holds_alternative<LeaseGrant>(held.Ask("d2", 1, kStart)));
+}
+
+TEST_CASE("a failing endpoint ends every task with a failure", "[endpoint]") {
+  Held held;
+  held.endpoint.SetFaults({.fail_all = true});
+  held.Start("a", seconds(1));
+  const auto answers = held.endpoint.Advance(kStart);
+  REQUIRE(answers.at(0).state == AttemptState::kFailed);
+  REQUIRE(answers.at(0).body.empty());
+}
+
+TEST_CASE("answers are lost, wrong or cut", "[endpoint]") {
+  Held held;
+  held.endpoint.SetFaults(
+      {.lose_answers = 1, .wrong_answers = 1, .truncate = 1});
+  held.Start("a", milliseconds(1));
+  held.Start("b", milliseconds(2));
+  held.Start("c", milliseconds(3));
+  const auto answers = held.endpoint.Advance(kStart + milliseconds(3));
+  REQUIRE(answers.at(0).lost);
+  REQUIRE(answers.at(1).in_reply_to == AttemptId("b"));
+  REQUIRE(answers.at(1).attempt == AttemptId("a"));
+  REQUIRE(answers.at(1).body == "ok a");
+  REQUIRE(answers.at(2).body == "ok");
+  REQUIRE(answers.at(2).length == 4);
+  REQUIRE(answers.at(2).digest == Sha256Hex("ok c"));
+  // The endpoint's own knowledge stays right.
+  REQUIRE(held.Fence("a", kStart + milliseconds(3)) == AttemptState::kDone);
+}
+
+TEST_CASE("open connections go silent, new ones work", "[endpoint]") {
+  Held held({.connections = 2});
+  const auto old = held.endpoint.Connect();
+  held.endpoint.SilenceOpenConnections();
+  const auto fresh = held.endpoint.Connect();
+  REQUIRE(held.endpoint.IsSilent(*old));
+  REQUIRE_FALSE(held.endpoint.IsSilent(*fresh));
+  REQUIRE_FALSE(held.endpoint.Connect());
+  held.endpoint.Disconnect(*old);
+  REQUIRE(held.endpoint.Connect());
+}
+
+// A paused endpoint wakes with its lease lapsed and must not let the tasks go
+// on.
+TEST_CASE("a pause delays tasks but not the lapse of the lease", "[endpoint]") {
+  Held held;
+  held.Start("a", seconds(1));
+  held.endpoint.Pause(seconds(3), kStart);
+  REQUIRE(held.endpoint.PausedUntil() == kStart + seconds(3));
+  REQUIRE(held.endpoint.Advance(kStart + seconds(2)).empty());
+  REQUIRE(held.endpoint.NextEvent() == kStart + seconds(3));
+  const auto answers = held.endpoint.Advance(kStart + seconds(3));
+  REQUIRE(answers.at(0).state == AttemptState::kStopped);
+  REQUIRE(held.endpoint.Runs().at(0).ended == kStart + seconds(3));
+}
+
+}  // namespace
+}  // namespace peridot::stand_ins
