Add the event loop and the HTTP client

Cause: the daemon, the tool and the stand-ins need one loop and a client that says whether a failed request can have reached its peer. Ruled out: several requests in a row on one connection, because one lost answer would leave the outcome of all of them unknown; repeats inside the client, because only the caller knows whether a request is idempotent. Change: EventLoop over one event base; HttpClient over evhttp with a pool per peer, a cap, typed results, delivery, and a live-connection rule with an optional probe; header lists in the protocol layer; raw servers for tests. evhttp reports an oversized header section as malformed, not as too large. Conclusion: callers can answer "not run" only for what was never sent.

--- /dev/null
+++ b/src/transport/http_client.cc
@@ -0,0 +1,838 @@
+#include "src/transport/http_client.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <netinet/in.h>
+#include <sys/queue.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace peridot {
+namespace {
+
+// evhttp's own timeout in seconds. It only has to be longer than any request,
+// because the client ends requests by its own timers.
+constexpr int kLibraryTimeoutS = 7 * 24 * 3600;
+
+evhttp_cmd_type ToCommand(HttpMethod method) {
+  switch (method) {
+    case HttpMethod::kGet:
+      return EVHTTP_REQ_GET;
+    case HttpMethod::kHead:
+      return EVHTTP_REQ_HEAD;
+    case HttpMethod::kPost:
+      return EVHTTP_REQ_POST;
+    case HttpMethod::kPut:
+      return EVHTTP_REQ_PUT;
+    case HttpMethod::kDelete:
+      return EVHTTP_REQ_DELETE;
+  }
+  return EVHTTP_REQ_GET;
+}
+
+bool IsIpv6(const std::string& address) {
+  in6_addr parsed{};
+  return inet_pton(AF_INET6, address.c_str(), &parsed) == 1;
+}
+
+bool IsIpAddress(const std::string& address) {
+  in_addr parsed{};
+  return inet_pton(AF_INET, address.c_str(), &parsed) == 1 || IsIpv6(address);
+}
+
+bool IsVisible(char c) {
+  return c > 0x20 && c < 0x7f;
+}
+
+bool IsPath(const std::string& path) {
+  return !path.empty() && path.front() == '/' &&
+         std::all_of(path.begin(), path.end(), IsVisible);
+}
+
+bool IsTokenChar(char c) {
+  return IsVisible(c) && std::string_view("\"(),/:;<=>?@[\\]{}").find(c) ==
+                             std::string_view::npos;
+}
+
+bool IsHeader(const HttpHeader& header) {
+  // Line breaks in a value would start another header or another request.
+  return !header.name.empty() &&
+         std::all_of(header.name.begin(), header.name.end(), IsTokenChar) &&
+         header.value.find_first_of(std::string_view("\r\n\0", 3)) ==
+             std::string::npos;
+}
+
+bool IsSetByClient(const HttpHeader& header) {
+  static constexpr std::string_view kNames[] = {
+      "host", "connection", "content-length", "transfer-encoding"};
+  return std::any_of(std::begin(kNames), std::end(kNames),
+                     [&header](std::string_view name) {
+                       return EqualHeaderNames(header.name, name);
+                     });
+}
+
+// Returns the rule that the request breaks, or null.
+const char* FindInvalid(const HttpPeer& peer, const HttpRequest& request) {
+  if (!IsIpAddress(peer.address) || peer.port == 0) {
+    return "the peer is not an IP address with a port";
+  }
+  if (!IsPath(request.path)) {
+    return "the path does not start with / or holds characters not allowed";
+  }
+  if (request.live_connection && !request.live_connection->probe_path.empty() &&
+      !IsPath(request.live_connection->probe_path)) {
+    return "the probe path is not a path";
+  }
+  for (const HttpHeader& header : request.headers) {
+    if (!IsHeader(header)) {
+      return "a header holds characters not allowed";
+    }
+    if (IsSetByClient(header)) {
+      return "a header is one that the client sets itself";
+    }
+  }
+  return nullptr;
+}
+
+HttpResult FromLibraryError(std::optional<evhttp_request_error> error) {
+  if (!error) {
+    return HttpResult::kConnectionLost;
+  }
+  switch (*error) {
+    case EVREQ_HTTP_INVALID_HEADER:
+      return HttpResult::kMalformed;
+    case EVREQ_HTTP_DATA_TOO_LONG:
+      return HttpResult::kTooLarge;
+    case EVREQ_HTTP_TIMEOUT:
+      return HttpResult::kTimeout;
+    case EVREQ_HTTP_REQUEST_CANCEL:
+      return HttpResult::kCancelled;
+    case EVREQ_HTTP_EOF:
+    case EVREQ_HTTP_BUFFER_ERROR:
+      return HttpResult::kConnectionLost;
+  }
+  return HttpResult::kConnectionLost;
+}
+
+const char* ResultMessage(HttpResult result) {
+  switch (result) {
+    case HttpResult::kAnswered:
+      return "answered";
+    case HttpResult::kInvalidRequest:
+      return "the request is not valid";
+    case HttpResult::kOverloaded:
+      return "too many requests wait for this peer";
+    case HttpResult::kNoLiveConnection:
+      return "no connection answered recently enough";
+    case HttpResult::kConnectFailed:
+      return "cannot connect";
+    case HttpResult::kTimeout:
+      return "no whole answer within the timeout";
+    case HttpResult::kConnectionLost:
+      return "the connection ended before the answer was whole";
+    case HttpResult::kMalformed:
+      return "the answer is not valid HTTP";
+    case HttpResult::kTooLarge:
+      return "the answer exceeds a size limit";
+    case HttpResult::kCancelled:
+      return "cancelled";
+  }
+  return "";
+}
+
+HttpHeaders CopyHeaders(evkeyvalq* list) {
+  HttpHeaders headers;
+  for (const evkeyval* entry = list->tqh_first; entry != nullptr;
+       entry = entry->next.tqe_next) {
+    headers.push_back({entry->key, entry->value});
+  }
+  return headers;
+}
+
+std::string CopyBody(evbuffer* buffer) {
+  std::string body(evbuffer_get_length(buffer), '\0');
+  evbuffer_copyout(buffer, body.data(), body.size());
+  return body;
+}
+
+}  // namespace
+
+std::string PeerName(const HttpPeer& peer) {
+  const std::string port = std::to_string(peer.port);
+  return IsIpv6(peer.address) ? "[" + peer.address + "]:" + port
+                              : peer.address + ":" + port;
+}
+
+const char* HttpResultName(HttpResult result) {
+  switch (result) {
+    case HttpResult::kAnswered:
+      return "answered";
+    case HttpResult::kInvalidRequest:
+      return "invalid_request";
+    case HttpResult::kOverloaded:
+      return "overloaded";
+    case HttpResult::kNoLiveConnection:
+      return "no_live_connection";
+    case HttpResult::kConnectFailed:
+      return "connect_failed";
+    case HttpResult::kTimeout:
+      return "timeout";
+    case HttpResult::kConnectionLost:
+      return "connection_lost";
+    case HttpResult::kMalformed:
+      return "malformed";
+    case HttpResult::kTooLarge:
+      return "too_large";
+    case HttpResult::kCancelled:
+      return "cancelled";
+  }
+  return "malformed";
+}
+
+Error OutcomeError(const HttpOutcome& outcome,
+                   std::string step,
+                   const HttpPeer& peer) {
+  ErrorCode code = ErrorCode::kUnavailable;
+  if (outcome.delivery == Delivery::kMayHaveReached) {
+    code = ErrorCode::kUnknownOutcome;
+  } else if (outcome.result == HttpResult::kInvalidRequest) {
+    code = ErrorCode::kInvalidArgument;
+  }
+  return MakeError(code, std::move(step), PeerName(peer), outcome.message);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Pools
+//-----------------------------------------------------------------------------
+
+class HttpClient::Pools : public std::enable_shared_from_this<Pools> {
+ public:
+  Pools(EventLoop* loop, HttpClientOptions options)
+      : loop(loop), options(options) {}
+  Pools(const Pools&) = delete;
+  Pools& operator=(const Pools&) = delete;
+  ~Pools() { this->Shutdown(); }
+
+  RequestId Send(const HttpPeer& peer, HttpRequest request, Callback callback);
+  void Cancel(RequestId id);
+  void CloseConnection(ConnectionId id);
+  void CloseConnections(const HttpPeer& peer);
+  std::optional<Instant> LastAnswer(ConnectionId id) const;
+  std::size_t OpenConnections(const HttpPeer& peer) const;
+  std::size_t WaitingRequests(const HttpPeer& peer) const;
+  void Shutdown();
+
+ private:
+  struct Connection {
+    Pools* pools = nullptr;
+    ConnectionId id = 0;
+    HttpPeer peer;
+    evhttp_connection* evhttp = nullptr;
+    RequestId job = 0;         // 0: idle
+    bool handed_over = false;  // bytes of the job went to a connected socket
+    bool used = false;         // completed an answer before
+    bool ended = false;        // closed by the peer or by evhttp
+    std::optional<evhttp_request_error> error;
+    std::optional<Instant> last_answer;
+  };
+
+  struct Job {
+    HttpPeer peer;
+    HttpRequest request;
+    Callback callback;
+    WatchId timer = kNoWatch;
+    ConnectionId connection = 0;  // 0: waiting
+    bool probing = false;
+    bool reused = false;
+  };
+
+  struct PeerPool {
+    std::deque<RequestId> waiting;
+    std::vector<ConnectionId> connections;
+    std::vector<ConnectionId> idle;  // most recently used last
+  };
+
+  struct Finished {
+    Callback callback;
+    HttpOutcome outcome;
+  };
+
+  static void OnOutput(evbuffer* buffer,
+                       const evbuffer_cb_info* info,
+                       void* connection);
+  static void OnError(evhttp_request_error error, void* connection);
+  static void OnDone(evhttp_request* request, void* connection);
+  static void OnClosed(evhttp_connection* evhttp, void* connection);
+
+  // Work that must not run inside a callback of evhttp.
+  void Later(void (Pools::*step)());
+  void LaterPump(const HttpPeer& peer);
+  void DeliverFinished();
+  void FreeEnded();
+
+  void Pump(const HttpPeer& peer);
+  enum class Placement { kPlaced, kMustWait, kNoLive };
+  Placement Place(PeerPool* pool, RequestId id, Job* job);
+  Connection* TakeIdle(PeerPool* pool);
+  Connection* TakeLive(PeerPool* pool, Duration answered_within);
+  Connection* Open(PeerPool* pool, const HttpPeer& peer);
+  void Dispatch(Connection* connection, RequestId id, Job* job);
+
+  void Complete(Connection* connection, evhttp_request* request);
+  void CompleteAnswer(Connection* connection, evhttp_request* request);
+  void DispatchProbed(RequestId id);
+  bool IsReusable(const Connection& connection,
+                  const Job& job,
+                  const HttpOutcome& outcome) const;
+  void Release(Connection* connection);
+  void Finish(RequestId id, HttpOutcome outcome);
+  void FailJob(RequestId id, HttpResult result, const char* message = nullptr);
+  void MarkEnded(Connection* connection);
+  void FreeConnection(ConnectionId id);
+
+  EventLoop* loop;
+  HttpClientOptions options;
+  bool shut_down = false;
+  RequestId next_request = 1;
+  ConnectionId next_connection = 1;
+  std::unordered_map<RequestId, Job> jobs;
+  std::unordered_map<ConnectionId, std::unique_ptr<Connection>> connections;
+  std::map<HttpPeer, PeerPool> peers;
+  std::vector<Finished> finished;
+  std::vector<ConnectionId> ended;
+};
+
+HttpClient::RequestId HttpClient::Pools::Send(const HttpPeer& peer,
+                                              HttpRequest request,
+                                              Callback callback) {
+  const RequestId id = this->next_request++;
+  const Duration timeout = request.timeout;
+  const char* invalid = FindInvalid(peer, request);
+  Job& job = this->jobs[id];
+  job.peer = peer;
+  job.request = std::move(request);
+  job.callback = std::move(callback);
+  if (invalid != nullptr) {
+    this->FailJob(id, HttpResult::kInvalidRequest, invalid);
+    return id;
+  }
+  PeerPool& pool = this->peers[peer];
+  if (pool.waiting.size() >= this->options.max_waiting_per_peer) {
+    this->FailJob(id, HttpResult::kOverloaded);
+    return id;
+  }
+  job.timer = this->loop->After(
+      timeout, [this, id] { this->FailJob(id, HttpResult::kTimeout); });
+  pool.waiting.push_back(id);
+  this->LaterPump(peer);
+  return id;
+}
+
+void HttpClient::Pools::Cancel(RequestId id) {
+  if (this->jobs.contains(id)) {
+    this->FailJob(id, HttpResult::kCancelled);
+  }
+}
+
+void HttpClient::Pools::CloseConnection(ConnectionId id) {
+  const auto found = this->connections.find(id);
+  if (found == this->connections.end() || found->second->ended) {
+    return;
+  }
+  const HttpPeer peer = found->second->peer;
+  if (found->second->job != 0) {
+    this->FailJob(found->second->job, HttpResult::kCancelled);
+  } else {
+    this->FreeConnection(id);
+  }
+  this->LaterPump(peer);
+}
+
+void HttpClient::Pools::CloseConnections(const HttpPeer& peer) {
+  const auto found = this->peers.find(peer);
+  if (found == this->peers.end()) {
+    return;
+  }
+  const std::vector<ConnectionId> open = found->second.connections;
+  for (const ConnectionId id : open) {
+    this->CloseConnection(id);
+  }
+}
+
+std::optional<Instant> HttpClient::Pools::LastAnswer(ConnectionId id) const {
+  const auto found = this->connections.find(id);
+  if (found == this->connections.end() || found->second->ended) {
+    return std::nullopt;
+  }
+  return found->second->last_answer;
+}
+
+std::size_t HttpClient::Pools::OpenConnections(const HttpPeer& peer) const {
+  const auto found = this->peers.find(peer);
+  return found == this->peers.end() ? 0 : found->second.connections.size();
+}
+
+std::size_t HttpClient::Pools::WaitingRequests(const HttpPeer& peer) const {
+  const auto found = this->peers.find(peer);
+  return found == this->peers.end() ? 0 : found->second.waiting.size();
+}
+
+void HttpClient::Pools::Shutdown() {
+  this->shut_down = true;
+  for (const auto& [id, job] : this->jobs) {
+    this->loop->Cancel(job.timer);
+  }
+  this->jobs.clear();
+  this->finished.clear();
+  while (!this->connections.empty()) {
+    this->FreeConnection(this->connections.begin()->first);
+  }
+  this->peers.clear();
+}
+
+void HttpClient::Pools::OnOutput(evbuffer*,
+                                 const evbuffer_cb_info* info,
+                                 void* connection) {
+  // evhttp writes a request to the buffer only once the socket is connected.
+  if (info->n_added > 0) {
+    static_cast<Connection*>(connection)->handed_over = true;
+  }
+}
+
+void HttpClient::Pools::OnError(evhttp_request_error error, void* connection) {
+  static_cast<Connection*>(connection)->error = error;
+}
+
+void HttpClient::Pools::OnDone(evhttp_request* request, void* connection) {
+  auto* done = static_cast<Connection*>(connection);
+  done->pools->Complete(done, request);
+}
+
+void HttpClient::Pools::OnClosed(evhttp_connection*, void* connection) {
+  auto* closed = static_cast<Connection*>(connection);
+  closed->pools->MarkEnded(closed);
+}
+
+void HttpClient::Pools::Later(void (Pools::*step)()) {
+  this->loop->Post([weak = this->weak_from_this(), step] {
+    if (const std::shared_ptr<Pools> pools = weak.lock()) {
+      (pools.get()->*step)();
+    }
+  });
+}
+
+void HttpClient::Pools::LaterPump(const HttpPeer& peer) {
+  this->loop->Post([weak = this->weak_from_this(), peer] {
+    if (const std::shared_ptr<Pools> pools = weak.lock()) {
+      pools->Pump(peer);
+    }
+  });
+}
+
+void HttpClient::Pools::DeliverFinished() {
+  std::vector<Finished> batch;
+  batch.swap(this->finished);
+  for (Finished& entry : batch) {
+    // A callback may have destroyed the client.
+    if (this->shut_down) {
+      return;
+    }
+    entry.callback(std::move(entry.outcome));
+  }
+}
+
+void HttpClient::Pools::FreeEnded() {
+  std::vector<ConnectionId> batch;
+  batch.swap(this->ended);
+  for (const ConnectionId id : batch) {
+    this->FreeConnection(id);
+  }
+}
+
+void HttpClient::Pools::Pump(const HttpPeer& peer) {
+  const auto found = this->peers.find(peer);
+  if (found == this->peers.end()) {
+    return;
+  }
+  PeerPool* pool = &found->second;
+  while (!pool->waiting.empty()) {
+    const RequestId id = pool->waiting.front();
+    const Placement placement = this->Place(pool, id, &this->jobs.at(id));
+    if (placement == Placement::kMustWait) {
+      return;
+    }
+    if (placement == Placement::kNoLive) {
+      this->FailJob(id, HttpResult::kNoLiveConnection);
+    }
+  }
+  if (pool->connections.empty()) {
+    this->peers.erase(found);
+  }
+}
+
+HttpClient::Pools::Placement HttpClient::Pools::Place(PeerPool* pool,
+                                                      RequestId id,
+                                                      Job* job) {
+  const auto& live = job->request.live_connection;
+  Connection* connection = nullptr;
+  bool probing = false;
+  if (live) {
+    connection = this->TakeLive(pool, live->answered_within);
+    probing = connection == nullptr;
+    if (probing && live->probe_path.empty()) {
+      return Placement::kNoLive;
+    }
+  }
+  if (connection == nullptr && !probing) {
+    connection = this->TakeIdle(pool);
+  }
+  // A probe prefers a new connection: an idle one may have gone silent and
+  // would hold the request until its timeout.
+  if (connection == nullptr) {
+    connection = this->Open(pool, job->peer);
+  }
+  if (connection == nullptr && probing) {
+    connection = this->TakeIdle(pool);
+  }
+  if (connection == nullptr) {
+    return Placement::kMustWait;
+  }
+  pool->waiting.pop_front();
+  job->probing = probing;
+  job->reused = connection->used;
+  this->Dispatch(connection, id, job);
+  return Placement::kPlaced;
+}
+
+HttpClient::Pools::Connection* HttpClient::Pools::TakeIdle(PeerPool* pool) {
+  const Instant oldest = this->loop->Now() - this->options.max_idle_time;
+  while (!pool->idle.empty()) {
+    const ConnectionId id = pool->idle.back();
+    Connection* connection = this->connections.at(id).get();
+    if (connection->last_answer >= oldest) {
+      pool->idle.pop_back();
+      return connection;
+    }
+    this->FreeConnection(id);
+  }
+  return nullptr;
+}
+
+HttpClient::Pools::Connection* HttpClient::Pools::TakeLive(
+    PeerPool* pool,
+    Duration answered_within) {
+  const Instant oldest = this->loop->Now() - answered_within;
+  Connection* best = nullptr;
+  for (const ConnectionId id : pool->idle) {
+    Connection* candidate = this->connections.at(id).get();
+    const bool qualifies =
+        candidate->last_answer && *candidate->last_answer >= oldest;
+    if (qualifies &&
+        (best == nullptr || *best->last_answer <= *candidate->last_answer)) {
+      best = candidate;
+    }
+  }
+  if (best != nullptr) {
+    std::erase(pool->idle, best->id);
+  }
+  return best;
+}
+
+HttpClient::Pools::Connection* HttpClient::Pools::Open(PeerPool* pool,
+                                                       const HttpPeer& peer) {
+  if (pool->connections.size() >= this->options.max_connections_per_peer) {
+    return nullptr;
+  }
+  evhttp_connection* evhttp = evhttp_connection_base_new(
+      this->loop->Base(), nullptr, peer.address.c_str(), peer.port);
+  if (evhttp == nullptr) {
+    return nullptr;
+  }
+  auto owned = std::make_unique<Connection>();
+  Connection* connection = owned.get();
+  connection->pools = this;
+  connection->id = this->next_connection++;
+  connection->peer = peer;
+  connection->evhttp = evhttp;
+  evhttp_connection_set_timeout(evhttp, kLibraryTimeoutS);
+  evhttp_connection_set_retries(evhttp, 0);
+  evhttp_connection_set_closecb(evhttp, &OnClosed, connection);
+  evbuffer_add_cb(
+      bufferevent_get_output(evhttp_connection_get_bufferevent(evhttp)),
+      &OnOutput, connection);
+  this->connections.emplace(connection->id, std::move(owned));
+  pool->connections.push_back(connection->id);
+  return connection;
+}
+
+void HttpClient::Pools::Dispatch(Connection* connection,
+                                 RequestId id,
+                                 Job* job) {
+  connection->job = id;
+  connection->handed_over = false;
+  connection->error.reset();
+  job->connection = connection->id;
+  const HttpRequest& request = job->request;
+  evhttp_connection_set_max_body_size(
+      connection->evhttp, static_cast<ev_ssize_t>(request.max_answer_bytes));
+  evhttp_connection_set_max_headers_size(
+      connection->evhttp, static_cast<ev_ssize_t>(request.max_answer_header));
+
+  evhttp_request* message = evhttp_request_new(&OnDone, connection);
+  if (message == nullptr) {
+    this->FailJob(id, HttpResult::kConnectFailed, "out of memory");
+    return;
+  }
+  evhttp_request_set_error_cb(message, &OnError);
+  evkeyvalq* headers = evhttp_request_get_output_headers(message);
+  evhttp_add_header(headers, "Host", PeerName(job->peer).c_str());
+  if (job->probing) {
+    evhttp_make_request(connection->evhttp, message, EVHTTP_REQ_GET,
+                        request.live_connection->probe_path.c_str());
+    return;
+  }
+  for (const HttpHeader& header : request.headers) {
+    evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
+  }
+  const bool has_body = !request.body.empty() ||
+                        request.method == HttpMethod::kPost ||
+                        request.method == HttpMethod::kPut;
+  if (has_body) {
+    evhttp_add_header(headers, "Content-Length",
+                      std::to_string(request.body.size()).c_str());
+    evbuffer_add(evhttp_request_get_output_buffer(message), request.body.data(),
+                 request.body.size());
+  }
+  if (request.close_after) {
+    evhttp_add_header(headers, "Connection", "close");
+  }
+  // May call OnDone() at once if the connection is refused.
+  evhttp_make_request(connection->evhttp, message, ToCommand(request.method),
+                      request.path.c_str());
+}
+
+void HttpClient::Pools::Complete(Connection* connection,
+                                 evhttp_request* request) {
+  if (connection->job == 0) {
+    return;
+  }
+  const bool answered =
+      request != nullptr && evhttp_request_get_response_code(request) != 0;
+  if (answered) {
+    this->CompleteAnswer(connection, request);
+    return;
+  }
+  const HttpResult result = connection->handed_over
+                                ? FromLibraryError(connection->error)
+                                : HttpResult::kConnectFailed;
+  // FailJob() must not free the connection: evhttp still uses it.
+  this->MarkEnded(connection);
+  this->FailJob(connection->job, result);
+}
+
+void HttpClient::Pools::CompleteAnswer(Connection* connection,
+                                       evhttp_request* request) {
+  const RequestId id = connection->job;
+  Job& job = this->jobs.at(id);
+  connection->last_answer = this->loop->Now();
+  connection->used = true;
+
+  HttpOutcome outcome;
+  outcome.result = HttpResult::kAnswered;
+  outcome.delivery = Delivery::kMayHaveReached;
+  outcome.status = evhttp_request_get_response_code(request);
+  outcome.headers = CopyHeaders(evhttp_request_get_input_headers(request));
+  outcome.body = CopyBody(evhttp_request_get_input_buffer(request));
+  outcome.connection = connection->id;
+  outcome.connection_reused = job.reused;
+
+  const bool reusable = this->IsReusable(*connection, job, outcome);
+  if (!reusable) {
+    this->MarkEnded(connection);
+  }
+  if (!job.probing) {
+    connection->job = 0;
+    if (reusable) {
+      this->Release(connection);
+    }
+    this->Finish(id, std::move(outcome));
+    return;
+  }
+  if (!reusable) {
+    this->FailJob(id, HttpResult::kNoLiveConnection,
+                  "the peer closed the connection after the probe");
+    return;
+  }
+  // evhttp finishes with the probe only after this call.
+  this->loop->Post([weak = this->weak_from_this(), id] {
+    if (const std::shared_ptr<Pools> pools = weak.lock()) {
+      pools->DispatchProbed(id);
+    }
+  });
+}
+
+void HttpClient::Pools::DispatchProbed(RequestId id) {
+  const auto job = this->jobs.find(id);
+  if (job == this->jobs.end()) {
+    return;
+  }
+  const auto connection = this->connections.find(job->second.connection);
+  if (connection == this->connections.end() || connection->second->ended) {
+    this->FailJob(id, HttpResult::kNoLiveConnection);
+    return;
+  }
+  job->second.probing = false;
+  this->Dispatch(connection->second.get(), id, &job->second);
+}
+
+bool HttpClient::Pools::IsReusable(const Connection& connection,
+                                   const Job& job,
+                                   const HttpOutcome& outcome) const {
+  const bool closing = !job.probing && job.request.close_after;
+  // Bytes after the answer would be read as the answer to the next request.
+  const bool has_rest =
+      evbuffer_get_length(bufferevent_get_input(
+          evhttp_connection_get_bufferevent(connection.evhttp))) > 0;
+  // Such a body ends with the connection.
+  const bool has_length =
+      FindHeader(outcome.headers, "Content-Length").has_value() ||
+      FindHeader(outcome.headers, "Transfer-Encoding").has_value() ||
+      outcome.body.empty();
+  return !connection.ended && !closing && !has_rest && has_length;
+}
+
+void HttpClient::Pools::Release(Connection* connection) {
+  PeerPool& pool = this->peers[connection->peer];
+  if (pool.idle.size() >= this->options.max_idle_per_peer) {
+    this->MarkEnded(connection);
+    return;
+  }
+  pool.idle.push_back(connection->id);
+}
+
+void HttpClient::Pools::Finish(RequestId id, HttpOutcome outcome) {
+  const auto found = this->jobs.find(id);
+  Job job = std::move(found->second);
+  this->jobs.erase(found);
+  this->loop->Cancel(job.timer);
+  if (this->finished.empty()) {
+    this->Later(&Pools::DeliverFinished);
+  }
+  this->finished.push_back({std::move(job.callback), std::move(outcome)});
+  this->LaterPump(job.peer);
+}
+
+void HttpClient::Pools::FailJob(RequestId id,
+                                HttpResult result,
+                                const char* message) {
+  const Job& job = this->jobs.at(id);
+  HttpOutcome outcome;
+  outcome.result = result;
+  outcome.message = message != nullptr ? message : ResultMessage(result);
+  outcome.connection = job.connection;
+  outcome.connection_reused = job.reused;
+  if (job.connection == 0) {
+    const auto pool = this->peers.find(job.peer);
+    if (pool != this->peers.end()) {
+      std::erase(pool->second.waiting, id);
+    }
+  } else {
+    const auto found = this->connections.find(job.connection);
+    const bool known = found != this->connections.end();
+    if (!job.probing && (!known || found->second->handed_over)) {
+      outcome.delivery = Delivery::kMayHaveReached;
+    }
+    if (known) {
+      Connection* connection = found->second.get();
+      connection->job = 0;
+      if (!connection->ended) {
+        this->FreeConnection(connection->id);
+      }
+    }
+  }
+  this->Finish(id, std::move(outcome));
+}
+
+void HttpClient::Pools::MarkEnded(Connection* connection) {
+  if (connection->ended) {
+    return;
+  }
+  connection->ended = true;
+  PeerPool& pool = this->peers[connection->peer];
+  std::erase(pool.connections, connection->id);
+  std::erase(pool.idle, connection->id);
+  if (this->ended.empty()) {
+    this->Later(&Pools::FreeEnded);
+  }
+  this->ended.push_back(connection->id);
+  this->LaterPump(connection->peer);
+}
+
+void HttpClient::Pools::FreeConnection(ConnectionId id) {
+  const auto found = this->connections.find(id);
+  if (found == this->connections.end()) {
+    return;
+  }
+  Connection* connection = found->second.get();
+  const auto pool = this->peers.find(connection->peer);
+  if (pool != this->peers.end()) {
+    std::erase(pool->second.connections, id);
+    std::erase(pool->second.idle, id);
+  }
+  // Open requests are freed without a call of OnDone().
+  evhttp_connection_set_closecb(connection->evhttp, nullptr, nullptr);
+  evhttp_connection_free(connection->evhttp);
+  this->connections.erase(found);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] HttpClient
+//-----------------------------------------------------------------------------
+
+HttpClient::HttpClient(EventLoop* loop, HttpClientOptions options)
+    : pools(std::make_shared<Pools>(loop, options)) {}
+
+HttpClient::~HttpClient() {
+  this->pools->Shutdown();
+}
+
+HttpClient::RequestId HttpClient::Send(const HttpPeer& peer,
+                                       HttpRequest request,
+                                       Callback callback) {
+  return this->pools->Send(peer, std::move(request), std::move(callback));
+}
+
+void HttpClient::Cancel(RequestId id) {
+  this->pools->Cancel(id);
+}
+
+void HttpClient::CloseConnection(ConnectionId id) {
+  this->pools->CloseConnection(id);
+}
+
+void HttpClient::CloseConnections(const HttpPeer& peer) {
+  this->pools->CloseConnections(peer);
+}
+
+std::optional<Instant> HttpClient::LastAnswer(ConnectionId id) const {
+  return this->pools->LastAnswer(id);
+}
+
+std::size_t HttpClient::OpenConnections(const HttpPeer& peer) const {
+  return this->pools->OpenConnections(peer);
+}
+
+std::size_t HttpClient::WaitingRequests(const HttpPeer& peer) const {
+  return this->pools->WaitingRequests(peer);
+}
+
+}  // namespace peridot
