Add settings as YAML and the daemon's configuration

Cause: operators write settings as text, the table stores them as text, and the daemon reads its addresses and its zone from a file. Ruled out: YAML::Load, which drops repeated keys, expands aliases and keeps no line for a missing value; the parser's events are read instead. Change: ReadYaml() builds nodes with lines; ParseSettings() collects every fault with file, line, key and what was expected; canonical text, table row and difference of two documents; DaemonConfig in the same manner; a fuzz entry of the settings parser.

--- /dev/null
+++ b/src/daemon/daemon_config.h
@@ -0,0 +1,65 @@
+// The daemon's own configuration, which it reads once at its start.
+//
+// Index:
+//   [SECTION] Configuration
+//
+// Example:
+//
+//   daemon: d1
+//   zone: z1
+//   listen: 10.0.1.7:7000
+//   peer_listen: 10.0.1.7:7001
+//   table: 10.0.0.2:7100
+//   objects: 10.0.0.3:7200
+//   membership: 10.0.0.4:7300
+//   admin_key_digest: 64 hexadecimal digits
+//   log_level: info
+
+#ifndef SRC_DAEMON_DAEMON_CONFIG_H_
+#define SRC_DAEMON_DAEMON_CONFIG_H_
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+#include "src/protocol/socket_address.h"
+#include "src/state/error.h"
+#include "src/state/ids.h"
+#include "src/state/team_keys.h"
+
+namespace peridot {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Configuration
+//-----------------------------------------------------------------------------
+
+enum class LogLevel { kTrace, kDebug, kInfo, kWarn, kError };
+
+// The example takes 300 bytes; a larger file is not a configuration.
+inline constexpr std::size_t kMaxDaemonConfigBytes = 64UL * 1024UL;
+
+struct DaemonConfig {
+  DaemonId daemon;                       // required; slot of the entry host
+  ZoneId zone;                           // required
+  SocketAddress listen;                  // required; callers and operators
+  SocketAddress peer_listen;             // required; other daemons
+  SocketAddress table;                   // required
+  SocketAddress objects;                 // required
+  SocketAddress membership;              // required
+  KeyDigest admin_key_digest;            // required; valid beside granted keys
+  LogLevel log_level = LogLevel::kInfo;  // default: info
+
+  // Reads a configuration and checks it in full. Fails with kTooLarge or with
+  // kInvalidArgument; the message then has one line for each fault, see
+  // MakeYamlError().
+  static Result<DaemonConfig> Parse(std::string_view text,
+                                    std::string_view file);
+
+  // Reads the file at `path` and parses it. Fails with kNotFound if it cannot
+  // be read.
+  static Result<DaemonConfig> Load(const std::string& path);
+};
+
+}  // namespace peridot
+
+#endif  // SRC_DAEMON_DAEMON_CONFIG_H_
--- a/src/state/settings_tree.cc
+++ b/src/state/settings_tree.cc
@@ -136,7 +136,7 @@
  private:
   void Add(std::string path, std::string key, std::string expected) {
     this->faults.push_back(
-        {std::move(path), std::move(key), std::move(expected)});
+        {std::move(path), std::move(key), std::move(expected), std::nullopt});
   }
 
   void CheckName(const std::string& path, const std::string& name) {
@@ -170,7 +170,9 @@
   void CheckKeys() {
     std::set<KeyId> ids;
     std::set<std::string> digests;
-    for (const TeamKey& key : this->document.keys) {
+    for (std::size_t i = 0; i < this->document.keys.size(); ++i) {
+      const TeamKey& key = this->document.keys[i];
+      const std::size_t first_fault = this->faults.size();
       const std::string path = std::string("/keys/") + key.id.value;
       this->CheckName(path, key.id.value);
       if (!ids.insert(key.id).second) {
@@ -182,6 +184,9 @@
       if (!digests.insert(key.digest.Hex()).second) {
         this->Add(path, "digest", "a digest that no other key has");
       }
+      for (std::size_t f = first_fault; f < this->faults.size(); ++f) {
+        this->faults[f].key_index = i;
+      }
     }
   }
 
@@ -360,6 +365,7 @@
   }
   SettingsTree tree;
   tree.content = std::move(document);
+  std::ranges::sort(tree.content.keys, {}, &TeamKey::id);
   tree.revision = revision;
   tree.fleet = MakeFleet(tree.content);
   for (const auto& [id, node] : tree.content.teams) {
--- a/src/state/settings_tree.h
+++ b/src/state/settings_tree.h
@@ -18,6 +18,7 @@
 #ifndef SRC_STATE_SETTINGS_TREE_H_
 #define SRC_STATE_SETTINGS_TREE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -92,6 +93,8 @@
   std::string path;      // default: empty; node, as in "/pools/web"
   std::string key;       // default: empty; setting or field, empty: the node
   std::string expected;  // default: empty; as in "a number from 1 to 9"
+  std::optional<std::size_t>
+      key_index;  // default: none; of a key: its position
 };
 
 // Returns every fault of the document, in document order.
@@ -161,8 +164,8 @@
 // is moved from or assigned to.
 class SettingsTree {
  public:
-  // Checks the document in full. Fails with kInvalidArgument; the message names
-  // every fault.
+  // Checks the document in full and sorts its keys by id. Fails with
+  // kInvalidArgument; the message names every fault.
   static Result<SettingsTree> Create(SettingsDocument document,
                                      Revision revision);
 
--- /dev/null
+++ b/tests/fuzz/settings_yaml_fuzz.cc
@@ -0,0 +1,42 @@
+// Fuzz entry of the settings parser.
+//
+// Guards against a crash on any text and against accepted settings whose
+// canonical text does not read back as the same settings.
+
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <string_view>
+
+#include "src/protocol/settings_yaml.h"
+
+namespace {
+
+// A canonical text may exceed the limit although the text it came from did
+// not; FormatSettingsRow() refuses that case.
+void CheckRoundTrip(const peridot::SettingsTree& tree) {
+  const auto row = peridot::FormatSettingsRow({tree, "fuzz"});
+  if (row.has_error()) {
+    if (row.error().code != peridot::ErrorCode::kTooLarge) {
+      std::abort();
+    }
+    return;
+  }
+  const auto back = peridot::ParseSettingsRow(row.value());
+  if (back.has_error() || back.value().tree.Document() != tree.Document()) {
+    std::abort();
+  }
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+  const std::string_view text(reinterpret_cast<const char*>(data), size);
+  const auto tree =
+      peridot::ParseSettings(text, "fuzz.yaml", peridot::Revision(1));
+  if (tree.has_value()) {
+    CheckRoundTrip(tree.value());
+  }
+  return 0;
+}
