--- /dev/null
+++ b/src/coordination/settings_lease.cc
@@ -0,0 +1,641 @@
+#include "src/coordination/settings_lease.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace peridot {
+
+namespace {
+
+using std::chrono::microseconds;
+
+// LengthenForDrift() rounds down; the extra nanosecond makes it an upper bound.
+Duration UpperBound(Duration d) {
+  return LengthenForDrift(d) + Duration(1);
+}
+
+std::uint64_t DigestOf(const std::string& text) {
+  return XXH3_64bits(text.data(), text.size());
+}
+
+std::optional<RowVersion> CheckedVersion(const TableTransaction& transaction,
+                                         const std::string& key) {
+  for (const TableCheck& check : transaction.checks) {
+    if (check.key == key) {
+      return check.version;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<RowVersion> VersionOf(const std::vector<TableCheck>& rows,
+                                    const std::string& key) {
+  for (const TableCheck& row : rows) {
+    if (row.key == key) {
+      return row.version;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::string SettingsKey() {
+  return "settings";
+}
+std::string RegistryKey() {
+  return "registry";
+}
+std::string SessionKey(const DaemonId& daemon) {
+  return "session/" + daemon.value;
+}
+std::string OperationKey(const DaemonId& daemon) {
+  return "operation/" + daemon.value;
+}
+
+bool RegistryView::Lists(const SessionId& session) const {
+  return std::find(this->active.begin(), this->active.end(), session) !=
+         this->active.end();
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Construction and periodic work
+//-----------------------------------------------------------------------------
+
+SettingsLease::SettingsLease(Registration registration,
+                             SettingsLeaseOptions options)
+    : registration(std::move(registration)), options(options) {
+  this->registry_known = this->registration.version;
+  this->registry_known_since = this->registration.answered_at;
+}
+
+std::uint64_t SettingsLease::NextId() {
+  // The incarnation keeps late answers to an earlier run of this daemon from
+  // matching a request of this one, whose later instant would be unsafe.
+  return (this->registration.session.incarnation.value << 32U) |
+         ++this->next_id;
+}
+
+SettingsActions SettingsLease::OnTick(Instant now) {
+  SettingsActions actions;
+  if (this->stopped) {
+    return actions;
+  }
+  std::erase_if(this->reads, [&](const auto& read) {
+    return now - read.second > this->options.read_timeout;
+  });
+  std::erase_if(this->probes, [&](const auto& probe) {
+    return now - probe.second.sent > this->options.max_lease;
+  });
+  std::erase_if(this->restrictions, [&](const auto& entry) {
+    return now - entry.second.until > this->options.restriction_life;
+  });
+  if (!this->last_read_sent ||
+      now - *this->last_read_sent >= this->options.read_period) {
+    this->StartRead(now, actions);
+  }
+  this->StartProbes(now, actions);
+  this->TryStatements(now);
+  this->RetryWrite(now, actions);
+  return actions;
+}
+
+void SettingsLease::StartRead(Instant now, SettingsActions& actions) {
+  const int outstanding = static_cast<int>(this->reads.size());
+  if (outstanding >= this->options.max_outstanding_reads) {
+    this->reads.erase(this->reads.begin());  // the oldest proves the least
+  }
+  const std::uint64_t id = this->NextId();
+  this->reads[id] = now;
+  this->last_read_sent = now;
+  actions.emplace_back(SendRead{id});
+}
+
+void SettingsLease::StartProbes(Instant now, SettingsActions& actions) {
+  if (!this->options.use_peer_proofs && !this->options.use_statements) {
+    return;
+  }
+  const Duration window = std::max(this->lease, this->options.min_lease);
+  const bool fresh = this->proof && now - this->proof->at <= window / 2;
+  // Six rounds fit into a lease, three after its first half has passed.
+  const bool due =
+      !this->last_probe_sent || now - *this->last_probe_sent >= window / 6;
+  if (fresh || !due) {
+    return;
+  }
+  this->last_probe_sent = now;
+  for (const SessionId& peer : this->registry.active) {
+    if (peer == this->registration.session) {
+      continue;
+    }
+    actions.emplace_back(SendProbe{peer, this->NoteProbeSent(peer, now)});
+  }
+}
+
+void SettingsLease::RetryWrite(Instant now, SettingsActions& actions) {
+  if (!this->write) {
+    return;
+  }
+  if (!this->write->resolved) {
+    if (now - this->write->last_sent >= this->options.write_retry) {
+      this->write->last_sent = now;
+      ++this->write->sends;
+      actions.emplace_back(SendWrite{this->write->transaction});
+    }
+    return;
+  }
+  const bool due = this->write->committed && now >= this->write->in_force_at;
+  if (due && !this->write->reported_in_force) {
+    this->write->reported_in_force = true;
+    actions.emplace_back(WriteChanged{this->write->operation_id,
+                                      WriteState::kInForce,
+                                      this->write->revision});
+  }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] What is known
+//-----------------------------------------------------------------------------
+
+void SettingsLease::LearnRevision(Revision revision, Instant now) {
+  if (revision <= this->known) {
+    return;
+  }
+  // A proof of the preceding revision has that revision's lease. The lease of
+  // a revision that this daemon never held is bounded by max_lease only.
+  const bool held_predecessor = this->known.value > 0 &&
+                                this->held == this->known &&
+                                revision.value == this->known.value + 1;
+  const Duration wait =
+      UpperBound(held_predecessor ? this->lease : this->options.max_lease);
+  this->older_lapsed_at = std::max(this->older_lapsed_at, now + wait);
+  this->known = revision;
+  this->known_since = now;
+  this->proof.reset();
+}
+
+void SettingsLease::LearnRegistry(RegistryVersion version, Instant now) {
+  if (version <= this->registry_known) {
+    return;
+  }
+  this->registry_known = version;
+  this->registry_known_since = now;
+}
+
+void SettingsLease::LearnDocument(Revision revision,
+                                  std::string text,
+                                  const RegistryView& view,
+                                  Instant now,
+                                  SettingsActions& actions) {
+  this->LearnRevision(revision, now);
+  this->LearnRegistry(view.version, now);
+  if (view.version > this->registry.version) {
+    this->registry = view;
+    std::erase_if(this->statements, [&](const auto& statement) {
+      return statement.second.version != view.version;
+    });
+  }
+  if (revision > this->offered && revision == this->known) {
+    this->offered = revision;
+    this->offered_digest = DigestOf(text);
+    actions.emplace_back(AdoptSettings{revision, std::move(text)});
+  }
+}
+
+void SettingsLease::OfferProof(Revision revision, Instant at) {
+  if (revision != this->known) {
+    return;
+  }
+  if (!this->proof || this->proof->at < at) {
+    this->proof = settings_lease_internal::Proof{revision, at};
+  }
+}
+
+void SettingsLease::OnAdopted(Revision revision, Duration lease) {
+  if (revision <= this->held || revision != this->known) {
+    return;
+  }
+  this->held = revision;
+  this->lease =
+      std::clamp(lease, this->options.min_lease, this->options.max_lease);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Rule 1: own reads
+//-----------------------------------------------------------------------------
+
+bool SettingsLease::IsFenced(const StoreRead& read) const {
+  const SessionId& session = this->registration.session;
+  if (read.fenced || read.incarnation > session.incarnation) {
+    return true;
+  }
+  return read.registry.version >= this->registration.version &&
+         !read.registry.Lists(session);
+}
+
+bool SettingsLease::IsReverted(const StoreRead& read, Instant sent) const {
+  // A read that was sent before the later value was heard of may be lower.
+  const bool lower_revision =
+      read.revision < this->known && sent >= this->known_since;
+  const bool lower_registry = read.registry.version < this->registry_known &&
+                              sent >= this->registry_known_since;
+  const bool lower_incarnation =
+      read.incarnation < this->registration.session.incarnation;
+  const bool other_text = read.revision == this->offered &&
+                          DigestOf(read.text) != this->offered_digest &&
+                          this->offered.value > 0;
+  return lower_revision || lower_registry || lower_incarnation || other_text;
+}
+
+SettingsActions SettingsLease::OnRead(StoreRead read, Instant now) {
+  SettingsActions actions;
+  const auto found = this->reads.find(read.read_id);
+  if (found == this->reads.end() || this->stopped) {
+    return actions;
+  }
+  const Instant sent = found->second;
+  this->reads.erase(found);
+  if (this->IsReverted(read, sent)) {
+    this->reverted = true;
+    this->proof.reset();
+    actions.emplace_back(ReportReversion{this->known, read.revision,
+                                         this->registry_known,
+                                         read.registry.version});
+    return actions;
+  }
+  if (this->IsFenced(read)) {
+    this->stopped = true;
+    // A later incarnation may have overwritten row "operation/<daemon>".
+    if (read.incarnation == this->registration.session.incarnation ||
+        (this->write && read.last_operation == this->write->operation_id)) {
+      this->ResolveFromRead(read, now, actions);
+    }
+    actions.emplace_back(StopSession{});
+    return actions;
+  }
+  if (read.revision < this->known ||
+      read.registry.version < this->registry_known) {
+    return actions;
+  }
+  this->reverted = false;
+  this->LearnDocument(read.revision, std::move(read.text), read.registry, now,
+                      actions);
+  this->session_version = std::max(this->session_version, read.session_version);
+  this->last_contact = std::max(this->last_contact.value_or(sent), sent);
+  this->OfferProof(read.revision, sent);
+  this->ResolveFromRead(read, now, actions);
+  return actions;
+}
+
+void SettingsLease::OnReadFailed(std::uint64_t read_id) {
+  this->reads.erase(read_id);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Rules 2 and 3: peers
+//-----------------------------------------------------------------------------
+
+std::uint64_t SettingsLease::NoteProbeSent(const SessionId& peer, Instant now) {
+  const std::uint64_t id = this->NextId();
+  this->probes[id] = settings_lease_internal::Probe{peer, now};
+  return id;
+}
+
+FreshnessReply SettingsLease::MakeProbeReply(const SessionId& requester,
+                                             std::uint64_t probe_id,
+                                             Instant now) const {
+  FreshnessReply reply;
+  reply.probe_id = probe_id;
+  reply.revision = this->known;
+  reply.registry_version = this->registry.version;
+  const bool usable = !this->stopped && !this->reverted && this->last_contact;
+  if (!usable || !this->registry.Lists(requester)) {
+    return reply;
+  }
+  const std::optional<Instant> expiry = this->ProofExpiry();
+  if (expiry && now < *expiry) {
+    reply.has_proof = true;
+    reply.proof_age = std::chrono::ceil<microseconds>(now - this->proof->at) +
+                      microseconds(1);
+  }
+  const bool has_latest = this->registry.version == this->registry_known;
+  reply.no_outstanding_write = has_latest && !this->HasUnresolvedWrite();
+  reply.settled = this->IsSettled(now);
+  return reply;
+}
+
+SettingsActions SettingsLease::OnProbeReply(const SessionId& from,
+                                            const FreshnessReply& reply,
+                                            Instant now) {
+  SettingsActions actions;
+  const auto found = this->probes.find(reply.probe_id);
+  if (found == this->probes.end() || this->stopped ||
+      found->second.peer != from) {
+    return actions;
+  }
+  const Instant sent = found->second.sent;
+  this->probes.erase(found);
+  this->LearnRevision(reply.revision, now);
+  this->LearnRegistry(reply.registry_version, now);
+  if (this->known > this->offered ||
+      this->registry_known > this->registry.version) {
+    if (now - this->last_read_sent.value_or(Instant{}) >=
+        this->options.min_read_spacing) {
+      this->StartRead(now, actions);
+    }
+    actions.emplace_back(FetchDocument{from});
+  }
+  const bool listed = this->registry.Lists(from);
+  if (listed && reply.settled &&
+      reply.registry_version >= this->registration.version) {
+    this->acknowledged = true;
+  }
+  const bool in_range = reply.proof_age >= Duration(0) &&
+                        reply.proof_age <= this->options.max_lease;
+  if (this->options.use_peer_proofs && reply.has_proof && in_range) {
+    this->OfferProof(reply.revision, sent - UpperBound(reply.proof_age));
+  }
+  if (listed && reply.no_outstanding_write) {
+    this->statements[from] =
+        settings_lease_internal::Statement{reply.registry_version, sent};
+    this->TryStatements(now);
+  }
+  return actions;
+}
+
+void SettingsLease::TryStatements(Instant now) {
+  const bool usable = this->options.use_statements && this->last_contact &&
+                      !this->stopped && !this->reverted &&
+                      !this->HasUnresolvedWrite() &&
+                      this->registry.version == this->registry_known &&
+                      this->registry.Lists(this->registration.session);
+  if (!usable) {
+    return;
+  }
+  // Beyond this instant a newcomer that nobody acknowledged may write.
+  Instant at = std::min(
+      now, *this->last_contact + this->options.max_storeless_extension);
+  for (const SessionId& peer : this->registry.active) {
+    if (peer == this->registration.session) {
+      continue;
+    }
+    const auto found = this->statements.find(peer);
+    if (found == this->statements.end() ||
+        found->second.version != this->registry.version) {
+      return;
+    }
+    at = std::min(at, found->second.sent);
+  }
+  this->OfferProof(this->known, at);
+}
+
+SettingsActions SettingsLease::OnPeerDocument(PeerDocument document,
+                                              Instant now) {
+  SettingsActions actions;
+  if (this->stopped || this->reverted || document.revision < this->known) {
+    return actions;
+  }
+  this->LearnDocument(document.revision, std::move(document.text),
+                      document.registry, now, actions);
+  return actions;
+}
+
+bool SettingsLease::CanServeDocument() const {
+  return !this->stopped && !this->reverted && this->held == this->known &&
+         this->held.value > 0;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Control writes
+//-----------------------------------------------------------------------------
+
+bool SettingsLease::HasUnresolvedWrite() const {
+  return this->write && !this->write->resolved;
+}
+
+bool SettingsLease::IsSettled(Instant now) const {
+  const Instant unacknowledged_until =
+      this->registration.answered_at +
+      UpperBound(this->options.max_storeless_extension);
+  return this->registration.first_member || this->acknowledged ||
+         now >= unacknowledged_until;
+}
+
+Result<SettingsActions> SettingsLease::BeginWrite(ControlWrite request,
+                                                  Instant now) {
+  const std::string step = "begin_write";
+  const std::string peer = this->registration.session.daemon.value;
+  if (this->stopped) {
+    return MakeError(ErrorCode::kPermission, step, peer,
+                     "the session has stopped");
+  }
+  if (!this->IsSettled(now)) {
+    return MakeError(ErrorCode::kPermission, step, peer,
+                     "no settled daemon has acknowledged this session yet");
+  }
+  if (this->HasUnresolvedWrite()) {
+    return MakeError(ErrorCode::kUnavailable, step, peer,
+                     "the outcome of the previous write is not known");
+  }
+  if (this->reverted || !this->last_contact || this->held != this->known) {
+    return MakeError(ErrorCode::kUnavailable, step, peer,
+                     "the latest settings are not held");
+  }
+  const bool changes_settings = request.kind == ControlWriteKind::kSettings;
+  if (changes_settings && request.base != this->known) {
+    return MakeError(ErrorCode::kConflict, step, peer,
+                     "made against revision " +
+                         std::to_string(request.base.value) +
+                         ", which is not the current revision " +
+                         std::to_string(this->known.value));
+  }
+  TableTransaction transaction = std::move(request.registry_change);
+  transaction.operation_id = request.operation_id;
+  // A registry change checks the settings too: the lease of the proofs that a
+  // fenced session can still hold is then known.
+  transaction.checks.push_back({SettingsKey(), RowVersion(this->known.value)});
+  const DaemonId& self = this->registration.session.daemon;
+  if (!CheckedVersion(transaction, SessionKey(self))) {
+    transaction.checks.push_back({SessionKey(self), this->session_version});
+  }
+  if (changes_settings) {
+    transaction.puts.push_back({SettingsKey(), std::move(request.text)});
+  }
+  transaction.puts.push_back({OperationKey(self), request.operation_id});
+  settings_lease_internal::Write next;
+  next.operation_id = request.operation_id;
+  next.transaction = transaction;
+  next.changes_settings = changes_settings;
+  next.lease = this->lease;
+  next.last_sent = now;
+  this->write = std::move(next);
+  SettingsActions actions;
+  actions.emplace_back(SendWrite{std::move(transaction)});
+  return actions;
+}
+
+SettingsActions SettingsLease::OnWriteAnswer(const std::string& operation_id,
+                                             const CommitAnswer& answer,
+                                             Instant now) {
+  SettingsActions actions;
+  if (!this->HasUnresolvedWrite() ||
+      this->write->operation_id != operation_id) {
+    return actions;
+  }
+  if (answer.outcome == CommitOutcome::kCommitted) {
+    const auto registry_version = VersionOf(answer.versions, RegistryKey());
+    if (registry_version) {
+      this->LearnRegistry(RegistryVersion(registry_version->value), now);
+    }
+    this->Resolve(WriteState::kCommitted, now, actions);
+    this->StartRead(now, actions);
+    return actions;
+  }
+  // After a repeat, a conflict may be that of the repeat with the first try,
+  // if the table forgot the operation id. Row "operation/<daemon>" decides.
+  if (answer.outcome == CommitOutcome::kConflict && this->write->sends == 1) {
+    this->Resolve(WriteState::kConflict, now, actions);
+  }
+  this->StartRead(now, actions);
+  return actions;
+}
+
+void SettingsLease::ResolveFromRead(const StoreRead& read,
+                                    Instant now,
+                                    SettingsActions& actions) {
+  if (!this->HasUnresolvedWrite()) {
+    return;
+  }
+  if (read.last_operation == this->write->operation_id) {
+    this->Resolve(WriteState::kCommitted, now, actions);
+    return;
+  }
+  // While the checked rows are unchanged, a request on its way can still
+  // commit; the write stays outstanding.
+  const TableTransaction& sent = this->write->transaction;
+  const DaemonId& self = this->registration.session.daemon;
+  const auto settings = CheckedVersion(sent, SettingsKey());
+  const auto registry = CheckedVersion(sent, RegistryKey());
+  const auto session = CheckedVersion(sent, SessionKey(self));
+  const bool moved =
+      (settings && settings->value < read.revision.value) ||
+      (registry && registry->value < read.registry.version.value) ||
+      (session && *session < read.session_version);
+  if (moved) {
+    this->Resolve(WriteState::kConflict, now, actions);
+  }
+}
+
+void SettingsLease::Resolve(WriteState state,
+                            Instant now,
+                            SettingsActions& actions) {
+  settings_lease_internal::Write& done = *this->write;
+  done.resolved = true;
+  done.committed = state == WriteState::kCommitted;
+  if (done.committed) {
+    const auto base = CheckedVersion(done.transaction, SettingsKey());
+    if (done.changes_settings) {
+      // Row versions rise by one with each write.
+      done.revision = Revision(base->value + 1);
+      this->LearnRevision(done.revision, now);
+      done.in_force_at = this->older_lapsed_at;
+    } else {
+      // The fenced session's proofs were made before the fence committed.
+      done.in_force_at =
+          std::max(this->older_lapsed_at, now + UpperBound(this->lease));
+    }
+  }
+  actions.emplace_back(WriteChanged{done.operation_id, state, done.revision});
+}
+
+WriteState SettingsLease::StateOfWrite(const std::string& operation_id,
+                                       Instant now) const {
+  if (!this->write || this->write->operation_id != operation_id) {
+    return WriteState::kNone;
+  }
+  if (!this->write->resolved) {
+    return WriteState::kUnknown;
+  }
+  if (!this->write->committed) {
+    return WriteState::kConflict;
+  }
+  return now >= this->write->in_force_at ? WriteState::kInForce
+                                         : WriteState::kCommitted;
+}
+
+bool SettingsLease::IsInForce(Revision revision, Instant now) const {
+  return revision <= this->known && now >= this->older_lapsed_at;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Provisional restrictions
+//-----------------------------------------------------------------------------
+
+void SettingsLease::OnRestriction(const ProvisionalRestriction& restriction,
+                                  Instant now) {
+  settings_lease_internal::Restriction entry;
+  entry.kind = static_cast<int>(restriction.kind);
+  entry.subject = restriction.subject;
+  entry.value = restriction.value;
+  entry.until = now + this->options.restriction_life;
+  this->restrictions.try_emplace(
+      std::pair(restriction.sender, restriction.sequence), std::move(entry));
+}
+
+void SettingsLease::OnRestrictionCarried(const SessionId& sender,
+                                         std::uint64_t sequence) {
+  const auto found = this->restrictions.find(std::pair(sender, sequence));
+  if (found != this->restrictions.end()) {
+    found->second.carried = true;
+  }
+}
+
+bool SettingsLease::IsRestricted(RestrictionKind kind,
+                                 const std::string& subject,
+                                 Instant now) const {
+  return std::any_of(this->restrictions.begin(), this->restrictions.end(),
+                     [&](const auto& entry) {
+                       return entry.second.kind == static_cast<int>(kind) &&
+                              entry.second.subject == subject &&
+                              !entry.second.carried && now < entry.second.until;
+                     });
+}
+
+std::optional<std::uint64_t> SettingsLease::RestrictedLimit(
+    const std::string& team,
+    Instant now) const {
+  std::optional<std::uint64_t> lowest;
+  for (const auto& [id, entry] : this->restrictions) {
+    const bool applies =
+        entry.kind == static_cast<int>(RestrictionKind::kLowerLimit) &&
+        entry.subject == team && !entry.carried && now < entry.until;
+    if (applies) {
+      lowest = std::min(lowest.value_or(entry.value), entry.value);
+    }
+  }
+  return lowest;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Right to act
+//-----------------------------------------------------------------------------
+
+std::optional<Instant> SettingsLease::ProofExpiry() const {
+  const bool usable = !this->stopped && !this->reverted && this->proof &&
+                      this->held == this->known &&
+                      this->proof->revision == this->held;
+  if (!usable) {
+    return std::nullopt;
+  }
+  return this->proof->at + ShortenForDrift(this->lease);
+}
+
+bool SettingsLease::MayAct(Instant now) const {
+  const std::optional<Instant> expiry = this->ProofExpiry();
+  return expiry && now < *expiry;
+}
+
+}  // namespace peridot
--- /dev/null
+++ b/src/coordination/settings_lease.h
@@ -0,0 +1,369 @@
+// Freshness of the settings: which revision this daemon may act on, and until
+// when. docs/design.md, sections 6 and 7; docs/decisions/0003.
+//
+// Index:
+//   [SECTION] Tunables
+//   [SECTION] Registry
+//   [SECTION] Inputs
+//   [SECTION] Actions
+//   [SECTION] Control writes
+//   [SECTION] SettingsLease
+//
+// A daemon acts on revision R only while it holds a freshness proof: evidence
+// that no later revision had been accepted at an instant t. The proof is valid
+// until t + L by the daemon's own clock, shortened for drift. There are three
+// sources of t, each a lower bound:
+//   1. own read:      the instant at which the read was sent;
+//   2. peer's proof:  the instant at which the probe was sent, less the age of
+//                     the peer's proof, lengthened for drift;
+//   3. statements:    the earliest instant at which a probe was sent to any of
+//                     the registered daemons, all of which state that they
+//                     know of no later write and have none outstanding.
+//
+// The revision is the version of row "settings"; the registry version is the
+// version of row "registry". Registration, fence and `gone` are each one
+// transaction over row "registry" and row "session/<daemon>", so that a read
+// of the registry shows every session that may act.
+//
+// The module keeps no settings document. It hands the text up (AdoptSettings),
+// and the caller answers with OnAdopted() once the text has been parsed.
+//
+// Use: feed every input with the current instant, carry out the returned
+// actions in order, call OnTick() at least every 50 ms, and ask MayAct() in
+// the same synchronous step as the start; ProofExpiry() goes into `not_after`.
+//
+// Not thread-safe. All instants are those of the daemon's monotonic clock.
+
+#ifndef SRC_COORDINATION_SETTINGS_LEASE_H_
+#define SRC_COORDINATION_SETTINGS_LEASE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "src/coordination/settings_lease_internal.h"
+#include "src/state/clock.h"
+#include "src/state/error.h"
+#include "src/state/ids.h"
+#include "src/state/table_types.h"
+
+namespace peridot {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Tunables
+//-----------------------------------------------------------------------------
+
+struct SettingsLeaseOptions {
+  // Bounds of `settings_lease_ms`. A text outside them is clamped: a writer
+  // waits at most max_lease for proofs whose lease it does not know.
+  Duration min_lease = std::chrono::milliseconds(500);   // default: 500 ms
+  Duration max_lease = std::chrono::milliseconds(5000);  // default: 5 s
+
+  // Two reads may be lost before a lease of 1.5 s lapses.
+  Duration read_period = std::chrono::milliseconds(500);  // default: 500 ms
+  // Extra reads, after a peer has named a later revision, keep this distance.
+  Duration min_read_spacing = std::chrono::milliseconds(100);  // default
+  // Reads overlap, so that a store slower than read_period still gives proofs.
+  int max_outstanding_reads = 4;  // default: 4
+  // A read without answer for longer than any lease can prove nothing.
+  Duration read_timeout = std::chrono::seconds(5);  // default: 5 s
+  // An unresolved write is sent again this often, under the same id.
+  Duration write_retry = std::chrono::milliseconds(500);  // default: 500 ms
+
+  // After the last own read, rule 3 extends proofs for at most this long. A
+  // newcomer that nobody acknowledges waits as long before it writes.
+  Duration max_storeless_extension = std::chrono::minutes(15);  // default
+  // Provisional restrictions end after this time without a revision.
+  Duration restriction_life = std::chrono::seconds(60);  // default: 60 s
+
+  bool use_peer_proofs = true;  // default: true; rule 2
+  bool use_statements = true;   // default: true; rule 3
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Registry
+//-----------------------------------------------------------------------------
+
+// The content of row "registry". Active sessions are those neither fenced nor
+// superseded nor gone; `leaving` sessions are active.
+struct RegistryView {
+  RegistryVersion version;        // default: 0, the empty registry
+  std::vector<SessionId> active;  // default: none
+
+  bool Lists(const SessionId& session) const;
+};
+
+// The result of this session's registration.
+struct Registration {
+  SessionId session;        // this daemon and its new incarnation
+  RegistryVersion version;  // of the registry that first lists the session
+  Instant answered_at;      // when the registration was known to be committed
+  // No session was active before: nobody can extend a proof without this one.
+  bool first_member = false;  // default: false
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Inputs
+//-----------------------------------------------------------------------------
+
+// One read transaction over "settings", "registry", "session/<daemon>" and
+// "operation/<daemon>".
+struct StoreRead {
+  std::uint64_t read_id = 0;   // from SendRead
+  Revision revision;           // version of row "settings"
+  std::string text;            // value of row "settings"
+  RegistryView registry;       //
+  Incarnation incarnation;     // of the session row
+  bool fenced = false;         // default: false; of the session row
+  RowVersion session_version;  // of the session row
+  std::string last_operation;  // id in row "operation/<daemon>", or empty
+};
+
+// Body of a probe reply, sections 6 and 14.2.
+struct FreshnessReply {
+  std::uint64_t probe_id = 0;         // echo of the request
+  Revision revision;                  // highest revision the sender knows of
+  bool has_proof = false;             // false: no proof for the requester
+  Duration proof_age{};               // when the reply was made, rounded up
+  RegistryVersion registry_version;   // of the registry that the sender holds
+  bool no_outstanding_write = false;  // the statement of rule 3
+  bool settled = false;               // the sender may make control writes
+};
+
+// Settings and registry as one peer holds them, for a daemon that cannot read
+// the store.
+struct PeerDocument {
+  Revision revision;      // of the text
+  std::string text;       //
+  RegistryView registry;  //
+};
+
+enum class RestrictionKind { kWithdrawKey, kZoneOut, kLowerLimit };
+
+struct ProvisionalRestriction {
+  RestrictionKind kind = RestrictionKind::kZoneOut;  // default: kZoneOut
+  std::string subject;         // default: empty; key, zone or team
+  std::uint64_t value = 0;     // default: 0; the limit, for kLowerLimit
+  SessionId sender;            //
+  std::uint64_t sequence = 0;  // unique per sender
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Actions
+//-----------------------------------------------------------------------------
+
+struct SendRead {
+  std::uint64_t read_id = 0;
+};
+// Sends the transaction; the answer goes to OnWriteAnswer().
+struct SendWrite {
+  TableTransaction transaction;
+};
+struct SendProbe {
+  SessionId peer;
+  std::uint64_t probe_id = 0;
+};
+// Asks the peer for its PeerDocument.
+struct FetchDocument {
+  SessionId peer;
+};
+// The text of a later revision. Parse it and call OnAdopted().
+struct AdoptSettings {
+  Revision revision;
+  std::string text;
+};
+enum class WriteState {
+  kNone,       // no write with this id
+  kUnknown,    // sent, outcome not known yet
+  kConflict,   // did not and will not take effect
+  kCommitted,  // accepted, not yet in force
+  kInForce,    // no daemon can act on an older revision
+};
+// The state of a control write changed.
+struct WriteChanged {
+  std::string operation_id;
+  WriteState state = WriteState::kUnknown;
+  Revision revision;  // written by it; 0 unless committed
+};
+// The store shows a lower revision or registry than was seen before, or other
+// text under the same revision. This daemon does not act until the store shows
+// again what was seen.
+struct ReportReversion {
+  Revision seen;
+  Revision shown;
+  RegistryVersion registry_seen;
+  RegistryVersion registry_shown;
+};
+// The session is fenced or superseded. It will never act again.
+struct StopSession {};
+
+using SettingsAction = std::variant<SendRead,
+                                    SendWrite,
+                                    SendProbe,
+                                    FetchDocument,
+                                    AdoptSettings,
+                                    WriteChanged,
+                                    ReportReversion,
+                                    StopSession>;
+using SettingsActions = std::vector<SettingsAction>;
+
+//-----------------------------------------------------------------------------
+// [SECTION] Control writes
+//-----------------------------------------------------------------------------
+
+enum class ControlWriteKind {
+  kSettings,  // changes row "settings"
+  kRegistry,  // fences a session or marks it gone
+};
+
+struct ControlWrite {
+  ControlWriteKind kind = ControlWriteKind::kSettings;  // default: kSettings
+  std::string operation_id;  // unique over all daemons and incarnations
+  Revision base;             // kSettings: the revision that it was made against
+  std::string text;          // kSettings: the new value of row "settings"
+  // kRegistry: checks and puts of "registry" and "session/<daemon>".
+  TableTransaction registry_change;
+};
+
+// Keys of the rows that this module reads and writes.
+std::string SettingsKey();
+std::string RegistryKey();
+std::string SessionKey(const DaemonId& daemon);
+// Written in the same transaction as each control write of the daemon. Only
+// this daemon overwrites it, so a later writer cannot hide the outcome.
+std::string OperationKey(const DaemonId& daemon);
+
+//-----------------------------------------------------------------------------
+// [SECTION] SettingsLease
+//-----------------------------------------------------------------------------
+
+class SettingsLease {
+ public:
+  // Precondition: the registration is committed and read or answered.
+  explicit SettingsLease(Registration registration,
+                         SettingsLeaseOptions options = {});
+
+  // Periodic work: reads, probes when the proof runs short, write retries.
+  SettingsActions OnTick(Instant now);
+
+  // Own reads. The instant of sending is that of the SendRead action.
+  SettingsActions OnRead(StoreRead read, Instant now);
+  void OnReadFailed(std::uint64_t read_id);
+
+  // Registers a probe that the membership module sends; returns its id, which
+  // is unique over all incarnations of this daemon.
+  std::uint64_t NoteProbeSent(const SessionId& peer, Instant now);
+  SettingsActions OnProbeReply(const SessionId& from,
+                               const FreshnessReply& reply,
+                               Instant now);
+  FreshnessReply MakeProbeReply(const SessionId& requester,
+                                std::uint64_t probe_id,
+                                Instant now) const;
+  SettingsActions OnPeerDocument(PeerDocument document, Instant now);
+
+  // The caller has parsed the text of this revision and will act on it;
+  // lease is its `settings_lease_ms`.
+  void OnAdopted(Revision revision, Duration lease);
+
+  // Starts a control write. Errors: kPermission when the session is not
+  // settled or has stopped, kConflict when base is not the known revision,
+  // kUnavailable while another write is unresolved.
+  Result<SettingsActions> BeginWrite(ControlWrite write, Instant now);
+  SettingsActions OnWriteAnswer(const std::string& operation_id,
+                                const CommitAnswer& answer,
+                                Instant now);
+  // The state of the latest control write, if it has this id.
+  WriteState StateOfWrite(const std::string& operation_id, Instant now) const;
+
+  // Provisional restrictions; a repeated message changes nothing.
+  void OnRestriction(const ProvisionalRestriction& restriction, Instant now);
+  // The adopted text carries the restriction.
+  void OnRestrictionCarried(const SessionId& sender, std::uint64_t sequence);
+  bool IsRestricted(RestrictionKind kind,
+                    const std::string& subject,
+                    Instant now) const;
+  // The lowest provisional limit of the team, if there is one.
+  std::optional<std::uint64_t> RestrictedLimit(const std::string& team,
+                                               Instant now) const;
+
+  // The session leaves: it stops acting and gives no more statements.
+  void OnLeave() { this->stopped = true; }
+
+  // Whether a start is justified now on revision Held().
+  bool MayAct(Instant now) const;
+  // The instant F until which this daemon may act; none without proof.
+  std::optional<Instant> ProofExpiry() const;
+
+  Revision Held() const { return this->held; }    // adopted
+  Revision Known() const { return this->known; }  // highest heard of
+  const RegistryView& Registry() const { return this->registry; }
+  const SessionId& Session() const { return this->registration.session; }
+  // Whether the session may make control writes.
+  bool IsSettled(Instant now) const;
+  // Whether no daemon can act on a revision below this one.
+  bool IsInForce(Revision revision, Instant now) const;
+  // Whether a PeerDocument of the held text may be served: its revision must
+  // not be lower than what this daemon knows of.
+  bool CanServeDocument() const;
+  bool HasStopped() const { return this->stopped; }
+
+ private:
+  void LearnRevision(Revision revision, Instant now);
+  void LearnRegistry(RegistryVersion version, Instant now);
+  void LearnDocument(Revision revision,
+                     std::string text,
+                     const RegistryView& view,
+                     Instant now,
+                     SettingsActions& actions);
+  void OfferProof(Revision revision, Instant at);
+  void TryStatements(Instant now);
+  void StartRead(Instant now, SettingsActions& actions);
+  void StartProbes(Instant now, SettingsActions& actions);
+  void RetryWrite(Instant now, SettingsActions& actions);
+  void ResolveFromRead(const StoreRead& read,
+                       Instant now,
+                       SettingsActions& actions);
+  void Resolve(WriteState state, Instant now, SettingsActions& actions);
+  std::uint64_t NextId();
+  bool HasUnresolvedWrite() const;
+  bool IsFenced(const StoreRead& read) const;
+  bool IsReverted(const StoreRead& read, Instant sent) const;
+
+  Registration registration;
+  SettingsLeaseOptions options;
+  std::uint64_t next_id = 0;
+  bool stopped = false;
+  bool acknowledged = false;  // by a settled session of the registry
+  bool reverted = false;      // the store shows less than was seen
+
+  Revision known;
+  Revision held;
+  Revision offered;  // handed up as AdoptSettings
+  std::uint64_t offered_digest = 0;
+  Duration lease{};  // of the held revision
+  Instant known_since{};
+  // Every proof of a revision below `known` has lapsed by this instant.
+  Instant older_lapsed_at{};
+  std::optional<settings_lease_internal::Proof> proof;
+
+  RegistryView registry;
+  RegistryVersion registry_known;
+  Instant registry_known_since{};
+  RowVersion session_version;
+
+  std::optional<Instant> last_contact;  // sending of the latest own read
+  std::optional<Instant> last_read_sent;
+  std::optional<Instant> last_probe_sent;
+  std::map<std::uint64_t, Instant> reads;  // outstanding
+  std::map<std::uint64_t, settings_lease_internal::Probe> probes;
+  std::map<SessionId, settings_lease_internal::Statement> statements;
+  std::optional<settings_lease_internal::Write> write;
+  settings_lease_internal::RestrictionTable restrictions;
+};
+
+}  // namespace peridot
+
+#endif  // SRC_COORDINATION_SETTINGS_LEASE_H_
--- /dev/null
+++ b/src/coordination/settings_lease_internal.h
@@ -0,0 +1,81 @@
+// Parts of SettingsLease that no caller uses directly.
+//
+// Index:
+//   [SECTION] Proofs and statements
+//   [SECTION] Writes
+//   [SECTION] Restrictions
+
+#ifndef SRC_COORDINATION_SETTINGS_LEASE_INTERNAL_H_
+#define SRC_COORDINATION_SETTINGS_LEASE_INTERNAL_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+
+#include "src/state/clock.h"
+#include "src/state/ids.h"
+#include "src/state/table_types.h"
+
+namespace peridot::settings_lease_internal {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Proofs and statements
+//-----------------------------------------------------------------------------
+
+// No revision later than this one had been accepted at instant `at`.
+struct Proof {
+  Revision revision;
+  Instant at;
+};
+
+struct Probe {
+  SessionId peer;
+  Instant sent;
+};
+
+// The peer stated under this registry, after `sent`, that it has no write
+// outstanding. Later replies do not take that back.
+struct Statement {
+  RegistryVersion version;
+  Instant sent;
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Writes
+//-----------------------------------------------------------------------------
+
+struct Write {
+  std::string operation_id;
+  TableTransaction transaction;
+  bool changes_settings = true;
+  Duration lease{};  // of the revision held when the write was sent
+  int sends = 1;
+  Instant last_sent{};
+  bool resolved = false;
+  bool committed = false;
+  bool reported_in_force = false;
+  Revision revision;  // written by it; 0 unless committed
+  Instant in_force_at{};
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Restrictions
+//-----------------------------------------------------------------------------
+
+struct Restriction {
+  int kind = 0;
+  std::string subject;
+  std::uint64_t value = 0;
+  Instant until{};
+  bool carried = false;
+};
+
+using RestrictionId = std::pair<SessionId, std::uint64_t>;
+// Ended entries stay for one more lifetime, so that a repeated message does
+// not start them again.
+using RestrictionTable = std::map<RestrictionId, Restriction>;
+
+}  // namespace peridot::settings_lease_internal
+
+#endif  // SRC_COORDINATION_SETTINGS_LEASE_INTERNAL_H_
--- /dev/null
+++ b/tests/settings_lease_test.cc
@@ -0,0 +1,393 @@
+// Focused cases of SettingsLease. Each names the failure it guards against.
+
+#include "src/coordination/settings_lease.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+
+namespace peridot {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+const SessionId kSelf{DaemonId("d1"), Incarnation(1)};
+const SessionId kPeer{DaemonId("d2"), Incarnation(1)};
+const SessionId kThird{DaemonId("d3"), Incarnation(1)};
+constexpr Duration kLease = milliseconds(1500);
+
+Instant At(Duration since_start) {
+  return Instant{} + std::chrono::hours(1) + since_start;
+}
+
+template <typename A>
+const A* Find(const SettingsActions& actions) {
+  for (const SettingsAction& action : actions) {
+    if (const A* found = std::get_if<A>(&action)) {
+      return found;
+    }
+  }
+  return nullptr;
+}
+
+struct Fixture {
+  SettingsLease lease;
+  RegistryView registry{RegistryVersion(3), {kSelf, kPeer, kThird}};
+  std::string last_operation;
+
+  explicit Fixture(bool first_member = true)
+      : lease({kSelf, RegistryVersion(3), At({}), first_member}) {}
+
+  SettingsActions ReadSentAt(Duration sent,
+                             std::uint64_t revision,
+                             Duration answered,
+                             std::string text = "text") {
+    const SettingsActions started = this->lease.OnTick(At(sent));
+    const SendRead* request = Find<SendRead>(started);
+    REQUIRE(request != nullptr);
+    return this->Answer(request->read_id, revision, answered, std::move(text));
+  }
+  SettingsActions Answer(std::uint64_t read_id,
+                         std::uint64_t revision,
+                         Duration answered,
+                         std::string text = "text") {
+    StoreRead read;
+    read.read_id = read_id;
+    read.revision = Revision(revision);
+    read.text = text + std::to_string(revision);
+    read.registry = this->registry;
+    read.incarnation = kSelf.incarnation;
+    read.session_version = RowVersion(1);
+    read.last_operation = this->last_operation;
+    SettingsActions actions = this->lease.OnRead(read, At(answered));
+    if (const auto* adopt = Find<AdoptSettings>(actions)) {
+      this->lease.OnAdopted(adopt->revision, kLease);
+    }
+    return actions;
+  }
+  FreshnessReply Reply(std::uint64_t probe_id, std::uint64_t revision) const {
+    FreshnessReply reply;
+    reply.probe_id = probe_id;
+    reply.revision = Revision(revision);
+    reply.registry_version = this->registry.version;
+    return reply;
+  }
+  void State(const SessionId& peer, Duration sent, Duration answered) {
+    FreshnessReply reply =
+        this->Reply(this->lease.NoteProbeSent(peer, At(sent)), 5);
+    reply.no_outstanding_write = true;
+    this->lease.OnProbeReply(peer, reply, At(answered));
+  }
+  Result<SettingsActions> Write(std::string id, Duration at) {
+    ControlWrite write;
+    write.operation_id = std::move(id);
+    write.base = this->lease.Known();
+    write.text = "next";
+    return this->lease.BeginWrite(write, At(at));
+  }
+};
+
+CommitAnswer Committed() {
+  return {CommitOutcome::kCommitted, {}, {}};
+}
+
+TEST_CASE("a proof counts from the sending of the read", "[settings_lease]") {
+  // Failure: a daemon paused between send and answer trusts an old snapshot.
+  Fixture f;
+  f.ReadSentAt(milliseconds(0), 5, milliseconds(400));
+  REQUIRE(f.lease.ProofExpiry() == At(ShortenForDrift(kLease)));
+  REQUIRE(f.lease.MayAct(At(milliseconds(1484))));
+  REQUIRE_FALSE(f.lease.MayAct(At(milliseconds(1485))));
+}
+
+TEST_CASE("an answer that arrives after a pause proves nothing",
+          "[settings_lease]") {
+  Fixture f;
+  f.ReadSentAt(milliseconds(0), 5, seconds(4));
+  REQUIRE_FALSE(f.lease.MayAct(At(seconds(4))));
+}
+
+TEST_CASE("the ages in a chain of peers' proofs add up", "[settings_lease]") {
+  // Failure: proofs passed from peer to peer never age.
+  Fixture f;
+  f.ReadSentAt(milliseconds(0), 5, milliseconds(0));
+  FreshnessReply reply =
+      f.Reply(f.lease.NoteProbeSent(kPeer, At(seconds(2))), 5);
+  reply.has_proof = true;
+  reply.proof_age = milliseconds(1000);
+  f.lease.OnProbeReply(kPeer, reply, At(milliseconds(2100)));
+  // 2000 - 1010 (age and drift) + 1485 (lease and drift).
+  REQUIRE(f.lease.ProofExpiry() == At(milliseconds(2475)) - Duration(1));
+  const FreshnessReply next =
+      f.lease.MakeProbeReply(kThird, 1, At(milliseconds(2100)));
+  REQUIRE(next.has_proof);
+  REQUIRE(next.proof_age >= milliseconds(1110));
+}
+
+TEST_CASE("a reply to a probe of an earlier incarnation is ignored",
+          "[settings_lease]") {
+  // Failure: a restarted daemon numbers its probes from 1 again, and a late
+  // reply to the old probe 1 counts from the sending of the new one.
+  SettingsLease first({kSelf, RegistryVersion(3), At({}), true});
+  SessionId again = kSelf;
+  again.incarnation = Incarnation(2);
+  SettingsLease second({again, RegistryVersion(4), At({}), true});
+  REQUIRE(first.NoteProbeSent(kPeer, At({})) !=
+          second.NoteProbeSent(kPeer, At({})));
+}
+
+TEST_CASE("a reply counts only from the peer that was probed, once",
+          "[settings_lease]") {
+  Fixture f;
+  f.ReadSentAt(milliseconds(0), 5, milliseconds(0));
+  FreshnessReply reply =
+      f.Reply(f.lease.NoteProbeSent(kPeer, At(seconds(2))), 5);
+  reply.has_proof = true;
+  f.lease.OnProbeReply(kThird, reply, At(seconds(2)));
+  REQUIRE_FALSE(f.lease.MayAct(At(seconds(2))));
+}
+
+TEST_CASE("a later revision heard of ends the right to act on the held one",
+          "[settings_lease]") {
+  // Failure: a daemon states a revision to a peer and acts on an older one.
+  Fixture f;
+  f.ReadSentAt(milliseconds(0), 5, milliseconds(0));
+  FreshnessReply reply =
+      f.Reply(f.lease.NoteProbeSent(kPeer, At(milliseconds(10))), 6);
+  reply.has_proof = true;
+  const SettingsActions actions =
+      f.lease.OnProbeReply(kPeer, reply, At(milliseconds(12)));
+  REQUIRE_FALSE(f.lease.MayAct(At(milliseconds(12))));
+  REQUIRE(Find<FetchDocument>(actions) != nullptr);
+  // Cut off from the store, the daemon gets the text from the peer.
+  const SettingsActions adopted = f.lease.OnPeerDocument(
+      {Revision(6), "six", f.registry}, At(milliseconds(14)));
+  REQUIRE(Find<AdoptSettings>(adopted) != nullptr);
+  f.lease.OnAdopted(Revision(6), kLease);
+  REQUIRE(f.lease.MayAct(At(milliseconds(14))));
+}
+
+TEST_CASE("rule 3 needs the statement of every registered daemon",
+          "[settings_lease]") {
+  Fixture f;
+  f.ReadSentAt(milliseconds(0), 5, milliseconds(0));
+  f.State(kPeer, seconds(2), milliseconds(2010));
+  REQUIRE_FALSE(f.lease.MayAct(At(milliseconds(2010))));
+  f.State(kThird, milliseconds(2500), milliseconds(2510));
+  REQUIRE(f.lease.ProofExpiry() == At(seconds(2) + ShortenForDrift(kLease)));
+}
+
+TEST_CASE("a statement under another registry version does not count",
+          "[settings_lease]") {
+  // Failure: the newcomer that only the other daemon knows of may write.
+  Fixture f;
+  f.ReadSentAt(milliseconds(0), 5, milliseconds(0));
+  f.State(kThird, seconds(2), milliseconds(2010));
+  f.registry.version = RegistryVersion(GENERATE(2, 4));
+  f.State(kPeer, seconds(2), milliseconds(2010));
+  REQUIRE_FALSE(f.lease.MayAct(At(milliseconds(2010))));
+}
+
+TEST_CASE(
+    "a daemon with a write outstanding states nothing and extends nothing",
+    "[settings_lease]") {
+  Fixture f;
+  f.ReadSentAt(milliseconds(0), 5, milliseconds(0));
+  REQUIRE(f.lease.MakeProbeReply(kPeer, 1, At({})).no_outstanding_write);
+  REQUIRE(f.Write("op", milliseconds(10)).has_value());
+  REQUIRE_FALSE(f.lease.MakeProbeReply(kPeer, 1, At({})).no_outstanding_write);
+  f.State(kPeer, seconds(2), milliseconds(2010));
+  f.State(kThird, seconds(2), milliseconds(2010));
+  REQUIRE_FALSE(f.lease.MayAct(At(milliseconds(2010))));
+}
+
+TEST_CASE("rule 3 ends a fixed time after the last own read",
+          "[settings_lease]") {
+  // Failure: a newcomer that nobody acknowledged writes while others extend.
+  Fixture f;
+  f.ReadSentAt(milliseconds(0), 5, milliseconds(0));
+  const Duration late = minutes(15) + seconds(2);
+  f.State(kPeer, late, late);
+  f.State(kThird, late, late);
+  REQUIRE_FALSE(f.lease.MayAct(At(late)));
+}
+
+TEST_CASE("a daemon states nothing before its first read", "[settings_lease]") {
+  // Failure: the earlier incarnation's write has committed and the restarted
+  // daemon, which does not know of it, states that there is none.
+  Fixture f;
+  f.lease.OnPeerDocument({Revision(5), "text", f.registry}, At({}));
+  const FreshnessReply reply = f.lease.MakeProbeReply(kPeer, 1, At({}));
+  REQUIRE_FALSE(reply.no_outstanding_write);
+  REQUIRE_FALSE(reply.has_proof);
+  f.lease.OnAdopted(Revision(5), kLease);
+  REQUIRE(f.Write("op", {}).error().code == ErrorCode::kUnavailable);
+}
+
+TEST_CASE("a newcomer writes only after a settled daemon acknowledged it",
+          "[settings_lease]") {
+  // Failure: two newcomers acknowledge each other while the earlier daemons,
+  // cut off from the store, extend under the earlier registry.
+  Fixture f(false);
+  f.ReadSentAt(milliseconds(0), 5, milliseconds(0));
+  FreshnessReply reply = f.Reply(f.lease.NoteProbeSent(kPeer, At({})), 5);
+  f.lease.OnProbeReply(kPeer, reply, At(milliseconds(5)));
+  REQUIRE(f.Write("op", milliseconds(10)).error().code ==
+          ErrorCode::kPermission);
+  reply = f.Reply(f.lease.NoteProbeSent(kPeer, At({})), 5);
+  reply.settled = true;
+  reply.registry_version = RegistryVersion(2);
+  f.lease.OnProbeReply(kPeer, reply, At(milliseconds(5)));
+  REQUIRE_FALSE(f.lease.IsSettled(At(milliseconds(10))));
+  reply = f.Reply(f.lease.NoteProbeSent(kPeer, At({})), 5);
+  reply.settled = true;
+  f.lease.OnProbeReply(kPeer, reply, At(milliseconds(5)));
+  REQUIRE(f.Write("op", milliseconds(10)).has_value());
+}
+
+TEST_CASE("a newcomer that nobody acknowledges writes after the extension",
+          "[settings_lease]") {
+  const Fixture f(false);
+  REQUIRE_FALSE(f.lease.IsSettled(At(minutes(15))));
+  REQUIRE(f.lease.IsSettled(At(LengthenForDrift(minutes(15)) + Duration(1))));
+}
+
+TEST_CASE("a change is in force once every older proof has lapsed",
+          "[settings_lease]") {
+  Fixture f;
+  f.ReadSentAt(milliseconds(0), 5, milliseconds(0));
+  REQUIRE(f.Write("op", seconds(10)).has_value());
+  REQUIRE(f.lease.StateOfWrite("op", At(seconds(10))) == WriteState::kUnknown);
+  f.lease.OnWriteAnswer("op", Committed(), At(milliseconds(10100)));
+  REQUIRE(f.lease.Known() == Revision(6));
+  REQUIRE(f.lease.StateOfWrite("op", At(milliseconds(11615))) ==
+          WriteState::kCommitted);
+  REQUIRE(f.lease.StateOfWrite("op", At(milliseconds(11616))) ==
+          WriteState::kInForce);
+}
+
+TEST_CASE("a shorter lease does not shorten the wait for longer proofs",
+          "[settings_lease]") {
+  // Failure: the change after the one that shortened the lease is reported in
+  // force while a proof with the long lease still holds.
+  Fixture f;
+  f.ReadSentAt(milliseconds(0), 5, milliseconds(0));
+  f.ReadSentAt(seconds(10), 6, seconds(10));
+  f.lease.OnAdopted(Revision(6), kLease);
+  f.ReadSentAt(seconds(20), 8, seconds(20));  // 7 was never held
+  REQUIRE_FALSE(f.lease.IsInForce(Revision(8), At(seconds(25))));
+  REQUIRE(f.lease.IsInForce(Revision(8), At(milliseconds(25051))));
+}
+
+TEST_CASE("a lost commit answer is resolved by the operation id",
+          "[settings_lease]") {
+  Fixture f;
+  f.ReadSentAt(milliseconds(0), 5, milliseconds(0));
+  REQUIRE(f.Write("op", milliseconds(10)).has_value());
+  f.lease.OnWriteAnswer("op", {}, At(milliseconds(20)));
+  // The row is unchanged: the request may still be on its way.
+  f.ReadSentAt(milliseconds(600), 5, milliseconds(610));
+  REQUIRE(f.lease.StateOfWrite("op", At(milliseconds(610))) ==
+          WriteState::kUnknown);
+  SECTION("committed, and another change after it") {
+    f.last_operation = "op";
+    f.ReadSentAt(milliseconds(1200), 7, milliseconds(1210));
+    REQUIRE(f.lease.StateOfWrite("op", At(milliseconds(1210))) ==
+            WriteState::kCommitted);
+  }
+  SECTION("another change came first") {
+    f.ReadSentAt(milliseconds(1200), 6, milliseconds(1210));
+    REQUIRE(f.lease.StateOfWrite("op", At(milliseconds(1210))) ==
+            WriteState::kConflict);
+  }
+}
+
+TEST_CASE("a conflict of a repeated write is not believed without a read",
+          "[settings_lease]") {
+  // Failure: a table that forgot the operation id reports the first try's own
+  // effect as a conflict.
+  Fixture f;
+  f.ReadSentAt(milliseconds(0), 5, milliseconds(0));
+  REQUIRE(f.Write("op", milliseconds(10)).has_value());
+  REQUIRE(Find<SendWrite>(f.lease.OnTick(At(milliseconds(520)))) != nullptr);
+  f.lease.OnWriteAnswer("op", {CommitOutcome::kConflict, {}, {}},
+                        At(milliseconds(530)));
+  REQUIRE(f.lease.StateOfWrite("op", At(milliseconds(530))) ==
+          WriteState::kUnknown);
+}
+
+TEST_CASE("a fenced or superseded session stops for good", "[settings_lease]") {
+  Fixture f;
+  f.ReadSentAt(milliseconds(0), 5, milliseconds(0));
+  f.registry.version = RegistryVersion(4);
+  f.registry.active = {kPeer, kThird};
+  REQUIRE(Find<StopSession>(f.ReadSentAt(milliseconds(600), 5,
+                                         milliseconds(610))) != nullptr);
+  REQUIRE_FALSE(f.lease.MayAct(At(milliseconds(610))));
+  REQUIRE_FALSE(f.lease.MakeProbeReply(kPeer, 1, At({})).no_outstanding_write);
+}
+
+TEST_CASE("a peer gives no proof to a session that its registry lacks",
+          "[settings_lease]") {
+  Fixture f;
+  f.ReadSentAt(milliseconds(0), 5, milliseconds(0));
+  const SessionId fenced{DaemonId("d9"), Incarnation(1)};
+  REQUIRE(f.lease.MakeProbeReply(kPeer, 1, At({})).has_proof);
+  REQUIRE_FALSE(f.lease.MakeProbeReply(fenced, 1, At({})).has_proof);
+}
+
+TEST_CASE("a store that comes back with a lower revision is refused",
+          "[settings_lease]") {
+  // Failure: a restored backup brings a withdrawn key back.
+  Fixture f;
+  f.ReadSentAt(milliseconds(0), 5, milliseconds(0));
+  SECTION("lower revision") {
+    const SettingsActions actions =
+        f.ReadSentAt(milliseconds(600), 4, milliseconds(610));
+    REQUIRE(Find<ReportReversion>(actions) != nullptr);
+  }
+  SECTION("same revision, other text") {
+    const SettingsActions actions =
+        f.ReadSentAt(milliseconds(600), 5, milliseconds(610), "other");
+    REQUIRE(Find<ReportReversion>(actions) != nullptr);
+  }
+  REQUIRE_FALSE(f.lease.MayAct(At(milliseconds(610))));
+  f.ReadSentAt(milliseconds(1200), 5, milliseconds(1210));
+  REQUIRE(f.lease.MayAct(At(milliseconds(1210))));
+}
+
+TEST_CASE("an older answer that arrives late is neither adopted nor reported",
+          "[settings_lease]") {
+  Fixture f;
+  f.ReadSentAt(milliseconds(0), 5, milliseconds(0));
+  const SettingsActions slow = f.lease.OnTick(At(milliseconds(600)));
+  f.ReadSentAt(milliseconds(1200), 6, milliseconds(1210));
+  const SettingsActions late =
+      f.Answer(Find<SendRead>(slow)->read_id, 5, milliseconds(1300));
+  REQUIRE(late.empty());
+  REQUIRE(f.lease.Held() == Revision(6));
+}
+
+TEST_CASE("provisional restrictions forbid at once and end by themselves",
+          "[settings_lease]") {
+  Fixture f;
+  const ProvisionalRestriction out{RestrictionKind::kZoneOut, "z1", 0, kPeer,
+                                   1};
+  f.lease.OnRestriction(out, At({}));
+  f.lease.OnRestriction(out, At(seconds(59)));  // a repeat does not extend it
+  f.lease.OnRestriction({RestrictionKind::kLowerLimit, "a", 9, kPeer, 2},
+                        At({}));
+  f.lease.OnRestriction({RestrictionKind::kLowerLimit, "a", 4, kThird, 2},
+                        At({}));
+  REQUIRE(
+      f.lease.IsRestricted(RestrictionKind::kZoneOut, "z1", At(seconds(59))));
+  REQUIRE_FALSE(
+      f.lease.IsRestricted(RestrictionKind::kZoneOut, "z1", At(seconds(60))));
+  REQUIRE(f.lease.RestrictedLimit("a", At(seconds(1))) == 4U);
+  f.lease.OnRestrictionCarried(kThird, 2);
+  REQUIRE(f.lease.RestrictedLimit("a", At(seconds(1))) == 9U);
+}
+
+}  // namespace
+}  // namespace peridot
