--- a/src/coordination/dispatcher.h
+++ b/src/coordination/dispatcher.h
@@ -225,6 +225,10 @@
   // The caller cancelled. Returns false for an unknown task.
   bool OnCancel(const TaskId& task, Instant now);
 
+  // Stops this many running attempts of the team, the latest first: its limit
+  // was lowered.
+  void OnStopExcess(const TeamId& team, std::int64_t count);
+
   // Ends tasks whose deadline has passed and returns unused slots.
   void OnTick(Instant now);
 
@@ -279,6 +283,7 @@
     BootId boot;
     SlotGrant grant;
     bool sent = false;
+    std::uint64_t number = 0;  // orders attempts by their start
   };
 
   using WaitingList = std::map<std::int64_t, TaskId>;
@@ -316,6 +321,7 @@
   std::map<QueueId, WaitingList> waiting;
   std::multimap<Instant, TaskId> deadlines;
   std::unordered_map<AttemptId, InFlight> in_flight;
+  std::unordered_map<EndpointId, int> attempts_on;  // number in in_flight
   std::vector<SlotGrant> unused_grants;  // wait for a lease on the endpoint
   std::map<EndpointId, EndpointLease> leases;
   std::vector<DispatchAction> actions;
--- a/src/coordination/dispatcher_internal.h
+++ b/src/coordination/dispatcher_internal.h
@@ -167,7 +167,8 @@
   this->in_flight.emplace(
       attempt,
       InFlight{task->spec.id, grant.endpoint, team, lease.Report()->lease,
-               lease.Report()->boot, grant, false});
+               lease.Report()->boot, grant, false, this->next_attempt});
+  ++this->attempts_on[grant.endpoint];
   task->execution.OnStart(attempt, grant.endpoint);
   if (task->spec.journaled && !task->spec.idempotent) {
     task->intent_pending = true;
@@ -409,9 +410,32 @@
   }
   this->permits->Release(found->second.permit_team);
   this->GiveBack(found->second.grant, refused);
+  const auto count = this->attempts_on.find(found->second.endpoint);
+  if (--count->second == 0) {
+    this->attempts_on.erase(count);
+  }
   this->in_flight.erase(found);
 }
 
+template <SettingsView Settings, PermitPool Permits>
+void Dispatcher<Settings, Permits>::OnStopExcess(const TeamId& team,
+                                                 std::int64_t count) {
+  std::vector<std::pair<std::uint64_t, AttemptId>> running;
+  for (const auto& [attempt, flight] : this->in_flight) {
+    if (flight.permit_team == team && flight.sent) {
+      running.emplace_back(flight.number, attempt);
+    }
+  }
+  std::sort(running.rbegin(), running.rend());
+  for (const auto& [number, attempt] : running) {
+    if (count-- <= 0) {
+      return;
+    }
+    this->actions.push_back(
+        StopAttempt{attempt, this->in_flight.at(attempt).endpoint});
+  }
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Time
 //-----------------------------------------------------------------------------
@@ -553,14 +577,10 @@
 template <SettingsView Settings, PermitPool Permits>
 bool Dispatcher<Settings, Permits>::UsesEndpoint(
     const EndpointId& endpoint) const {
-  const auto on_endpoint = [&](const auto& item) {
-    return item.second.endpoint == endpoint;
-  };
   const auto for_endpoint = [&](const SlotGrant& grant) {
     return grant.endpoint == endpoint;
   };
-  return std::any_of(this->in_flight.begin(), this->in_flight.end(),
-                     on_endpoint) ||
+  return this->attempts_on.contains(endpoint) ||
          std::any_of(this->unused_grants.begin(), this->unused_grants.end(),
                      for_endpoint);
 }
--- a/src/coordination/slot_ledger.cc
+++ b/src/coordination/slot_ledger.cc
@@ -101,9 +101,9 @@
                      [](const auto& bucket) { return !bucket.empty(); });
 }
 
-std::optional<TeamId> SlotLedger::Return(SlotToken token,
-                                         bool refused,
-                                         Instant now) {
+std::optional<ReturnedSlot> SlotLedger::Return(SlotToken token,
+                                               bool refused,
+                                               Instant now) {
   const auto entry = static_cast<std::uint32_t>(token);
   const auto generation = static_cast<std::uint32_t>(token >> kGenerationShift);
   if (entry >= this->tokens.size() ||
@@ -112,7 +112,8 @@
     return std::nullopt;
   }
   const std::uint32_t endpoint = this->tokens[entry].endpoint;
-  TeamId team = std::move(this->tokens[entry].team);
+  ReturnedSlot returned{std::move(this->tokens[entry].team),
+                        this->pools[this->endpoints[endpoint].pool].id};
   this->FreeToken(entry);
   if (refused) {
     this->refused.push_back({now + this->config.refused_for, endpoint,
@@ -120,7 +121,7 @@
   } else {
     this->ChangeUsed(endpoint, -1);
   }
-  return team;
+  return returned;
 }
 
 std::vector<TeamId> SlotLedger::OnUsage(const EndpointId& endpoint,
@@ -167,7 +168,7 @@
   const auto [found, added] = this->pool_index.try_emplace(
       pool, static_cast<std::uint32_t>(this->pools.size()));
   if (added) {
-    this->pools.emplace_back();
+    this->pools.push_back({pool, {}});
   }
   return found->second;
 }
--- a/src/coordination/slot_ledger.h
+++ b/src/coordination/slot_ledger.h
@@ -53,6 +53,11 @@
   ZoneId zone;          // default: empty
 };
 
+struct ReturnedSlot {
+  TeamId team;  // default: empty; that the slot was taken for
+  PoolId pool;  // default: empty
+};
+
 //-----------------------------------------------------------------------------
 // [SECTION] SlotLedger
 //-----------------------------------------------------------------------------
@@ -82,9 +87,10 @@
   // Whether Take() would give a slot.
   bool HasFree(const PoolId& pool) const;
 
-  // Returns the team that the slot was taken for; nothing for a token that has
-  // ended.
-  std::optional<TeamId> Return(SlotToken token, bool refused, Instant now);
+  // Ends a token. Returns nothing for one that has ended before.
+  std::optional<ReturnedSlot> Return(SlotToken token,
+                                     bool refused,
+                                     Instant now);
 
   // The endpoint reported its used slots; the report was requested at sent.
   // Returns the teams of the tokens that were found to be lost.
@@ -121,6 +127,7 @@
   };
   // Endpoints by number of used slots; full ones are in no bucket.
   struct Pool {
+    PoolId id;
     std::vector<std::vector<std::uint32_t>> buckets;
   };
   struct Refused {
--- /dev/null
+++ b/src/daemon/membership_client.h
@@ -0,0 +1,39 @@
+// Client of the platform's membership list.
+//
+// Index:
+//   [SECTION] MembershipClient
+
+#ifndef SRC_DAEMON_MEMBERSHIP_CLIENT_H_
+#define SRC_DAEMON_MEMBERSHIP_CLIENT_H_
+
+#include <functional>
+#include <vector>
+
+#include "src/protocol/platform_http.h"
+#include "src/state/error.h"
+#include "src/transport/http_client.h"
+
+namespace peridot {
+
+//-----------------------------------------------------------------------------
+// [SECTION] MembershipClient
+//-----------------------------------------------------------------------------
+
+// Not thread-safe: lives on the loop's thread.
+class MembershipClient {
+ public:
+  using ListCallback = std::function<void(Result<std::vector<HostRecord>>)>;
+
+  MembershipClient(HttpClient* http, HttpPeer peer);
+
+  // Reads the list, which lags. Errors: kUnavailable, kMalformed.
+  void List(ListCallback callback);
+
+ private:
+  HttpClient* http;
+  HttpPeer peer;
+};
+
+}  // namespace peridot
+
+#endif  // SRC_DAEMON_MEMBERSHIP_CLIENT_H_
--- /dev/null
+++ b/src/daemon/permit_task.cc
@@ -0,0 +1,205 @@
+#include "src/daemon/permit_task.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "src/protocol/peer_codec.h"
+#include "src/transport/log.h"
+
+namespace peridot {
+
+PermitTask::PermitTask(EventLoop* loop,
+                       TableClient* table,
+                       PeerLink* peers,
+                       const SettingsTask* settings,
+                       Hooks hooks)
+    : loop(loop),
+      table(table),
+      peers(peers),
+      settings(settings),
+      hooks(std::move(hooks)) {
+  for (const auto body :
+       {proto::Envelope::kPermitDemand, proto::Envelope::kPermitTransfer,
+        proto::Envelope::kPermitReport, proto::Envelope::kPermitRowNotice}) {
+    this->peers->OnBody(
+        body, [this](const SessionId& from, const proto::Envelope& envelope) {
+          this->OnPeerMessage(from, envelope);
+        });
+  }
+}
+
+void PermitTask::Start() {
+  this->OnSettings();
+  this->OnTick();
+}
+
+void PermitTask::OnSettings() {
+  const SettingsTree* tree = this->settings->Tree();
+  if (tree == nullptr || !this->settings->IsRegistered()) {
+    return;
+  }
+  const LeaseBounds bounds{.settings_lease = tree->Fleet().settings_lease,
+                           .owner_lease = tree->Fleet().owner_lease};
+  for (const TeamSettings& team : tree->Teams()) {
+    const auto [found, added] = this->ledgers.try_emplace(
+        team.id, PermitLedgerConfig{.team = team.id,
+                                    .self = this->settings->Session(),
+                                    .leases = bounds});
+    found->second.OnLeaseBounds(bounds);
+    found->second.OnSessionRow(this->settings->SessionVersion());
+    this->Carry(team.id, found->second.OnLimit(team.limit, tree->revision(),
+                                               this->loop->Now()));
+  }
+}
+
+// A session that is no longer listed was fenced, superseded or has left. A
+// leave counts as a fence here, which only makes its permits free later.
+void PermitTask::OnRegistry() {
+  std::set<SessionId> listed;
+  for (const RegisteredDaemon& entry : this->settings->KnownRegistry().daemons) {
+    listed.insert(entry.session);
+  }
+  for (const SessionId& session : this->known_sessions) {
+    if (listed.contains(session)) {
+      continue;
+    }
+    for (auto& [team, ledger] : this->ledgers) {
+      this->Carry(team, ledger.OnSessionFenced(session, this->loop->Now()));
+    }
+  }
+  this->known_sessions = std::move(listed);
+}
+
+bool PermitTask::TryAcquire(const TeamId& team) {
+  PermitLedger* ledger = this->Find(team);
+  if (ledger == nullptr) {
+    return false;
+  }
+  const auto lowered = this->settings->RestrictedLimit(team);
+  if (lowered &&
+      ledger->InUse().value >= static_cast<std::int64_t>(*lowered)) {
+    return false;
+  }
+  return ledger->TryAcquire();
+}
+
+void PermitTask::Release(const TeamId& team) {
+  if (PermitLedger* ledger = this->Find(team)) {
+    ledger->Release();
+  }
+}
+
+void PermitTask::OnWaiting(const TeamId& team, std::int64_t count) {
+  PermitLedger* ledger = this->Find(team);
+  if (ledger == nullptr || this->waiting[team] == count) {
+    return;
+  }
+  this->waiting[team] = count;
+  this->Carry(team, ledger->OnDemand(PermitCount(count), this->loop->Now()));
+}
+
+std::int64_t PermitTask::Free(const TeamId& team) const {
+  const auto found = this->ledgers.find(team);
+  return found == this->ledgers.end() ? 0
+                                      : found->second.Held().value -
+                                            found->second.InUse().value;
+}
+
+PermitCount PermitTask::Held(const TeamId& team) const {
+  const auto found = this->ledgers.find(team);
+  return found == this->ledgers.end() ? PermitCount(0) : found->second.Held();
+}
+
+PermitCount PermitTask::InUse(const TeamId& team) const {
+  const auto found = this->ledgers.find(team);
+  return found == this->ledgers.end() ? PermitCount(0) : found->second.InUse();
+}
+
+void PermitTask::OnTick() {
+  for (auto& [team, ledger] : this->ledgers) {
+    ledger.OnSessionRow(this->settings->SessionVersion());
+    const std::int64_t before = this->Free(team);
+    this->Carry(team, ledger.OnTick(this->loop->Now()));
+    if (this->Free(team) > before) {
+      this->hooks.on_permits(team);
+    }
+  }
+  this->loop->After(kPermitTick, [this] { this->OnTick(); });
+}
+
+void PermitTask::OnPeerMessage(const SessionId& /*from*/,
+                               const proto::Envelope& envelope) {
+  const auto message = DecodePermitMessage(envelope);
+  if (!message) {
+    LogEvent(LogLevel::kWarn, "peer_message_malformed",
+             {{"peer", envelope.sender()},
+              {"reason", message.error().message}});
+    return;
+  }
+  const TeamId& team = message.value().team;
+  PermitLedger* ledger = this->Find(team);
+  if (ledger == nullptr) {
+    return;
+  }
+  const std::int64_t before = this->Free(team);
+  this->Carry(team,
+              ledger->OnMessage(message.value().message, this->loop->Now()));
+  if (this->Free(team) > before) {
+    this->hooks.on_permits(team);
+  }
+}
+
+void PermitTask::Carry(const TeamId& team, const PermitActions& actions) {
+  for (const PermitAction& action : actions) {
+    std::visit([&](const auto& item) { this->Do(team, item); }, action);
+  }
+}
+
+void PermitTask::Do(const TeamId& team, const ReadPermitRow& action) {
+  this->table->Read(
+      {action.key}, {},
+      [this, team, key = action.key](Result<std::vector<TableRow>> rows) {
+        PermitLedger* ledger = this->Find(team);
+        if (rows && ledger != nullptr) {
+          this->Carry(team, ledger->OnRowRead(FindRow(rows.value(), key),
+                                              this->loop->Now()));
+        }
+      });
+}
+
+void PermitTask::Do(const TeamId& team, const TransactPermits& action) {
+  this->table->Transact(
+      action.transaction, [this, team, id = action.transaction.operation_id](
+                              const CommitAnswer& answer) {
+        if (PermitLedger* ledger = this->Find(team)) {
+          this->Carry(team,
+                      ledger->OnTransactAnswer(id, answer, this->loop->Now()));
+          this->hooks.on_permits(team);
+        }
+      });
+}
+
+void PermitTask::Do(const TeamId& team, const SendPermitMessage& action) {
+  proto::Envelope envelope;
+  EncodePermitMessage({team, action.message}, &envelope);
+  this->peers->Send(HeaderOf(action.message).to.daemon, std::move(envelope));
+}
+
+void PermitTask::Do(const TeamId& team, const StopExcess& action) {
+  this->hooks.stop_excess(team, action.count);
+}
+
+void PermitTask::Do(const TeamId& team, const LimitInForce& action) {
+  LogEvent(LogLevel::kInfo, "limit_in_force",
+           {{"team", team.value},
+            {"limit", std::to_string(action.limit.value)},
+            {"revision", std::to_string(action.revision.value)}});
+}
+
+PermitLedger* PermitTask::Find(const TeamId& team) {
+  const auto found = this->ledgers.find(team);
+  return found == this->ledgers.end() ? nullptr : &found->second;
+}
+
+}  // namespace peridot
--- /dev/null
+++ b/src/daemon/permit_task.h
@@ -0,0 +1,85 @@
+// Permits of all teams: one ledger each, wired to the table and to the peers.
+//
+// Index:
+//   [SECTION] PermitTask
+
+#ifndef SRC_DAEMON_PERMIT_TASK_H_
+#define SRC_DAEMON_PERMIT_TASK_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+
+#include "src/coordination/permit_ledger.h"
+#include "src/daemon/peer_link.h"
+#include "src/daemon/settings_task.h"
+#include "src/daemon/table_client.h"
+#include "src/transport/event_loop.h"
+
+namespace peridot {
+
+//-----------------------------------------------------------------------------
+// [SECTION] PermitTask
+//-----------------------------------------------------------------------------
+
+// Satisfies PermitPool. Not thread-safe: lives on the loop's thread.
+class PermitTask {
+ public:
+  struct Hooks {
+    // Stop this many running tasks of the team: its limit was lowered.
+    std::function<void(const TeamId&, PermitCount)> stop_excess;
+    // Permits became free; waiting tasks may start.
+    std::function<void(const TeamId&)> on_permits;
+  };
+
+  PermitTask(EventLoop* loop,
+             TableClient* table,
+             PeerLink* peers,
+             const SettingsTask* settings,
+             Hooks hooks);
+
+  // Call once the session is registered.
+  void Start();
+
+  // Call after each adopted revision and each change of the registry.
+  void OnSettings();
+  void OnRegistry();
+
+  // PermitPool.
+  bool TryAcquire(const TeamId& team);
+  void Release(const TeamId& team);
+
+  // Tasks of the team that wait for a start.
+  void OnWaiting(const TeamId& team, std::int64_t waiting);
+
+  // Permits that TryAcquire() would give now.
+  std::int64_t Free(const TeamId& team) const;
+  PermitCount Held(const TeamId& team) const;
+  PermitCount InUse(const TeamId& team) const;
+
+ private:
+  void OnTick();
+  void OnPeerMessage(const SessionId& from, const proto::Envelope& envelope);
+  void Carry(const TeamId& team, const PermitActions& actions);
+  void Do(const TeamId& team, const ReadPermitRow& action);
+  void Do(const TeamId& team, const TransactPermits& action);
+  void Do(const TeamId& team, const SendPermitMessage& action);
+  void Do(const TeamId& team, const StopExcess& action);
+  void Do(const TeamId& team, const LimitInForce& action);
+  PermitLedger* Find(const TeamId& team);
+
+  EventLoop* loop;
+  TableClient* table;
+  PeerLink* peers;
+  const SettingsTask* settings;
+  Hooks hooks;
+  std::map<TeamId, PermitLedger> ledgers;
+  std::map<TeamId, std::int64_t> waiting;
+  std::set<SessionId> known_sessions;
+};
+
+}  // namespace peridot
+
+#endif  // SRC_DAEMON_PERMIT_TASK_H_
--- /dev/null
+++ b/src/daemon/settings_task.h
@@ -0,0 +1,177 @@
+// The settings in force, this daemon's session and its control writes.
+//
+// Index:
+//   [SECTION] Results
+//   [SECTION] SettingsTask
+//
+// Owns the SettingsLease: registers the session, reads the settings and the
+// registry, exchanges proofs with peers and writes changes. Implements the
+// SettingsView that the dispatcher checks before every start.
+
+#ifndef SRC_DAEMON_SETTINGS_TASK_H_
+#define SRC_DAEMON_SETTINGS_TASK_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "src/coordination/registry.h"
+#include "src/coordination/settings_lease.h"
+#include "src/daemon/daemon_config.h"
+#include "src/daemon/peer_link.h"
+#include "src/daemon/table_client.h"
+#include "src/state/settings_tree.h"
+#include "src/transport/event_loop.h"
+
+namespace peridot {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Results
+//-----------------------------------------------------------------------------
+
+enum class ChangeResult {
+  kInForce,      // no daemon acts on an older revision any more
+  kCommitted,    // accepted; in force within the settings lease
+  kConflict,     // another change came first; nothing was written
+  kUnavailable,  // nothing was written
+  kUnknown,      // sent; outcome not known within the limit
+};
+
+struct ChangeAnswer {
+  ChangeResult result = ChangeResult::kUnavailable;  // default: kUnavailable
+  Revision revision;    // written, or the actual one after a conflict
+  std::string message;  // default: empty; reason of a refusal
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] SettingsTask
+//-----------------------------------------------------------------------------
+
+// Not thread-safe: lives on the loop's thread.
+class SettingsTask {
+ public:
+  struct Hooks {
+    std::function<void()> on_registered;  // the session is known
+    std::function<void()> on_settings;    // another revision was adopted
+    std::function<void()> on_registry;    // the registry changed
+    std::function<void()> on_stopped;     // the session was fenced
+  };
+  using ChangeCallback = std::function<void(ChangeAnswer)>;
+
+  SettingsTask(EventLoop* loop,
+               TableClient* table,
+               PeerLink* peers,
+               const DaemonConfig* config,
+               Hooks hooks);
+
+  // Registers the session, with retries until the table answers.
+  void Start();
+
+  // Takes the session out of the registry, at most until the limit.
+  void Leave(Duration limit, std::function<void()> done);
+
+  // SettingsView.
+  const QueueSettings* FindQueue(std::string_view address) const;
+  bool IsZoneIn(std::string_view zone) const;
+  const TeamId* TeamOfKey(const KeyId& key) const;
+  Instant ProofExpiry() const;
+
+  // The adopted settings; null before the first.
+  const SettingsTree* Tree() const {
+    return this->tree ? &*this->tree : nullptr;
+  }
+  const Registry& KnownRegistry() const { return this->registry; }
+  const SessionId& Session() const { return this->session; }
+  RowVersion SessionVersion() const { return this->session_version; }
+  bool IsRegistered() const { return this->lease.has_value(); }
+  bool HasStopped() const { return this->lease && this->lease->HasStopped(); }
+  std::optional<std::uint64_t> RestrictedLimit(const TeamId& team) const;
+
+  // Writes new settings made against the base. Calls back when the change is in
+  // force, was refused, or the limit has passed.
+  void Change(const SettingsDocument& document,
+              Revision base,
+              Duration limit,
+              ChangeCallback callback);
+
+  // Fences a session that is no longer heard from. Calls back with the result.
+  void Fence(const SessionId& target, ChangeCallback callback);
+
+  // Forbids at once, on all reachable daemons, what a change will forbid.
+  void Restrict(RestrictionKind kind,
+                const std::string& subject,
+                std::uint64_t value);
+
+  // Messages of the membership probes, which carry the proofs.
+  std::uint64_t NoteProbeSent(const SessionId& peer);
+  void OnProbeReply(const SessionId& from, const proto::ProbeReply& reply);
+  void FillProbeReply(const SessionId& requester,
+                      std::uint64_t probe_id,
+                      proto::ProbeReply* reply) const;
+
+ private:
+  struct Waiting {
+    std::string operation_id;
+    Instant until{};
+    ChangeCallback callback;
+  };
+
+  // A restriction that ends with the first revision above its base.
+  struct OpenRestriction {
+    SessionId sender;
+    std::uint64_t sequence = 0;
+    Revision base;
+  };
+
+  void Register();
+  void FinishRegistration(const RegistrationPlan& plan,
+                          const Registry& before,
+                          const CommitAnswer& answer);
+  void CheckRegistered(const RegistrationPlan& plan, const Registry& before);
+  void OnTick();
+  void Carry(const SettingsActions& actions);
+  void Do(const SendRead& action);
+  void Do(const SendWrite& action);
+  void Do(const SendProbe& action);
+  void Do(const FetchDocument& action);
+  void Do(const AdoptSettings& action);
+  void Do(const WriteChanged& action);
+  void Do(const ReportReversion& action);
+  void Do(const StopSession& action);
+  void OnRows(std::uint64_t read_id, const std::vector<TableRow>& rows);
+  void Begin(ControlWrite write, Duration limit, ChangeCallback callback);
+  void ExpireWaiting();
+  void Resolve(const std::string& operation_id, ChangeAnswer answer);
+  std::string NextOperationId();
+  void HandleRestriction(const SessionId& from,
+                         const proto::Envelope& envelope);
+  void EndRestrictions();
+  void SendDocument(const SessionId& to);
+
+  EventLoop* loop;
+  TableClient* table;
+  PeerLink* peers;
+  const DaemonConfig* config;
+  Hooks hooks;
+  std::optional<SettingsLease> lease;
+  std::optional<SettingsTree> tree;
+  std::unordered_map<KeyId, TeamId> key_teams;
+  Registry registry;
+  SessionId session;
+  RowVersion session_version;
+  std::vector<Waiting> waiting;
+  std::vector<OpenRestriction> open_restrictions;
+  std::uint64_t next_operation = 1;
+  std::uint64_t next_restriction = 1;
+  std::string start_nonce;  // random; operation ids differ between starts
+};
+
+}  // namespace peridot
+
+#endif  // SRC_DAEMON_SETTINGS_TASK_H_
--- a/tests/slot_ledger_test.cc
+++ b/tests/slot_ledger_test.cc
@@ -59,10 +59,10 @@
 TEST_CASE("a token returned twice frees one slot", "[routing]") {
   SlotLedger ledger = LedgerOf(1, 1);
   const TakenSlot slot = *ledger.Take(kPool, kTeam, kStart);
-  REQUIRE(ledger.Return(slot.token, false, kStart));
-  REQUIRE_FALSE(ledger.Return(slot.token, false, kStart));
+  REQUIRE(ledger.Return(slot.token, false, kStart).has_value());
+  REQUIRE_FALSE(ledger.Return(slot.token, false, kStart).has_value());
   REQUIRE(ledger.Take(kPool, kTeam, kStart));
-  REQUIRE_FALSE(ledger.Return(slot.token, false, kStart));
+  REQUIRE_FALSE(ledger.Return(slot.token, false, kStart).has_value());
   REQUIRE_FALSE(ledger.Take(kPool, kTeam, kStart));
 }
 
