--- /dev/null
+++ b/tests/support/task_world.h
@@ -0,0 +1,775 @@
+// One dispatcher, two endpoints and the messages between them in virtual time.
+//
+// Index:
+//   [SECTION] Steps and faults
+//   [SECTION] Options and results
+//   [SECTION] TaskWorld
+//
+// A fault is caused when a task reaches a step of its life. The endpoints' own
+// record of runs decides afterwards what really ran.
+
+#ifndef TESTS_SUPPORT_TASK_WORLD_H_
+#define TESTS_SUPPORT_TASK_WORLD_H_
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "src/coordination/dispatcher.h"
+#include "stand_ins/endpoint_model.h"
+#include "tests/support/event_schedule.h"
+
+namespace peridot::testing {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Steps and faults
+//-----------------------------------------------------------------------------
+
+enum class TaskStage {
+  kWaiting,    // admitted, no slot yet
+  kChecked,    // every check passed, the request is not written yet
+  kSent,       // the request is on its way
+  kRunning,    // the endpoint has started it
+  kAnswering,  // the endpoint has written the answer
+  kFencing,    // the answer did not come, the fence is on its way
+  kCount,
+};
+
+enum class TaskFault {
+  kNone,
+  kEndpointRestart,
+  kEndpointPause,
+  kConnectionSilent,
+  kRequestLost,
+  kRequestLate,
+  kAnswerLost,
+  kWrongAnswer,
+  kTruncatedAnswer,
+  kDaemonPause,
+  kKeyWithdrawn,
+  kZoneOut,
+  kEndpointLeaving,
+  kCancelled,
+  kFailsEverything,
+  kEndpointGone,
+  kCount,
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Options and results
+//-----------------------------------------------------------------------------
+
+struct TaskWorldOptions {
+  std::uint64_t seed = 1;                 // default: 1
+  TaskStage stage = TaskStage::kWaiting;  // default: kWaiting
+  TaskFault fault = TaskFault::kNone;     // default: kNone
+  TaskFault second = TaskFault::kNone;    // default: kNone; 300 ms later
+  bool idempotent = false;                // default: false
+  int tasks = 4;                          // default: 4
+  std::int64_t limit = 2;                 // default: 2 running tasks
+  // Off switches of guards, for the proof that the checks can fail.
+  bool endpoint_checks_not_after = true;  // default: true
+  bool retry_unknown = false;             // default: false
+};
+
+struct TaskWorldResult {
+  int finished = 0;       // FinishTask actions
+  int done = 0;           // finished with a whole answer
+  int injected = 0;       // faults that were caused
+  std::string violation;  // default: empty; the first broken rule
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] TaskWorld
+//-----------------------------------------------------------------------------
+
+class TaskWorld {
+ public:
+  using ms = std::chrono::milliseconds;
+
+  explicit TaskWorld(const TaskWorldOptions& options)
+      : options(options),
+        schedule(options.seed),
+        settings{this},
+        permits{options.limit},
+        dispatcher(&settings, &permits, "d1.1") {
+    this->schedule.RunUntil(Instant{} + std::chrono::seconds(10));
+    for (int e = 0; e < kEndpoints; ++e) {
+      this->models.emplace_back(stand_ins::EndpointOptions{
+          .id = EndpointId(Name(e)), .slots = SlotCount(2)});
+    }
+  }
+
+  TaskWorldResult Run() {
+    this->Tick();
+    this->ReadSettings();
+    for (int t = 0; t < this->options.tasks; ++t) {
+      this->schedule.After(ms(100 + 40 * t), kDaemon, [this, t] {
+        this->Submit(TaskId("t" + std::to_string(t)));
+      });
+    }
+    this->schedule.RunUntil(this->schedule.Now() + std::chrono::seconds(40));
+    this->Judge();
+    return this->result;
+  }
+
+ private:
+  static constexpr int kEndpoints = 2;
+  static constexpr EventSchedule::Node kDaemon = 0;
+  static constexpr Duration kLease = ms(1'500);
+  static constexpr Duration kRun = ms(150);
+
+  struct Settings {
+    TaskWorld* world;
+    QueueSettings queue{.id = QueueId("p.q"),
+                        .pool = PoolId("p"),
+                        .team = TeamId("a"),
+                        .deadline = std::chrono::seconds(20),
+                        .max_attempts = 3,
+                        .run_time = kRun,
+                        .slots_per_task = SlotCount(1)};
+    TeamId team{"a"};
+    bool key_valid = true;
+    bool zone_in = true;
+    Instant proof{};
+
+    const QueueSettings* FindQueue(std::string_view) const {
+      return &this->queue;
+    }
+    bool IsZoneIn(std::string_view zone) const {
+      return zone != "z0" || this->zone_in;
+    }
+    const TeamId* TeamOfKey(const KeyId&) const {
+      return this->key_valid ? &this->team : nullptr;
+    }
+    Instant ProofExpiry() const {
+      return this->proof + ShortenForDrift(kLease);
+    }
+  };
+
+  struct Permits {
+    std::int64_t free;
+
+    bool TryAcquire(const TeamId&) {
+      if (this->free == 0) {
+        return false;
+      }
+      --this->free;
+      return true;
+    }
+    void Release(const TeamId&) { ++this->free; }
+  };
+
+  // A request on a connection. Its answer is dropped if the connection was
+  // replaced, and its end is reported once.
+  struct Call {
+    int endpoint = 0;
+    int connection = 0;
+    bool ended = false;
+    std::function<void()> on_lost;
+  };
+
+  static std::string Name(int e) { return "e" + std::to_string(e); }
+  static int IndexOf(const EndpointId& id) { return id.value.back() - '0'; }
+  EventSchedule::Node NodeOf(int e) const { return 1 + e; }
+
+  // The settings that operators wrote, and what the daemon knows of them.
+  void ReadSettings() {
+    const Instant sent = this->schedule.Now();
+    const bool key = this->real_key_valid;
+    const bool zone = this->real_zone_in;
+    this->schedule.After(ms(2), kDaemon, [this, sent, key, zone] {
+      this->settings.proof = std::max(this->settings.proof, sent);
+      this->settings.key_valid = key;
+      this->settings.zone_in = zone;
+    });
+    this->schedule.After(ms(500), kDaemon, [this] { this->ReadSettings(); });
+  }
+
+  void Submit(const TaskId& id) {
+    const Instant now = this->schedule.Now();
+    const StartBlock block =
+        this->dispatcher.OnSubmit({.id = id,
+                                   .queue = QueueId("p.q"),
+                                   .key = KeyId("k"),
+                                   .idempotent = this->options.idempotent,
+                                   .deadline = now + std::chrono::seconds(15)},
+                                  now);
+    if (block != StartBlock::kNone) {
+      this->OnFinished(id, TaskOutcome::kNotRun, Ran::kNo);
+      return;
+    }
+    this->Reach(TaskStage::kWaiting, id, -1);
+  }
+
+  //---------------------------------------------------------------------------
+  // The daemon.
+  //---------------------------------------------------------------------------
+
+  void Tick() {
+    const Instant now = this->schedule.Now();
+    this->dispatcher.OnTick(now);
+    for (int e = 0; e < kEndpoints; ++e) {
+      this->TickLease(e);
+      if (this->dispatcher.Waiting(QueueId("p.q")) > 0 &&
+          this->permits.free > 0) {
+        this->Grant(e);
+      }
+    }
+    this->Carry();
+    this->schedule.After(ms(20), kDaemon, [this] { this->Tick(); });
+  }
+
+  void Grant(int e) {
+    const Instant now = this->schedule.Now();
+    this->dispatcher.OnGrant({.owner = {DaemonId("d1"), Incarnation(1)},
+                              .token = ++this->tokens,
+                              .endpoint = EndpointId(Name(e)),
+                              .zone = ZoneId("z" + std::to_string(e)),
+                              .queue = QueueId("p.q"),
+                              .team = TeamId("a"),
+                              .expires = now},
+                             now);
+  }
+
+  void TickLease(int e) {
+    const Instant now = this->schedule.Now();
+    EndpointLease& lease = this->dispatcher.LeaseOf(EndpointId(Name(e)));
+    const LeaseTick tick = lease.OnTick(now);
+    if (tick.replace_connection) {
+      this->ReplaceConnection(e);
+    }
+    if (tick.request == LeaseRequest::kNone) {
+      return;
+    }
+    const bool acquire = tick.request == LeaseRequest::kAcquire;
+    const LeaseId id = acquire ? LeaseId() : lease.Report()->lease;
+    const std::int64_t until = acquire ? 0 : lease.RenewUntilUs(now);
+    this->Ask(
+        e,
+        [this, e, acquire, id, until] {
+          return this->AskLease(e, acquire, id, until);
+        },
+        [this, e, now](const std::optional<EndpointReport>& report) {
+          EndpointLease& held = this->dispatcher.LeaseOf(EndpointId(Name(e)));
+          if (report) {
+            held.OnReport(*report, now, this->schedule.Now());
+          } else {
+            held.OnRefused(this->schedule.Now());
+          }
+        },
+        [this, e] {
+          this->dispatcher.LeaseOf(EndpointId(Name(e)))
+              .OnFailed(this->schedule.Now());
+        });
+  }
+
+  std::optional<EndpointReport> AskLease(int e,
+                                         bool acquire,
+                                         const LeaseId& id,
+                                         std::int64_t until) {
+    stand_ins::EndpointModel& model = this->models[Size(e)];
+    const Instant now = this->schedule.Now();
+    if (acquire) {
+      const auto answer = model.Lease(
+          {DaemonId("d1"), Incarnation(1), EndpointLeaseConfig{}.lease}, now);
+      const auto* grant = std::get_if<stand_ins::LeaseGrant>(&answer);
+      return grant == nullptr ? std::nullopt
+                              : std::optional(EndpointReport{
+                                    grant->lease, grant->boot, grant->clock_us,
+                                    grant->slots, grant->used, grant->leaving});
+    }
+    const auto beat = model.Heartbeat(id, until, now);
+    return !beat ? std::nullopt
+                 : std::optional(EndpointReport{id, beat->boot, beat->clock_us,
+                                                beat->slots, beat->used,
+                                                beat->leaving});
+  }
+
+  void Carry() {
+    for (auto actions = this->dispatcher.TakeActions(); !actions.empty();
+         actions = this->dispatcher.TakeActions()) {
+      for (const DispatchAction& action : actions) {
+        std::visit([this](const auto& item) { this->Do(item); }, action);
+      }
+    }
+  }
+
+  // The check and the send are two events, so a pause can fall between them.
+  void Do(const StartAttempt& action) {
+    this->Reach(TaskStage::kChecked, action.task, IndexOf(action.endpoint));
+    this->schedule.After(Duration::zero(), kDaemon,
+                         [this, action] { this->SendStart(action); });
+  }
+
+  void SendStart(const StartAttempt& action) {
+    const int e = IndexOf(action.endpoint);
+    const auto call = this->Open(
+        e, [this, action] { this->Reply(action, AttemptReply::kNoAnswer); });
+    this->Reach(TaskStage::kSent, action.task, e);
+    Duration delay = this->Delay();
+    if (std::exchange(this->delay_next_request, false)) {
+      delay = std::chrono::seconds(4);
+    }
+    if (std::exchange(this->lose_next_request, false)) {
+      return this->LoseLater(call);
+    }
+    this->Deliver(call, delay, [this, action, e, call] {
+      this->ArriveStart(action, e, call);
+    });
+  }
+
+  void ArriveStart(const StartAttempt& action,
+                   int e,
+                   const std::shared_ptr<Call>& call) {
+    const std::int64_t far = std::int64_t{1} << 60;
+    const auto answer = this->models[Size(e)].Start(
+        {.attempt = action.attempt,
+         .task = action.task,
+         .team = TeamId("a"),
+         .lease = action.lease,
+         .boot = action.boot,
+         .not_after_us = this->options.endpoint_checks_not_after
+                             ? action.not_after_us
+                             : far,
+         .run = action.run_time,
+         .payload = action.task.value},
+        this->schedule.Now());
+    this->open_calls[action.attempt] = call;
+    this->actions[action.attempt] = action;
+    if (answer.state == stand_ins::AttemptState::kRunning) {
+      this->NoteStart(action, e);
+      this->Reach(TaskStage::kRunning, action.task, e);
+      this->Advance(e);
+      return;
+    }
+    this->Answer(answer, e);
+  }
+
+  void Do(const FenceAttempt& action) {
+    this->schedule.After(action.delay, kDaemon, [this, action] {
+      const int e = IndexOf(action.endpoint);
+      this->Reach(TaskStage::kFencing, action.task, e);
+      this->Ask(
+          e,
+          [this, e, action] {
+            return this->models[Size(e)].Fence(action.attempt, action.boot,
+                                               this->schedule.Now());
+          },
+          [this, action](const stand_ins::AttemptAnswer& answer) {
+            this->OnFenced(action, answer);
+          },
+          [this, action] { this->Fenced(action, FenceReply::kNoAnswer); });
+    });
+  }
+
+  void OnFenced(const FenceAttempt& action,
+                const stand_ins::AttemptAnswer& answer) {
+    using State = stand_ins::AttemptState;
+    if (answer.state == State::kDone && answer.digest.empty()) {
+      return;
+    }
+    static const std::map<State, FenceReply> kReplies = {
+        {State::kNeverStarted, FenceReply::kNeverStarted},
+        {State::kRunning, FenceReply::kRunning},
+        {State::kDone, FenceReply::kDone},
+        {State::kFailed, FenceReply::kFailed},
+        {State::kStopped, FenceReply::kStopped},
+        {State::kUnknown, FenceReply::kUnknown}};
+    this->bodies[action.task] = answer.body;
+    this->Fenced(action, kReplies.at(answer.state));
+  }
+
+  void Fenced(const FenceAttempt& action, FenceReply reply) {
+    if (this->options.retry_unknown && reply == FenceReply::kUnknown) {
+      reply = FenceReply::kNeverStarted;
+    }
+    this->dispatcher.OnFence(action.task, action.attempt, reply,
+                             this->schedule.Now());
+    this->Carry();
+  }
+
+  void Do(const StopAttempt& action) {
+    const int e = IndexOf(action.endpoint);
+    this->Ask(
+        e,
+        [this, e, action] {
+          this->models[Size(e)].Cancel(action.attempt, BootId(),
+                                       this->schedule.Now());
+          this->Advance(e);
+          return 0;
+        },
+        [](int) {}, [] {});
+  }
+
+  void Do(const FinishTask& action) {
+    this->OnFinished(action.task, action.outcome, action.ran);
+  }
+  void Do(const RecordIntent& action) {
+    this->dispatcher.OnIntentRecorded(action.task, true, this->schedule.Now());
+  }
+  void Do(const ReturnSlot&) {}
+
+  void Reply(const StartAttempt& action, AttemptReply reply) {
+    this->dispatcher.OnReply(action.task, action.attempt, reply,
+                             this->schedule.Now());
+    this->Carry();
+  }
+
+  //---------------------------------------------------------------------------
+  // The endpoints.
+  //---------------------------------------------------------------------------
+
+  void Advance(int e) {
+    for (const auto& answer :
+         this->models[Size(e)].Advance(this->schedule.Now())) {
+      this->Answer(answer, e);
+    }
+    const auto next = this->models[Size(e)].NextEvent();
+    if (next && *next > this->schedule.Now()) {
+      this->schedule.After(*next - this->schedule.Now(), NodeOf(e),
+                           [this, e] { this->Advance(e); });
+    }
+  }
+
+  void Answer(stand_ins::AttemptAnswer answer, int e) {
+    const AttemptId asked = answer.in_reply_to;
+    const auto call = this->open_calls.find(asked);
+    if (call == this->open_calls.end()) {
+      return;
+    }
+    const StartAttempt action = this->actions.at(asked);
+    this->Reach(TaskStage::kAnswering, action.task, e);
+    if (std::exchange(this->lose_next_answer, false)) {
+      return this->LoseLater(call->second);
+    }
+    if (std::exchange(this->wrong_next_answer, false)) {
+      answer.attempt = AttemptId("d1.1.0");
+    }
+    if (std::exchange(this->truncate_next_answer, false)) {
+      answer.body = answer.body.substr(0, answer.body.size() / 2);
+    }
+    this->Deliver(call->second, this->Delay(), [=, this, held = call->second] {
+      this->Back(held,
+                 [this, action, answer] { this->OnAnswer(action, answer); });
+    });
+  }
+
+  void OnAnswer(const StartAttempt& action,
+                const stand_ins::AttemptAnswer& answer) {
+    using State = stand_ins::AttemptState;
+    const bool whole = answer.attempt == action.attempt &&
+                       answer.length == answer.body.size() &&
+                       (answer.state != State::kDone ||
+                        stand_ins::Sha256Hex(answer.body) == answer.digest);
+    if (!whole) {
+      return this->Reply(action, AttemptReply::kNoAnswer);
+    }
+    static const std::map<State, AttemptReply> kReplies = {
+        {State::kNeverStarted, AttemptReply::kNeverStarted},
+        {State::kDone, AttemptReply::kDone},
+        {State::kFailed, AttemptReply::kFailed},
+        {State::kStopped, AttemptReply::kStopped}};
+    const auto reply = kReplies.find(answer.state);
+    this->bodies[action.task] = answer.body;
+    this->Reply(action, reply == kReplies.end() ? AttemptReply::kNoAnswer
+                                                : reply->second);
+  }
+
+  //---------------------------------------------------------------------------
+  // The network: one connection per endpoint, replaced when it is silent.
+  //---------------------------------------------------------------------------
+
+  static std::size_t Size(int e) { return static_cast<std::size_t>(e); }
+  Duration Delay() {
+    return Duration(this->schedule.Random(200'000, 3'000'000));
+  }
+
+  std::shared_ptr<Call> Open(int e, std::function<void()> on_lost) {
+    auto call = std::make_shared<Call>();
+    call->endpoint = e;
+    call->connection = this->connection[Size(e)];
+    call->on_lost = std::move(on_lost);
+    this->calls.push_back(call);
+    return call;
+  }
+
+  // Carries a message to the endpoint unless the connection is silent.
+  void Deliver(const std::shared_ptr<Call>& call,
+               Duration delay,
+               EventSchedule::Action arrive) {
+    if (this->IsSilent(*call)) {
+      return;
+    }
+    const int e = call->endpoint;
+    this->schedule.After(delay, EventSchedule::kNoNode, [=, this] {
+      const Instant paused = this->models[Size(e)].PausedUntil();
+      const Duration wait =
+          std::max(Duration::zero(), paused - this->schedule.Now());
+      this->schedule.After(wait, NodeOf(e), arrive);
+    });
+  }
+
+  void Back(const std::shared_ptr<Call>& call, EventSchedule::Action done) {
+    if (this->IsSilent(*call)) {
+      return;
+    }
+    this->schedule.After(this->Delay(), kDaemon, [call, done] {
+      if (!std::exchange(call->ended, true)) {
+        done();
+      }
+    });
+  }
+
+  template <typename Work, typename Done, typename Lost>
+  void Ask(int e, Work work, Done done, Lost lost) {
+    const auto call = this->Open(e, lost);
+    this->Deliver(call, this->Delay(), [=, this] {
+      auto answer = work();
+      this->Back(call, [=] { done(answer); });
+    });
+  }
+
+  bool IsSilent(const Call& call) const {
+    return call.connection < this->silent_below[Size(call.endpoint)];
+  }
+
+  void LoseLater(const std::shared_ptr<Call>& call) {
+    this->schedule.After(this->Delay(), kDaemon, [call] {
+      if (!std::exchange(call->ended, true)) {
+        call->on_lost();
+      }
+    });
+  }
+
+  void ReplaceConnection(int e) {
+    const int old = this->connection[Size(e)]++;
+    std::vector<std::shared_ptr<Call>> lost;
+    for (const auto& call : this->calls) {
+      if (call->endpoint == e && call->connection <= old && !call->ended) {
+        lost.push_back(call);
+      }
+    }
+    for (const auto& call : lost) {
+      if (!std::exchange(call->ended, true)) {
+        call->on_lost();
+      }
+    }
+    std::erase_if(this->calls, [](const auto& call) { return call->ended; });
+  }
+
+  //---------------------------------------------------------------------------
+  // Faults.
+  //---------------------------------------------------------------------------
+
+  void Reach(TaskStage stage, const TaskId& task, int e) {
+    if (stage != this->options.stage || this->result.injected > 0) {
+      return;
+    }
+    ++this->result.injected;
+    this->faulty_task = task;
+    this->Inject(this->options.fault, std::max(e, 0));
+    if (this->options.second != TaskFault::kNone) {
+      this->schedule.After(ms(300), EventSchedule::kNoNode, [this, e] {
+        this->Inject(this->options.second, std::max(e, 0));
+      });
+    }
+  }
+
+  void Inject(TaskFault fault, int e) {
+    const Instant now = this->schedule.Now();
+    stand_ins::EndpointModel& model = this->models[Size(e)];
+    switch (fault) {
+      case TaskFault::kNone:
+      case TaskFault::kCount:
+        return;
+      case TaskFault::kEndpointRestart:
+        model.Restart(now);
+        return this->BreakConnection(e);
+      case TaskFault::kEndpointPause:
+        return model.Pause(std::chrono::seconds(3), now);
+      case TaskFault::kConnectionSilent:
+        this->silent_below[Size(e)] = this->connection[Size(e)] + 1;
+        return;
+      case TaskFault::kRequestLost:
+        this->lose_next_request = true;
+        return;
+      case TaskFault::kRequestLate:
+        this->delay_next_request = true;
+        return;
+      case TaskFault::kAnswerLost:
+        this->lose_next_answer = true;
+        return;
+      case TaskFault::kWrongAnswer:
+        this->wrong_next_answer = true;
+        return;
+      case TaskFault::kTruncatedAnswer:
+        this->truncate_next_answer = true;
+        return;
+      case TaskFault::kDaemonPause:
+        return this->schedule.Pause(kDaemon, std::chrono::seconds(5));
+      case TaskFault::kKeyWithdrawn:
+        this->real_key_valid = false;
+        this->forbidden_from = now + kLease;
+        return;
+      case TaskFault::kZoneOut:
+        this->real_zone_in = false;
+        this->zone_out_from = now + kLease;
+        return;
+      case TaskFault::kEndpointLeaving: {
+        stand_ins::EndpointFaults faults = model.Faults();
+        faults.leaving = true;
+        return model.SetFaults(faults);
+      }
+      case TaskFault::kCancelled:
+        this->schedule.After(Duration::zero(), kDaemon, [this] {
+          this->dispatcher.OnCancel(this->faulty_task, this->schedule.Now());
+          this->Carry();
+        });
+        return;
+      case TaskFault::kFailsEverything: {
+        stand_ins::EndpointFaults faults = model.Faults();
+        faults.fail_all = true;
+        return model.SetFaults(faults);
+      }
+      case TaskFault::kEndpointGone:
+        model.Restart(now);
+        model.Pause(std::chrono::hours(1), now);
+        return this->BreakConnection(e);
+    }
+  }
+
+  void BreakConnection(int e) {
+    this->schedule.After(ms(1), kDaemon,
+                         [this, e] { this->ReplaceConnection(e); });
+  }
+
+  //---------------------------------------------------------------------------
+  // Rules.
+  //---------------------------------------------------------------------------
+
+  void Violate(const std::string& text) {
+    if (this->result.violation.empty()) {
+      this->result.violation = text;
+    }
+  }
+
+  void NoteStart(const StartAttempt& action, int e) {
+    const Instant now = this->schedule.Now();
+    if (this->forbidden_from && now > *this->forbidden_from) {
+      this->Violate("a start after the key's withdrawal was in force");
+    }
+    if (e == 0 && this->zone_out_from && now > *this->zone_out_from) {
+      this->Violate("a start in a zone after it was out");
+    }
+    std::int64_t running = 0;
+    for (const auto& model : this->models) {
+      running += this->RunningOn(model);
+    }
+    if (running > this->options.limit) {
+      this->Violate("more running than the limit");
+    }
+    this->started.insert(action.task);
+  }
+
+  // A task on a paused endpoint makes no progress. If its lease has lapsed, the
+  // endpoint stops it on waking before it goes on, so it does not count.
+  std::int64_t RunningOn(stand_ins::EndpointModel model) const {
+    using State = stand_ins::AttemptState;
+    std::set<AttemptId> open;
+    for (const auto& run : model.Runs()) {
+      if (run.outcome == State::kRunning) {
+        open.insert(run.attempt);
+      }
+    }
+    if (this->schedule.Now() < model.PausedUntil()) {
+      model.Advance(model.PausedUntil());
+      for (const auto& run : model.Runs()) {
+        if (run.outcome == State::kStopped) {
+          open.erase(run.attempt);
+        }
+      }
+    }
+    return static_cast<std::int64_t>(open.size());
+  }
+
+  void OnFinished(const TaskId& task, TaskOutcome outcome, Ran ran) {
+    ++this->result.finished;
+    if (!this->finished.insert(task).second) {
+      this->Violate("a task ended twice");
+    }
+    if (outcome == TaskOutcome::kDone) {
+      ++this->result.done;
+      if (this->bodies[task] != "ok " + task.value) {
+        this->Violate("an answer of another task or a part of one");
+      }
+    }
+    if (ran == Ran::kNo) {
+      this->claimed_not_run.insert(task);
+    }
+  }
+
+  void Judge() {
+    std::map<TaskId, int> runs;
+    for (const auto& model : this->models) {
+      for (const auto& run : model.Runs()) {
+        ++runs[run.task];
+      }
+    }
+    for (const auto& [task, count] : runs) {
+      if (!this->options.idempotent && count > 1) {
+        this->Violate("a non-idempotent task ran twice");
+      }
+      if (this->claimed_not_run.contains(task)) {
+        this->Violate("a task that was reported as not run has run");
+      }
+    }
+    if (this->result.finished != this->options.tasks) {
+      this->Violate("a task did not end");
+    }
+    if (this->permits.free != this->options.limit) {
+      this->Violate("a permit was lost");
+    }
+  }
+
+  TaskWorldOptions options;
+  EventSchedule schedule;
+  Settings settings;
+  Permits permits;
+  Dispatcher<Settings, Permits> dispatcher;
+  std::vector<stand_ins::EndpointModel> models;
+  std::array<int, kEndpoints> connection{};
+  std::array<int, kEndpoints> silent_below{};
+  std::vector<std::shared_ptr<Call>> calls;
+  std::map<AttemptId, std::shared_ptr<Call>> open_calls;
+  std::map<AttemptId, StartAttempt> actions;
+  std::map<TaskId, std::string> bodies;
+  std::set<TaskId> started;
+  std::set<TaskId> finished;
+  std::set<TaskId> claimed_not_run;
+  std::uint64_t tokens = 0;
+  TaskId faulty_task;
+  bool real_key_valid = true;
+  bool real_zone_in = true;
+  bool lose_next_request = false;
+  bool delay_next_request = false;
+  bool lose_next_answer = false;
+  bool wrong_next_answer = false;
+  bool truncate_next_answer = false;
+  std::optional<Instant> forbidden_from;
+  std::optional<Instant> zone_out_from;
+  TaskWorldResult result;
+};
+
+}  // namespace peridot::testing
+
+#endif  // TESTS_SUPPORT_TASK_WORLD_H_
