Add the operators' tool peridotctl

Cause: operators change settings, keys, zones and hosts, and submit tasks, without writing HTTP requests. Ruled out: a retry after a lost answer, which could run a change twice; only a connection that was never made leads to the next server. Change: commands over a server concept, a blocking evhttp client that tells a request that was not sent from one without an answer, exit codes 0 to 7, and docs/operations/peridotctl.md. Conclusion: every command is tested against a fake server; none has met the daemon yet.

--- /dev/null
+++ b/src/ctl/admin_client.cc
@@ -0,0 +1,171 @@
+#include "src/ctl/admin_client.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include <algorithm>
+#include <chrono>
+#include <memory>
+
+namespace peridot {
+namespace {
+
+constexpr std::size_t kMaxReplyHeaderBytes = 64UL * 1024UL;
+
+struct BaseFree {
+  void operator()(event_base* base) const { event_base_free(base); }
+};
+struct ConnectionFree {
+  void operator()(evhttp_connection* connection) const {
+    evhttp_connection_free(connection);
+  }
+};
+
+// How one request ended.
+struct Exchange {
+  enum class State {
+    kNoAnswer,      // none in time, or the connection was lost
+    kNotConnected,  // no connection was made
+    kAnswered,      // a complete answer
+  };
+
+  event_base* base = nullptr;      // loop to end when the request ends
+  State state = State::kNoAnswer;  // default: kNoAnswer
+  bool has_failed = false;         // default: false; failed after connecting
+  HttpReply reply;                 // default: empty
+};
+
+std::string ToLower(std::string text) {
+  std::ranges::transform(text, text.begin(), [](char c) {
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+  });
+  return text;
+}
+
+void CopyReply(evhttp_request* request, HttpReply& reply) {
+  reply.status = evhttp_request_get_response_code(request);
+  const evkeyvalq* headers = evhttp_request_get_input_headers(request);
+  for (const evkeyval* header = headers->tqh_first; header != nullptr;
+       header = header->next.tqe_next) {
+    reply.headers.emplace_back(ToLower(header->key), header->value);
+  }
+  evbuffer* body = evhttp_request_get_input_buffer(request);
+  reply.body.resize(evbuffer_get_length(body));
+  evbuffer_remove(body, reply.body.data(), reply.body.size());
+}
+
+void OnError(evhttp_request_error /*error*/, void* argument) {
+  static_cast<Exchange*>(argument)->has_failed = true;
+}
+
+// libevent calls this with no request if the exchange failed after the
+// connection was made, and with a request without status if the connection
+// could not be made. It writes nothing before it is connected.
+void OnEnd(evhttp_request* request, void* argument) {
+  auto* exchange = static_cast<Exchange*>(argument);
+  if (request != nullptr && evhttp_request_get_response_code(request) != 0) {
+    CopyReply(request, exchange->reply);
+    exchange->state = Exchange::State::kAnswered;
+  } else if (request != nullptr && !exchange->has_failed) {
+    exchange->state = Exchange::State::kNotConnected;
+  }
+  event_base_loopbreak(exchange->base);
+}
+
+evhttp_cmd_type CommandOf(HttpMethod method) {
+  switch (method) {
+    case HttpMethod::kGet:
+      return EVHTTP_REQ_GET;
+    case HttpMethod::kPut:
+      return EVHTTP_REQ_PUT;
+    case HttpMethod::kPost:
+      return EVHTTP_REQ_POST;
+    case HttpMethod::kDelete:
+      return EVHTTP_REQ_DELETE;
+  }
+  return EVHTTP_REQ_GET;
+}
+
+timeval ToTimeval(Duration duration) {
+  const auto micros =
+      std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
+  return {static_cast<time_t>(micros / 1'000'000),
+          static_cast<suseconds_t>(micros % 1'000'000)};
+}
+
+// Returns a request that is filled in; the connection that sends it owns it.
+evhttp_request* NewRequest(const SocketAddress& address,
+                           const HttpRequest& request,
+                           Exchange& exchange) {
+  evhttp_request* raw = evhttp_request_new(OnEnd, &exchange);
+  if (raw == nullptr) {
+    return nullptr;
+  }
+  evhttp_request_set_error_cb(raw, OnError);
+  evkeyvalq* headers = evhttp_request_get_output_headers(raw);
+  evhttp_add_header(headers, "Host", address.Text().c_str());
+  evhttp_add_header(headers, "Connection", "close");
+  for (const auto& [name, value] : request.headers) {
+    evhttp_add_header(headers, name.c_str(), value.c_str());
+  }
+  evbuffer_add(evhttp_request_get_output_buffer(raw), request.body.data(),
+               request.body.size());
+  return raw;
+}
+
+}  // namespace
+
+std::string_view HttpReply::Header(std::string_view name) const {
+  for (const auto& [key, value] : this->headers) {
+    if (key == name) {
+      return value;
+    }
+  }
+  return {};
+}
+
+Result<HttpReply> EvhttpClient::Send(const SocketAddress& address,
+                                     const HttpRequest& request) const {
+  const std::string peer = address.Text();
+  const std::unique_ptr<event_base, BaseFree> base(event_base_new());
+  if (base == nullptr) {
+    return MakeError(ErrorCode::kUnavailable, "connect", peer,
+                     "no event loop could be made");
+  }
+  Exchange exchange;
+  exchange.base = base.get();
+  const std::unique_ptr<evhttp_connection, ConnectionFree> connection(
+      evhttp_connection_base_new(base.get(), nullptr, address.ip.c_str(),
+                                 address.port));
+  evhttp_request* raw =
+      connection == nullptr ? nullptr : NewRequest(address, request, exchange);
+  if (raw == nullptr) {
+    return MakeError(ErrorCode::kUnavailable, "connect", peer, "out of memory");
+  }
+  const timeval timeout = ToTimeval(this->limit);
+  evhttp_connection_set_timeout_tv(connection.get(), &timeout);
+  evhttp_connection_set_max_body_size(connection.get(), kMaxReplyBytes);
+  evhttp_connection_set_max_headers_size(connection.get(),
+                                         kMaxReplyHeaderBytes);
+  if (evhttp_make_request(connection.get(), raw, CommandOf(request.method),
+                          request.path.c_str()) != 0) {
+    return MakeError(ErrorCode::kUnavailable, "connect", peer,
+                     "cannot connect");
+  }
+  // The connection's timeout restarts with each byte; this one does not.
+  event_base_loopexit(base.get(), &timeout);
+  event_base_dispatch(base.get());
+  if (exchange.state == Exchange::State::kNotConnected) {
+    return MakeError(ErrorCode::kUnavailable, "connect", peer,
+                     "cannot connect");
+  }
+  if (exchange.state == Exchange::State::kNoAnswer) {
+    return MakeError(ErrorCode::kUnknownOutcome, "read", peer,
+                     "no complete answer");
+  }
+  return std::move(exchange.reply);
+}
+
+}  // namespace peridot
--- /dev/null
+++ b/src/ctl/commands.h
@@ -0,0 +1,330 @@
+// The commands of peridotctl.
+//
+// Index:
+//   [SECTION] Inputs
+//   [SECTION] Requests
+//   [SECTION] Command runner
+//   [SECTION] Entry
+//
+// A command reads files, sends requests to a server and prints. The server is
+// a concept, so that tests run every command against a fake.
+
+#ifndef SRC_CTL_COMMANDS_H_
+#define SRC_CTL_COMMANDS_H_
+
+#include <cstdint>
+#include <optional>
+#include <ostream>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "src/ctl/admin_client.h"
+#include "src/ctl/admin_reply.h"
+#include "src/ctl/command_line.h"
+#include "src/ctl/exit_code.h"
+#include "src/ctl/render.h"
+#include "src/ctl/submit.h"
+#include "src/protocol/settings_yaml.h"
+#include "src/state/error.h"
+#include "src/state/settings_tree.h"
+#include "src/state/team_keys.h"
+
+namespace peridot {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Inputs
+//-----------------------------------------------------------------------------
+
+// Reads a whole file of at most kMaxSettingsBytes, which also bounds the body
+// of a task. Fails with kNotFound or kTooLarge.
+Result<std::string> ReadFile(const std::string& path);
+
+// Reads the key from the file of the command line, else from the variable's
+// value (null: not set). Fails with kInvalidArgument; the message does not
+// quote the key.
+Result<KeySecret> ReadKey(const CommandLine& line, const char* variable);
+
+// The revision in a first line "# revision: N", as `get` prints it.
+std::optional<std::uint64_t> RevisionComment(const std::string& text);
+
+// The text that `get` prints.
+std::string FormatWithRevision(const SettingsTree& tree);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Requests
+//-----------------------------------------------------------------------------
+
+// Returns the request of a command that consists of one request, without key.
+HttpRequest MakeRequest(const CommandLine& line);
+
+// Reads the answer to GET /v1/admin/settings. Fails with kMalformed.
+Result<SettingsTree> ParseSettingsReply(const HttpReply& reply);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Command runner
+//-----------------------------------------------------------------------------
+
+// Runs one command. Answers go to `out`, faults and hints to `err`; with JSON
+// output everything that an answer says goes to `out`.
+template <AdminServer S>
+class CommandRunner {
+ public:
+  CommandRunner(const CommandLine& l,
+                const KeySecret& k,
+                const S& s,
+                std::ostream& o,
+                std::ostream& e)
+      : line(l), key(k), server(s), out(o), err(e) {}
+
+  ExitCode Run() {
+    switch (this->line.command) {
+      case CommandId::kApply:
+        return this->Apply();
+      case CommandId::kGet:
+      case CommandId::kDiff:
+      case CommandId::kExplain:
+      case CommandId::kKeyList:
+        return this->ShowSettings();
+      case CommandId::kKeyGrant:
+      case CommandId::kKeyWithdraw:
+      case CommandId::kZoneOut:
+      case CommandId::kZoneIn:
+        return this->Change(MakeRequest(this->line));
+      case CommandId::kPoolList:
+      case CommandId::kHostList:
+      case CommandId::kHostMove:
+      case CommandId::kHostDrain:
+      case CommandId::kStatus:
+      case CommandId::kTaskGet:
+      case CommandId::kTaskCancel:
+        return this->Show(MakeRequest(this->line));
+      case CommandId::kSubmit:
+        return this->Submit();
+      case CommandId::kCompletionBash:
+        break;
+    }
+    PrintBashCompletion(this->out);
+    return ExitCode::kDone;
+  }
+
+ private:
+  HttpHeaders KeyHeaders() const {
+    return {{"Authorization", "Bearer " + this->key.RevealText()}};
+  }
+
+  ExitCode Usage(const Error& error) {
+    this->err << error.message << "\n";
+    return ExitCode::kUsage;
+  }
+
+  // Sends a request. Prints a refusal or a missing answer and sets `exit`.
+  std::optional<HttpReply> Send(HttpRequest request, ExitCode& exit) {
+    const HttpHeaders headers = this->KeyHeaders();
+    request.headers.insert(request.headers.end(), headers.begin(),
+                           headers.end());
+    Result<HttpReply> reply =
+        SendToFirst(this->server, this->line.servers, request);
+    std::ostream& where = this->line.json ? this->out : this->err;
+    if (reply.has_error()) {
+      exit = ExitCodeOf(request, reply.error());
+      PrintNoAnswer(reply.error(), exit, where, this->line.json);
+      return std::nullopt;
+    }
+    exit = ExitCodeOf(request, reply.value());
+    if (exit != ExitCode::kDone) {
+      PrintProblem(reply.value(), where, this->line.json);
+      return std::nullopt;
+    }
+    return std::move(reply).value();
+  }
+
+  ExitCode Show(const HttpRequest& request) {
+    ExitCode exit = ExitCode::kDone;
+    const std::optional<HttpReply> reply = this->Send(request, exit);
+    if (reply) {
+      PrintJsonReply(reply->body, this->out, this->line.json);
+    }
+    return exit;
+  }
+
+  ExitCode Change(const HttpRequest& request) {
+    ExitCode exit = ExitCode::kDone;
+    const std::optional<HttpReply> reply = this->Send(request, exit);
+    if (!reply) {
+      return exit;
+    }
+    const Result<ChangeAnswer> answer = ParseChangeAnswer(*reply);
+    if (answer.has_error()) {
+      this->err << "The server accepted the change, but its answer cannot be "
+                   "read: "
+                << answer.error().message << "\n";
+      return ExitCode::kUnknown;
+    }
+    PrintChange(answer.value(), this->out, this->line.json);
+    return answer.value().in_force ? ExitCode::kDone : ExitCode::kNotInForce;
+  }
+
+  // Reads the settings in force. Prints the reason if it cannot.
+  std::optional<SettingsTree> Settings(ExitCode& exit) {
+    HttpRequest request;
+    request.path = "/v1/admin/settings";
+    const std::optional<HttpReply> reply = this->Send(std::move(request), exit);
+    if (!reply) {
+      return std::nullopt;
+    }
+    Result<SettingsTree> tree = ParseSettingsReply(*reply);
+    if (tree.has_error()) {
+      this->err << "The server's settings cannot be read: "
+                << tree.error().message << "\n";
+      exit = ExitCode::kUnreachable;
+      return std::nullopt;
+    }
+    return std::move(tree).value();
+  }
+
+  // Reads and checks the settings file before anything is sent.
+  Result<std::pair<std::string, SettingsTree>> FileSettings() {
+    BOOST_OUTCOME_TRY(text, ReadFile(*this->line.file));
+    BOOST_OUTCOME_TRY(tree, ParseSettings(text, *this->line.file, Revision()));
+    return std::pair(std::move(text), std::move(tree));
+  }
+
+  ExitCode Apply() {
+    Result<std::pair<std::string, SettingsTree>> file = this->FileSettings();
+    if (file.has_error()) {
+      return this->Usage(file.error());
+    }
+    const std::string& text = file.value().first;
+    std::optional<std::uint64_t> revision = this->line.revision;
+    if (!revision) {
+      revision = RevisionComment(text);
+    }
+    if (!revision) {
+      ExitCode exit = ExitCode::kDone;
+      const std::optional<SettingsTree> current = this->Settings(exit);
+      if (!current) {
+        return exit;
+      }
+      revision = current->CurrentRevision().value;
+    }
+    HttpRequest request;
+    request.method = HttpMethod::kPut;
+    request.path = "/v1/admin/settings";
+    request.headers = {{"If-Match", std::to_string(*revision)},
+                       {"Content-Type", "application/yaml"}};
+    request.body = text;
+    const ExitCode exit = this->Change(request);
+    if (exit == ExitCode::kConflict || exit == ExitCode::kUnknown) {
+      this->err << "Compare with the current settings: peridotctl diff -f "
+                << *this->line.file << "\n";
+    }
+    return exit;
+  }
+
+  ExitCode ShowSettings() {
+    std::optional<SettingsTree> wanted;
+    if (this->line.command == CommandId::kDiff) {
+      Result<std::pair<std::string, SettingsTree>> file = this->FileSettings();
+      if (file.has_error()) {
+        return this->Usage(file.error());
+      }
+      wanted = std::move(file).value().second;
+    }
+    ExitCode exit = ExitCode::kDone;
+    const std::optional<SettingsTree> tree = this->Settings(exit);
+    if (!tree) {
+      return exit;
+    }
+    if (this->line.command == CommandId::kDiff) {
+      TableOfChanges(DiffSettings(tree->Document(), wanted->Document()))
+          .Print(this->out, this->line.json);
+    } else if (this->line.command == CommandId::kKeyList) {
+      TableOfKeys(tree->Document()).Print(this->out, this->line.json);
+    } else if (this->line.command == CommandId::kGet) {
+      return this->Get(*tree);
+    } else {
+      return this->Explain(*tree);
+    }
+    return ExitCode::kDone;
+  }
+
+  ExitCode Get(const SettingsTree& tree) {
+    if (this->line.arguments.empty() && !this->line.json) {
+      this->out << FormatWithRevision(tree);
+      return ExitCode::kDone;
+    }
+    const std::string path =
+        this->line.arguments.empty() ? "/" : this->line.arguments[0];
+    const Table table = TableOfNode(tree.Document(), path);
+    if (table.rows.empty()) {
+      return this->Usage(MakeError(ErrorCode::kNotFound, "get", "settings",
+                                   "no node " + path));
+    }
+    table.Print(this->out, this->line.json);
+    return ExitCode::kDone;
+  }
+
+  ExitCode Explain(const SettingsTree& tree) {
+    const std::vector<std::string>& arguments = this->line.arguments;
+    const Result<Table> table = TableOfEffective(
+        tree, arguments[0], arguments.size() > 1 ? arguments[1] : "");
+    if (table.has_error()) {
+      return this->Usage(table.error());
+    }
+    table.value().Print(this->out, this->line.json);
+    return ExitCode::kDone;
+  }
+
+  ExitCode Submit() {
+    SubmitPlan plan;
+    plan.queue = this->line.arguments[0];
+    plan.headers = this->KeyHeaders();
+    plan.options = this->line.submit;
+    plan.body = this->line.submit.data.value_or("");
+    if (this->line.file) {
+      Result<std::string> body = ReadFile(*this->line.file);
+      if (body.has_error()) {
+        return this->Usage(body.error());
+      }
+      plan.body = std::move(body).value();
+    }
+    const std::vector<SubmitResult> results =
+        SubmitAll(this->server, this->line.servers, plan);
+    PrintSubmitResults(results, this->out, this->line.json);
+    return WorstExit(results);
+  }
+
+  const CommandLine& line;
+  const KeySecret& key;
+  const S& server;
+  std::ostream& out;
+  std::ostream& err;
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Entry
+//-----------------------------------------------------------------------------
+
+// Runs a parsed command line. `variable` is the value of PERIDOT_KEY or null.
+template <AdminServer S>
+ExitCode RunCommand(const CommandLine& line,
+                    const char* variable,
+                    const S& server,
+                    std::ostream& out,
+                    std::ostream& err) {
+  if (line.command == CommandId::kCompletionBash) {
+    PrintBashCompletion(out);
+    return ExitCode::kDone;
+  }
+  const Result<KeySecret> key = ReadKey(line, variable);
+  if (key.has_error()) {
+    err << key.error().message << "\n";
+    return ExitCode::kUsage;
+  }
+  return CommandRunner<S>(line, key.value(), server, out, err).Run();
+}
+
+}  // namespace peridot
+
+#endif  // SRC_CTL_COMMANDS_H_
--- /dev/null
+++ b/tests/admin_client_test.cc
@@ -0,0 +1,138 @@
+// Tests of the tool's HTTP client against a server that misbehaves.
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include "src/ctl/admin_client.h"
+
+namespace peridot {
+namespace {
+
+// Accepts one connection on a loopback port, reads a request, writes a text
+// and closes the connection, at once or when the test ends.
+class OneShotServer {
+ public:
+  OneShotServer(std::string text, bool silent)
+      : listener(socket(AF_INET, SOCK_STREAM, 0)),
+        answer(std::move(text)),
+        is_silent(silent) {
+    sockaddr_in local{};
+    local.sin_family = AF_INET;
+    local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(local);
+    auto* address = reinterpret_cast<sockaddr*>(&local);
+    REQUIRE(bind(this->listener, address, size) == 0);
+    REQUIRE(getsockname(this->listener, address, &size) == 0);
+    REQUIRE(listen(this->listener, 1) == 0);
+    this->port = ntohs(local.sin_port);
+    this->thread = std::jthread([this] { this->Serve(); });
+  }
+
+  ~OneShotServer() {
+    shutdown(this->listener, SHUT_RDWR);
+    this->thread.join();
+    close(this->listener);
+    if (this->held >= 0) {
+      close(this->held);
+    }
+  }
+
+  SocketAddress Address() const { return {"127.0.0.1", this->port}; }
+  const std::string& Request() const { return this->request; }
+
+ private:
+  void Serve() {
+    const int peer = accept(this->listener, nullptr, nullptr);
+    std::array<char, 4096> buffer{};
+    const ssize_t size = recv(peer, buffer.data(), buffer.size(), 0);
+    this->request.assign(buffer.data(), size > 0 ? size : 0);
+    send(peer, this->answer.data(), this->answer.size(), MSG_NOSIGNAL);
+    if (this->is_silent) {
+      this->held = peer;
+    } else {
+      close(peer);
+    }
+  }
+
+  int listener;
+  std::string answer;
+  bool is_silent;
+  int held = -1;           // default: -1, none; connection left open
+  std::uint16_t port = 0;  // default: 0; given by the system
+  std::string request;     // default: empty; read after the answer came
+  std::jthread thread;
+};
+
+// An address on which nothing listens: its port was given and returned.
+SocketAddress UnusedAddress() {
+  return OneShotServer("", false).Address();
+}
+
+const HttpRequest kPut = {HttpMethod::kPut,
+                          "/v1/admin/settings",
+                          {{"If-Match", "4"}},
+                          "a: b\n"};
+
+Result<HttpReply> SendTo(const OneShotServer& server) {
+  const EvhttpClient client(std::chrono::milliseconds(300));
+  return client.Send(server.Address(), kPut);
+}
+
+TEST_CASE("a complete answer is returned with its headers", "[ctl]") {
+  const OneShotServer server(
+      "HTTP/1.1 409 Conflict\r\nPeridot-Revision: 7\r\n"
+      "Content-Length: 4\r\n\r\nbody",
+      false);
+  const HttpReply reply = SendTo(server).value();
+  REQUIRE(reply.status == 409);
+  REQUIRE(reply.Header("peridot-revision") == "7");
+  REQUIRE(reply.body == "body");
+  REQUIRE(server.Request().starts_with("PUT /v1/admin/settings HTTP/1.1\r\n"));
+  REQUIRE(server.Request().find("If-Match: 4\r\n") != std::string::npos);
+  REQUIRE(server.Request().ends_with("\r\n\r\na: b\n"));
+}
+
+TEST_CASE("only a failed connection counts as surely not sent", "[ctl]") {
+  // Guards I7: a lost answer must not be reported as not run.
+  const EvhttpClient client(std::chrono::milliseconds(300));
+  REQUIRE(client.Send(UnusedAddress(), kPut).error().code ==
+          ErrorCode::kUnavailable);
+  const OneShotServer closing("", false);
+  REQUIRE(SendTo(closing).error().code == ErrorCode::kUnknownOutcome);
+  const OneShotServer silent("", true);
+  REQUIRE(SendTo(silent).error().code == ErrorCode::kUnknownOutcome);
+  const OneShotServer truncating(
+      "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\nbody", false);
+  REQUIRE(SendTo(truncating).error().code == ErrorCode::kUnknownOutcome);
+  const OneShotServer babbling("no HTTP at all\r\n\r\n", false);
+  REQUIRE(SendTo(babbling).error().code == ErrorCode::kUnknownOutcome);
+}
+
+TEST_CASE("the next server is tried only if nothing was sent", "[ctl]") {
+  // Guards I8: a request that may have been sent must not be sent again.
+  const EvhttpClient client(std::chrono::milliseconds(300));
+  const OneShotServer good("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                           false);
+  REQUIRE(SendToFirst(client, {UnusedAddress(), good.Address()}, kPut)
+              .value()
+              .status == 200);
+  const OneShotServer closing("", false);
+  const OneShotServer untouched("", false);
+  REQUIRE(SendToFirst(client, {closing.Address(), untouched.Address()}, kPut)
+              .error()
+              .code == ErrorCode::kUnknownOutcome);
+  REQUIRE(SendToFirst(client, {}, kPut).error().code ==
+          ErrorCode::kUnavailable);
+}
+
+}  // namespace
+}  // namespace peridot
