Add retry budgets, jittered delays and outlier ejection

Cause: a worker that fails everything at once is the least used one and draws more work; retries without a budget multiply the load when a pool fails. Ruled out: ejection by failure rate of one endpoint alone, which cannot tell a bad worker from a task that can never run. Change: RetryPolicy (a tenth of a retry earned per task, full jitter) in the dispatcher; OutlierDetector compares an endpoint with its pool; SlotReturn carries what became of the slot.

--- a/src/coordination/dispatcher.cc
+++ b/src/coordination/dispatcher.cc
@@ -34,6 +34,8 @@
       return "queue_full";
     case StartBlock::kShuttingDown:
       return "shutting_down";
+    case StartBlock::kRetryBudget:
+      return "retry_budget";
   }
   return "none";
 }
--- a/src/coordination/dispatcher.h
+++ b/src/coordination/dispatcher.h
@@ -33,6 +33,7 @@
 
 #include "src/coordination/attempt.h"
 #include "src/coordination/endpoint_lease.h"
+#include "src/coordination/retry_policy.h"
 #include "src/state/clock.h"
 #include "src/state/ids.h"
 #include "src/state/settings_tree.h"
@@ -98,6 +99,7 @@
   kDeadline,
   kQueueFull,
   kShuttingDown,
+  kRetryBudget,
 };
 
 // Returns a stable lower-case name, as in "team_limit".
@@ -149,14 +151,21 @@
   StartBlock block = StartBlock::kNone;  // why it never started
 };
 
+// What became of a granted slot.
+enum class SlotUse {
+  kUnused,     // no task needed it, or its attempt was stopped
+  kRefused,    // tasks wait, but none could start there: keep it back a while,
+               // so that the same grant is not made again at once
+  kSucceeded,  // its attempt delivered an answer
+  kFailed,     // its attempt ran and failed
+};
+
 // The granted slot is not needed any more; tell its owner.
 struct ReturnSlot {
   SessionId owner;
   std::uint64_t token = 0;
   TeamId team;
-  // The slot could not be used although tasks wait. The owner keeps it back
-  // for a while, so that the same grant is not made again at once.
-  bool refused = false;
+  SlotUse use = SlotUse::kUnused;
 };
 
 using DispatchAction = std::variant<StartAttempt,
@@ -272,6 +281,8 @@
     StartBlock last_block = StartBlock::kNoSlot;
     std::optional<std::int64_t> waiting_key;  // position in its queue
     bool intent_pending = false;
+    bool delayed = false;  // waits for the delay of its retry
+    int attempts = 0;
   };
 
   // An attempt that may run: it keeps its permit and its slot.
@@ -300,14 +311,15 @@
   void FenceLater(Task* task, const AttemptId& attempt, Duration delay);
   void Apply(Task* task, const AttemptId& attempt, TaskStep step, Instant now);
   void ResolveOrphan(const AttemptId& attempt, bool ended);
-  void EndAttempt(const AttemptId& attempt, bool refused);
+  void EndAttempt(const AttemptId& attempt, SlotUse use);
   FenceReply JudgeFence(const AttemptId& attempt,
                         FenceReply reply,
                         Instant now) const;
+  void Retry(Task* task, Instant now);
   void Enqueue(Task* task);
   void Dequeue(Task* task);
   void Finish(Task* task, StartBlock block);
-  void GiveBack(const SlotGrant& grant, bool refused);
+  void GiveBack(const SlotGrant& grant, SlotUse use);
   AttemptId NextAttemptId();
 
   const Settings* settings;
@@ -320,6 +332,8 @@
   std::unordered_map<TaskId, Task> tasks;
   std::map<QueueId, WaitingList> waiting;
   std::multimap<Instant, TaskId> deadlines;
+  std::multimap<Instant, TaskId> delayed;  // retries, by their instant
+  RetryPolicy retries;
   std::unordered_map<AttemptId, InFlight> in_flight;
   std::unordered_map<EndpointId, int> attempts_on;  // number in in_flight
   std::vector<SlotGrant> unused_grants;  // wait for a lease on the endpoint
--- a/src/coordination/dispatcher_internal.h
+++ b/src/coordination/dispatcher_internal.h
@@ -4,6 +4,7 @@
 #define SRC_COORDINATION_DISPATCHER_INTERNAL_H_
 
 #include <algorithm>
+#include <functional>
 #include <string>
 #include <utility>
 
@@ -11,6 +12,39 @@
 
 namespace peridot {
 
+inline SlotUse UseOf(AttemptReply reply) {
+  switch (reply) {
+    case AttemptReply::kDone:
+      return SlotUse::kSucceeded;
+    case AttemptReply::kFailed:
+      return SlotUse::kFailed;
+    case AttemptReply::kNeverStarted:
+    case AttemptReply::kNotSent:
+      return SlotUse::kRefused;
+    case AttemptReply::kStopped:
+    case AttemptReply::kNoAnswer:
+      return SlotUse::kUnused;
+  }
+  return SlotUse::kUnused;
+}
+
+inline SlotUse UseOf(FenceReply reply) {
+  switch (reply) {
+    case FenceReply::kDone:
+      return SlotUse::kSucceeded;
+    case FenceReply::kFailed:
+      return SlotUse::kFailed;
+    case FenceReply::kNeverStarted:
+      return SlotUse::kRefused;
+    case FenceReply::kRunning:
+    case FenceReply::kStopped:
+    case FenceReply::kUnknown:
+    case FenceReply::kNoAnswer:
+      return SlotUse::kUnused;
+  }
+  return SlotUse::kUnused;
+}
+
 template <SettingsView Settings, PermitPool Permits>
 Dispatcher<Settings, Permits>::Dispatcher(const Settings* settings,
                                           Permits* permits,
@@ -19,7 +53,8 @@
     : settings(settings),
       permits(permits),
       name(std::move(name)),
-      config(config) {}
+      config(config),
+      retries(std::hash<std::string>{}(this->name)) {}
 
 //-----------------------------------------------------------------------------
 // [SECTION] Admission
@@ -105,7 +140,7 @@
   // every task is offered at most one slot at a time.
   const auto list = this->waiting.find(grant.queue);
   if (list == this->waiting.end() || list->second.empty()) {
-    this->GiveBack(grant, false);
+    this->GiveBack(grant, SlotUse::kUnused);
     return true;
   }
   std::vector<TaskId> candidates;
@@ -138,7 +173,7 @@
       break;
     }
   }
-  this->GiveBack(grant, true);
+  this->GiveBack(grant, SlotUse::kRefused);
   return true;
 }
 
@@ -169,6 +204,9 @@
       InFlight{task->spec.id, grant.endpoint, team, lease.Report()->lease,
                lease.Report()->boot, grant, false, this->next_attempt});
   ++this->attempts_on[grant.endpoint];
+  if (task->attempts++ == 0) {
+    this->retries.OnFirstAttempt(team);
+  }
   task->execution.OnStart(attempt, grant.endpoint);
   if (task->spec.journaled && !task->spec.idempotent) {
     task->intent_pending = true;
@@ -238,7 +276,7 @@
     this->SendAttempt(&task, attempt, now);
     return;
   }
-  this->EndAttempt(attempt, true);
+  this->EndAttempt(attempt, SlotUse::kRefused);
   this->Apply(&task, attempt,
               task.execution.OnReply(attempt, AttemptReply::kNotSent, now),
               now);
@@ -288,7 +326,7 @@
     return;
   }
   if (ended) {
-    this->EndAttempt(attempt, reply == AttemptReply::kNeverStarted);
+    this->EndAttempt(attempt, UseOf(reply));
   }
   this->Apply(&task, attempt, step, now);
 }
@@ -332,7 +370,7 @@
     return;
   }
   if (ended) {
-    this->EndAttempt(attempt, reply == FenceReply::kNeverStarted);
+    this->EndAttempt(attempt, UseOf(reply));
   }
   this->Apply(&task, attempt, step, now);
 }
@@ -357,7 +395,7 @@
 void Dispatcher<Settings, Permits>::Apply(Task* task,
                                           const AttemptId& attempt,
                                           TaskStep step,
-                                          Instant /*now*/) {
+                                          Instant now) {
   switch (step) {
     case TaskStep::kWait:
       return;
@@ -365,7 +403,7 @@
       this->FenceLater(task, attempt, this->config.fence_interval);
       return;
     case TaskStep::kRetry:
-      this->Enqueue(task);
+      this->Retry(task, now);
       return;
     case TaskStep::kFinish:
       this->Finish(task, task->last_block);
@@ -392,7 +430,7 @@
     return;
   }
   if (ended) {
-    this->EndAttempt(attempt, false);
+    this->EndAttempt(attempt, SlotUse::kUnused);
     return;
   }
   const InFlight& flight = found->second;
@@ -403,13 +441,13 @@
 
 template <SettingsView Settings, PermitPool Permits>
 void Dispatcher<Settings, Permits>::EndAttempt(const AttemptId& attempt,
-                                               bool refused) {
+                                               SlotUse use) {
   const auto found = this->in_flight.find(attempt);
   if (found == this->in_flight.end()) {
     return;
   }
   this->permits->Release(found->second.permit_team);
-  this->GiveBack(found->second.grant, refused);
+  this->GiveBack(found->second.grant, use);
   const auto count = this->attempts_on.find(found->second.endpoint);
   if (--count->second == 0) {
     this->attempts_on.erase(count);
@@ -454,7 +492,7 @@
       // Nothing was sent and nothing will be.
       task.intent_pending = false;
       const AttemptId attempt = task.execution.CurrentAttempt();
-      this->EndAttempt(attempt, false);
+      this->EndAttempt(attempt, SlotUse::kUnused);
       task.execution.OnReply(attempt, AttemptReply::kNotSent, now);
     }
     if (task.execution.HasAttempt()) {
@@ -464,6 +502,15 @@
     task.execution.OnDeadline();
     this->Finish(&task, task.last_block);
   }
+  while (!this->delayed.empty() && this->delayed.begin()->first <= now) {
+    const TaskId id = this->delayed.begin()->second;
+    this->delayed.erase(this->delayed.begin());
+    const auto found = this->tasks.find(id);
+    if (found != this->tasks.end() && found->second.delayed) {
+      found->second.delayed = false;
+      this->Enqueue(&found->second);
+    }
+  }
   const std::vector<SlotGrant> pending = std::exchange(this->unused_grants, {});
   for (const SlotGrant& grant : pending) {
     this->OnGrant(grant, now);
@@ -474,6 +521,23 @@
 // [SECTION] Queues
 //-----------------------------------------------------------------------------
 
+// A task that ran and failed needs the team's budget; one that never started
+// only waits, since it has cost an endpoint nothing.
+template <SettingsView Settings, PermitPool Permits>
+void Dispatcher<Settings, Permits>::Retry(Task* task, Instant now) {
+  const QueueSettings* queue =
+      this->settings->FindQueue(task->spec.queue.value);
+  const bool ran = task->execution.WhetherRan() != Ran::kNo;
+  if (ran && (queue == nullptr || !this->retries.TryRetry(queue->team))) {
+    task->execution.OnDeadline();
+    this->Finish(task, StartBlock::kRetryBudget);
+    return;
+  }
+  task->delayed = true;
+  this->delayed.emplace(now + this->retries.Delay(task->attempts - 1),
+                        task->spec.id);
+}
+
 template <SettingsView Settings, PermitPool Permits>
 void Dispatcher<Settings, Permits>::Enqueue(Task* task) {
   // A task that is queued again keeps its place before those that came later.
@@ -518,9 +582,9 @@
 
 template <SettingsView Settings, PermitPool Permits>
 void Dispatcher<Settings, Permits>::GiveBack(const SlotGrant& grant,
-                                             bool refused) {
+                                             SlotUse use) {
   this->actions.push_back(
-      ReturnSlot{grant.owner, grant.token, grant.team, refused});
+      ReturnSlot{grant.owner, grant.token, grant.team, use});
 }
 
 template <SettingsView Settings, PermitPool Permits>
--- /dev/null
+++ b/src/coordination/outlier_detector.h
@@ -0,0 +1,94 @@
+// Tells workers that fail everything from tasks that can never run.
+//
+// Index:
+//   [SECTION] Tunables
+//   [SECTION] OutlierDetector
+//
+// An endpoint is ejected when it fails several tasks in a row while the other
+// endpoints of its pool succeed. When all of them fail, the tasks are at fault
+// and nothing is ejected. After a time the endpoint gets one slot as a probe:
+// a success brings it back, a failure ejects it for twice as long. At most a
+// fixed part of a pool is ejected at once.
+//
+// Not thread-safe: one event loop owns each value.
+
+#ifndef SRC_COORDINATION_OUTLIER_DETECTOR_H_
+#define SRC_COORDINATION_OUTLIER_DETECTOR_H_
+
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+#include "src/state/clock.h"
+#include "src/state/ids.h"
+
+namespace peridot {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Tunables
+//-----------------------------------------------------------------------------
+
+struct OutlierConfig {
+  // One task that can never run must not look like a failing endpoint.
+  int failures_in_row = 3;                              // default: 3
+  Duration ejection = std::chrono::seconds(10);         // default: 10 s
+  Duration longest_ejection = std::chrono::minutes(5);  // default: 5 min
+  // Beyond this the pool would lose more capacity than the failures cost.
+  int max_ejected_percent = 30;  // default: 30 % of the pool
+  // Success of the other endpoints that makes a failing one an outlier.
+  double healthy_rate = 0.5;  // default: 0.5
+  // Weight of one outcome in the pool's moving success rate.
+  double weight = 0.02;  // default: 0.02, about the last 50 outcomes
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] OutlierDetector
+//-----------------------------------------------------------------------------
+
+enum class EndpointHealth {
+  kHealthy,  // all its slots may be used
+  kEjected,  // none
+  kProbing,  // one, until its next outcome
+};
+
+class OutlierDetector {
+ public:
+  explicit OutlierDetector(OutlierConfig config = {});
+
+  void OnEndpoint(const EndpointId& endpoint, const PoolId& pool);
+  void OnEndpointGone(const EndpointId& endpoint);
+
+  // An attempt ended on the endpoint. Returns true if its health changed.
+  bool OnOutcome(const EndpointId& endpoint, bool success, Instant now);
+
+  // Returns the endpoints whose ejection has ended: they are probed now.
+  std::vector<EndpointId> OnTick(Instant now);
+
+  // Unknown endpoints are healthy.
+  EndpointHealth Health(const EndpointId& endpoint) const;
+
+ private:
+  struct Pool {
+    int endpoints = 0;
+    int ejected = 0;            // ejected or probing
+    double success_rate = 1.0;  // moving average over healthy endpoints
+  };
+  struct Endpoint {
+    PoolId pool;
+    EndpointHealth health = EndpointHealth::kHealthy;
+    int failures = 0;  // in a row
+    int ejections = 0;
+    Instant until{};
+  };
+
+  bool IsOutlier(const Endpoint& endpoint, const Pool& pool) const;
+  void Eject(Endpoint* endpoint, Instant now);
+
+  OutlierConfig config;
+  std::unordered_map<EndpointId, Endpoint> endpoints;
+  std::unordered_map<PoolId, Pool> pools;
+};
+
+}  // namespace peridot
+
+#endif  // SRC_COORDINATION_OUTLIER_DETECTOR_H_
--- /dev/null
+++ b/src/coordination/retry_policy.cc
@@ -0,0 +1,37 @@
+#include "src/coordination/retry_policy.h"
+
+#include <algorithm>
+
+namespace peridot {
+
+RetryPolicy::RetryPolicy(std::uint64_t seed, RetryConfig config)
+    : config(config), random(seed) {}
+
+void RetryPolicy::OnFirstAttempt(const TeamId& team) {
+  double& budget = this->BudgetOf(team);
+  budget = std::min(budget + this->config.earned, this->config.burst);
+}
+
+bool RetryPolicy::TryRetry(const TeamId& team) {
+  double& budget = this->BudgetOf(team);
+  if (budget < 1) {
+    return false;
+  }
+  budget -= 1;
+  return true;
+}
+
+Duration RetryPolicy::Delay(int retry) {
+  constexpr int kMaxDoublings = 20;
+  const Duration ceiling =
+      std::min(this->config.base * (1 << std::clamp(retry, 0, kMaxDoublings)),
+               this->config.longest);
+  return Duration(std::uniform_int_distribution<std::int64_t>(
+      0, ceiling.count())(this->random));
+}
+
+double& RetryPolicy::BudgetOf(const TeamId& team) {
+  return this->budgets.try_emplace(team, this->config.burst).first->second;
+}
+
+}  // namespace peridot
--- /dev/null
+++ b/src/coordination/retry_policy.h
@@ -0,0 +1,65 @@
+// Budget and delay of retries.
+//
+// Index:
+//   [SECTION] Tunables
+//   [SECTION] RetryPolicy
+//
+// Each team earns a part of a retry with every first attempt, so that retries
+// add at most that part to the load when everything fails. The delay before a
+// retry is drawn from [0, base * 2^n] (full jitter), so that tasks which failed
+// together do not come back together.
+//
+// Not thread-safe: one event loop owns each value.
+
+#ifndef SRC_COORDINATION_RETRY_POLICY_H_
+#define SRC_COORDINATION_RETRY_POLICY_H_
+
+#include <cstdint>
+#include <random>
+#include <unordered_map>
+
+#include "src/state/clock.h"
+#include "src/state/ids.h"
+
+namespace peridot {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Tunables
+//-----------------------------------------------------------------------------
+
+struct RetryConfig {
+  double earned = 0.1;                                 // default: 0.1 a task
+  double burst = 20;                                   // default: 20 retries
+  Duration base = std::chrono::milliseconds(10);       // default: 10 ms
+  Duration longest = std::chrono::milliseconds(1000);  // default: 1 s
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] RetryPolicy
+//-----------------------------------------------------------------------------
+
+class RetryPolicy {
+ public:
+  // The seed decides the delays.
+  explicit RetryPolicy(std::uint64_t seed, RetryConfig config = {});
+
+  // A task of the team makes its first attempt.
+  void OnFirstAttempt(const TeamId& team);
+
+  // Takes a retry from the team's budget. Returns false if it is used up.
+  bool TryRetry(const TeamId& team);
+
+  // Returns the delay before the retry with this number, counted from 0.
+  Duration Delay(int retry);
+
+ private:
+  double& BudgetOf(const TeamId& team);
+
+  RetryConfig config;
+  std::mt19937_64 random;
+  std::unordered_map<TeamId, double> budgets;
+};
+
+}  // namespace peridot
+
+#endif  // SRC_COORDINATION_RETRY_POLICY_H_
--- a/src/coordination/slot_ledger.cc
+++ b/src/coordination/slot_ledger.cc
@@ -45,19 +45,23 @@
   this->index.emplace(endpoint, entry);
 }
 
-void SlotLedger::OnEndpointGone(const EndpointId& endpoint) {
+std::vector<TeamId> SlotLedger::OnEndpointGone(const EndpointId& endpoint) {
+  std::vector<TeamId> ended;
   const auto found = this->index.find(endpoint);
   if (found == this->index.end()) {
-    return;
+    return ended;
   }
   const std::uint32_t entry = found->second;
   this->Remove(entry);
   while (this->endpoints[entry].first_token != kNone) {
-    this->FreeToken(this->endpoints[entry].first_token);
+    const std::uint32_t token = this->endpoints[entry].first_token;
+    ended.push_back(std::move(this->tokens[token].team));
+    this->FreeToken(token);
   }
   this->endpoints[entry] = Endpoint{};
   this->free_endpoints.push_back(entry);
   this->index.erase(found);
+  return ended;
 }
 
 void SlotLedger::SetUsable(const EndpointId& endpoint, bool usable) {
@@ -113,7 +117,8 @@
   }
   const std::uint32_t endpoint = this->tokens[entry].endpoint;
   ReturnedSlot returned{std::move(this->tokens[entry].team),
-                        this->pools[this->endpoints[endpoint].pool].id};
+                        this->pools[this->endpoints[endpoint].pool].id,
+                        this->endpoints[endpoint].id};
   this->FreeToken(entry);
   if (refused) {
     this->refused.push_back({now + this->config.refused_for, endpoint,
--- a/src/coordination/slot_ledger.h
+++ b/src/coordination/slot_ledger.h
@@ -54,8 +54,9 @@
 };
 
 struct ReturnedSlot {
-  TeamId team;  // default: empty; that the slot was taken for
-  PoolId pool;  // default: empty
+  TeamId team;          // default: empty; that the slot was taken for
+  PoolId pool;          // default: empty
+  EndpointId endpoint;  // default: empty
 };
 
 //-----------------------------------------------------------------------------
@@ -72,8 +73,9 @@
                   const ZoneId& zone,
                   SlotCount slots);
 
-  // The endpoint is not owned or not listed any more. Its tokens end.
-  void OnEndpointGone(const EndpointId& endpoint);
+  // The endpoint is not owned or not listed any more. Its tokens end; returns
+  // their teams.
+  std::vector<TeamId> OnEndpointGone(const EndpointId& endpoint);
 
   // Whether slots of the endpoint may be taken: not while it is leaving, out
   // of contact or in a zone that is out. A new endpoint is not usable.
--- a/src/daemon/dispatch_task.cc
+++ b/src/daemon/dispatch_task.cc
@@ -61,7 +61,7 @@
       proto::Envelope::kSlotReturn,
       [this](const SessionId&, const proto::Envelope& envelope) {
         this->ReturnOwnSlot(envelope.slot_return().token(),
-                            envelope.slot_return().refused());
+                            static_cast<SlotUse>(envelope.slot_return().use()));
       });
 }
 
@@ -168,7 +168,7 @@
   }
   for (const auto& [id, endpoint] : this->endpoints) {
     if (!next.contains(id)) {
-      this->slots.OnEndpointGone(id);
+      this->DropSlots(id, endpoint.host.pool);
       this->dispatcher->OnEndpointGone(id);
     }
   }
@@ -189,17 +189,25 @@
     const bool owned = endpoint.host.zone == this->zone && owner != nullptr &&
                        *owner == this->self;
     if (endpoint.owned && !owned) {
-      this->slots.OnEndpointGone(id);
+      this->DropSlots(id, endpoint.host.pool);
     }
     endpoint.owned = owned;
     this->UpdateUsable(id);
   }
 }
 
+void DispatchTask::DropSlots(const EndpointId& id, const PoolId& pool) {
+  for (const TeamId& team : this->slots.OnEndpointGone(id)) {
+    this->allocators[pool].OnReleased(team);
+  }
+  this->outliers.OnEndpointGone(id);
+}
+
 void DispatchTask::OnTick() {
   const Instant now = this->loop->Now();
   this->dispatcher->OnTick(now);
   this->slots.OnTick(now);
+  this->outliers.OnTick(now);
   for (const auto& [id, endpoint] : this->endpoints) {
     if (endpoint.owned || this->dispatcher->UsesEndpoint(id)) {
       this->TickLease(id);
@@ -252,7 +260,10 @@
   const auto endpoint = this->endpoints.find(id);
   if (endpoint != this->endpoints.end() && endpoint->second.owned) {
     const PoolId& pool = endpoint->second.host.pool;
-    this->slots.OnEndpoint(id, pool, endpoint->second.host.zone, report.slots);
+    this->outliers.OnEndpoint(id, pool);
+    const bool probing = this->outliers.Health(id) == EndpointHealth::kProbing;
+    this->slots.OnEndpoint(id, pool, endpoint->second.host.zone,
+                           probing ? SlotCount(1) : report.slots);
     for (const TeamId& team : this->slots.OnUsage(id, report.running, sent)) {
       this->allocators[pool].OnReleased(team);
     }
@@ -269,11 +280,11 @@
   if (endpoint == this->endpoints.end() || !endpoint->second.owned) {
     return;
   }
-  const bool ready =
-      this->dispatcher->LeaseOf(id).CheckStart(this->loop->Now(), false) ==
-      LeaseRefusal::kNone;
+  const bool ready = this->dispatcher->LeaseOf(id).CheckStart(
+                         this->loop->Now(), false) == LeaseRefusal::kNone;
   this->slots.SetUsable(
       id, ready && !endpoint->second.host.leaving &&
+              this->outliers.Health(id) != EndpointHealth::kEjected &&
               this->settings->IsZoneIn(endpoint->second.host.zone.value));
 }
 
@@ -339,8 +350,8 @@
     }
     const std::int64_t waiting = this->dispatcher->Waiting(queue);
     waiting_of_team[rules->team] += waiting;
-    const auto [left, added] = permits_left.try_emplace(
-        rules->team, this->permits->Free(rules->team));
+    const auto [left, added] =
+        permits_left.try_emplace(rules->team, this->permits->Free(rules->team));
     next[queue] = may_start ? std::min(waiting, left->second) : 0;
     left->second -= next[queue];
   }
@@ -446,8 +457,8 @@
        .team = rules->team,
        .priority = rules->priority,
        .share = team == nullptr ? Share(1) : team->share,
-       .waiting = static_cast<std::int64_t>(
-           std::min(message.waiting(), kMaxWaiting)),
+       .waiting =
+           static_cast<std::int64_t>(std::min(message.waiting(), kMaxWaiting)),
        .longest_wait = microseconds(static_cast<std::int64_t>(
            std::min(message.longest_wait_us(), kMaxWaitUs)))},
       this->loop->Now());
@@ -478,9 +489,22 @@
   this->CarryActions();
 }
 
-void DispatchTask::ReturnOwnSlot(SlotToken token, bool refused) {
-  const auto returned = this->slots.Return(token, refused, this->loop->Now());
+void DispatchTask::ReturnOwnSlot(SlotToken token, SlotUse use) {
+  const Instant now = this->loop->Now();
+  const auto returned =
+      this->slots.Return(token, use == SlotUse::kRefused, now);
   if (returned) {
+    const bool outcome = use == SlotUse::kSucceeded || use == SlotUse::kFailed;
+    if (outcome && this->outliers.OnOutcome(returned->endpoint,
+                                            use == SlotUse::kSucceeded, now)) {
+      LogEvent(LogLevel::kWarn, "endpoint_health_changed",
+               {{"peer", returned->endpoint.value},
+                {"healthy", this->outliers.Health(returned->endpoint) ==
+                                    EndpointHealth::kHealthy
+                                ? "true"
+                                : "false"}});
+      this->UpdateUsable(returned->endpoint);
+    }
     this->allocators[returned->pool].OnReleased(returned->team);
     this->SchedulePump();
   }
@@ -571,12 +595,13 @@
 
 void DispatchTask::Do(const ReturnSlot& action) {
   if (action.owner == this->settings->Session()) {
-    this->ReturnOwnSlot(action.token, action.refused);
+    this->ReturnOwnSlot(action.token, action.use);
     return;
   }
   proto::Envelope envelope;
   envelope.mutable_slot_return()->set_token(action.token);
-  envelope.mutable_slot_return()->set_refused(action.refused);
+  envelope.mutable_slot_return()->set_use(
+      static_cast<proto::SlotReturn::Use>(action.use));
   this->peers->Send(action.owner.daemon, std::move(envelope));
 }
 
--- a/src/daemon/dispatch_task.h
+++ b/src/daemon/dispatch_task.h
@@ -18,6 +18,7 @@
 #include <unordered_map>
 
 #include "src/coordination/dispatcher.h"
+#include "src/coordination/outlier_detector.h"
 #include "src/coordination/slot_allocator.h"
 #include "src/coordination/slot_ledger.h"
 #include "src/daemon/endpoint_client.h"
@@ -130,7 +131,8 @@
   void LendSlots(const PoolId& pool, SlotAllocator* allocator);
   void OnPeerDemand(const SessionId& from, const proto::SlotDemand& demand);
   void OnPeerGrant(const SessionId& from, const proto::SlotGrant& grant);
-  void ReturnOwnSlot(SlotToken token, bool refused);
+  void ReturnOwnSlot(SlotToken token, SlotUse use);
+  void DropSlots(const EndpointId& id, const PoolId& pool);
   void CarryActions();
   void Do(const StartAttempt& action);
   void Do(const RecordIntent& action);
@@ -151,6 +153,7 @@
   DispatchConfig config;
   std::optional<TaskDispatcher> dispatcher;
   SlotLedger slots;
+  OutlierDetector outliers;
   std::map<PoolId, SlotAllocator> allocators;
   std::map<EndpointId, Endpoint> endpoints;
   std::map<QueueId, std::int64_t> demand;  // of this daemon, within its permits
--- a/src/daemon/permit_task.cc
+++ b/src/daemon/permit_task.cc
@@ -57,7 +57,8 @@
 // leave counts as a fence here, which only makes its permits free later.
 void PermitTask::OnRegistry() {
   std::set<SessionId> listed;
-  for (const RegisteredDaemon& entry : this->settings->KnownRegistry().daemons) {
+  for (const RegisteredDaemon& entry :
+       this->settings->KnownRegistry().daemons) {
     listed.insert(entry.session);
   }
   for (const SessionId& session : this->known_sessions) {
@@ -77,8 +78,7 @@
     return false;
   }
   const auto lowered = this->settings->RestrictedLimit(team);
-  if (lowered &&
-      ledger->InUse().value >= static_cast<std::int64_t>(*lowered)) {
+  if (lowered && ledger->InUse().value >= static_cast<std::int64_t>(*lowered)) {
     return false;
   }
   return ledger->TryAcquire();
@@ -101,9 +101,9 @@
 
 std::int64_t PermitTask::Free(const TeamId& team) const {
   const auto found = this->ledgers.find(team);
-  return found == this->ledgers.end() ? 0
-                                      : found->second.Held().value -
-                                            found->second.InUse().value;
+  return found == this->ledgers.end()
+             ? 0
+             : found->second.Held().value - found->second.InUse().value;
 }
 
 PermitCount PermitTask::Held(const TeamId& team) const {
@@ -132,9 +132,9 @@
                                const proto::Envelope& envelope) {
   const auto message = DecodePermitMessage(envelope);
   if (!message) {
-    LogEvent(LogLevel::kWarn, "peer_message_malformed",
-             {{"peer", envelope.sender()},
-              {"reason", message.error().message}});
+    LogEvent(
+        LogLevel::kWarn, "peer_message_malformed",
+        {{"peer", envelope.sender()}, {"reason", message.error().message}});
     return;
   }
   const TeamId& team = message.value().team;
--- a/src/daemon/settings_task.cc
+++ b/src/daemon/settings_task.cc
@@ -79,19 +79,18 @@
                     {"reason", rows.error().message}});
           return retry();
         }
-        const auto before =
-            ParseRegistry(FindRow(rows.value(), RegistryKey()));
+        const auto before = ParseRegistry(FindRow(rows.value(), RegistryKey()));
         const auto row = ParseSession(FindRow(rows.value(), session_key));
         if (!before || !row) {
           LogEvent(LogLevel::kError, "registry_malformed", {});
           return retry();
         }
-        RegistrationPlan plan = PlanRegistration(
-            before.value(), row.value(),
-            {.session = {this->config->daemon, Incarnation(0)},
-             .peer_address = this->config->peer_listen.Text(),
-             .zone = this->config->zone},
-            this->NextOperationId());
+        RegistrationPlan plan =
+            PlanRegistration(before.value(), row.value(),
+                             {.session = {this->config->daemon, Incarnation(0)},
+                              .peer_address = this->config->peer_listen.Text(),
+                              .zone = this->config->zone},
+                             this->NextOperationId());
         plan.transaction.puts.push_back({OperationKey(this->config->daemon),
                                          plan.transaction.operation_id});
         this->table->Transact(
@@ -159,8 +158,7 @@
         CommitAnswer answer;
         answer.outcome = CommitOutcome::kCommitted;
         for (const std::string& key : {RegistryKey(), session_key}) {
-          answer.versions.push_back(
-              {key, FindRow(rows.value(), key).version});
+          answer.versions.push_back({key, FindRow(rows.value(), key).version});
         }
         this->FinishRegistration(plan, before, answer);
       });
@@ -304,12 +302,11 @@
 }
 
 void SettingsTask::Do(const SendWrite& action) {
-  this->table->Transact(action.transaction,
-                        [this, id = action.transaction.operation_id](
-                            const CommitAnswer& answer) {
-                          this->Carry(this->lease->OnWriteAnswer(
-                              id, answer, this->loop->Now()));
-                        });
+  this->table->Transact(
+      action.transaction,
+      [this, id = action.transaction.operation_id](const CommitAnswer& answer) {
+        this->Carry(this->lease->OnWriteAnswer(id, answer, this->loop->Now()));
+      });
 }
 
 void SettingsTask::Do(const SendProbe& action) {
@@ -411,9 +408,8 @@
         ControlWrite write;
         write.kind = ControlWriteKind::kRegistry;
         write.operation_id = this->NextOperationId();
-        write.registry_change =
-            PlanRemoval(listed.value(), row.value(), target, true,
-                        write.operation_id);
+        write.registry_change = PlanRemoval(listed.value(), row.value(), target,
+                                            true, write.operation_id);
         constexpr Duration kFenceLimit = std::chrono::seconds(30);
         this->Begin(std::move(write), kFenceLimit, callback);
       });
@@ -430,12 +426,11 @@
   auto begun = this->lease->BeginWrite(std::move(write), this->loop->Now());
   if (!begun) {
     const bool conflict = begun.error().code == ErrorCode::kConflict;
-    return callback({conflict ? ChangeResult::kConflict
-                              : ChangeResult::kUnavailable,
-                     this->lease->Known(), begun.error().message});
+    return callback(
+        {conflict ? ChangeResult::kConflict : ChangeResult::kUnavailable,
+         this->lease->Known(), begun.error().message});
   }
-  this->waiting.push_back(
-      {id, this->loop->Now() + limit, std::move(callback)});
+  this->waiting.push_back({id, this->loop->Now() + limit, std::move(callback)});
   this->Carry(begun.value());
 }
 
@@ -452,9 +447,9 @@
   for (const Waiting& item : expired) {
     const WriteState state = this->lease->StateOfWrite(item.operation_id, now);
     const bool committed = state == WriteState::kCommitted;
-    item.callback({committed ? ChangeResult::kCommitted
-                             : ChangeResult::kUnknown,
-                   this->lease->Known(), ""});
+    item.callback(
+        {committed ? ChangeResult::kCommitted : ChangeResult::kUnknown,
+         this->lease->Known(), ""});
   }
 }
 
@@ -486,12 +481,12 @@
   if (!this->lease) {
     return;
   }
-  const ProvisionalRestriction restriction{.kind = kind,
-                                           .subject = subject,
-                                           .value = value,
-                                           .sender = this->session,
-                                           .sequence =
-                                               this->next_restriction++};
+  const ProvisionalRestriction restriction{
+      .kind = kind,
+      .subject = subject,
+      .value = value,
+      .sender = this->session,
+      .sequence = this->next_restriction++};
   const Revision base = this->lease->Known();
   this->lease->OnRestriction(restriction, this->loop->Now());
   this->open_restrictions.push_back(
@@ -515,8 +510,7 @@
     return;
   }
   this->lease->OnRestriction(restriction.value(), this->loop->Now());
-  this->open_restrictions.push_back(
-      {from, restriction.value().sequence, base});
+  this->open_restrictions.push_back({from, restriction.value().sequence, base});
 }
 
 void SettingsTask::EndRestrictions() {
--- a/tests/dispatcher_test.cc
+++ b/tests/dispatcher_test.cc
@@ -221,6 +221,7 @@
                        kStart);
   f.dispatcher.OnFence(start.task, start.attempt, FenceReply::kNeverStarted,
                        kStart);
+  f.dispatcher.OnTick(kStart + milliseconds(20));  // past the first delay
   f.Grant();
   const auto starts = f.Take<StartAttempt>();
   REQUIRE(starts.size() == 1);
@@ -235,6 +236,8 @@
   f.dispatcher.OnReply(start.task, start.attempt, AttemptReply::kFailed,
                        kStart);
   REQUIRE(f.Take<FinishTask>().size() == (idempotent ? 0 : 1));
+  f.dispatcher.OnTick(kStart + milliseconds(20));
+  REQUIRE(f.dispatcher.Waiting(kQueue) == (idempotent ? 1 : 0));
   f.Grant();
   // The only endpoint has failed the task, so it is not used again.
   REQUIRE(f.Take<StartAttempt>().empty());
