Add the HTTP server with answers sent later and graceful stop

Cause: callers and operators reach the daemon, and the tests reach the stand-ins, through one server whose planned stop must cut no request. Ruled out: closing idle connections at the start of a stop, which cuts a request that is already on its way; libevhtp's own body limit alone, which closes the connection without an answer. Change: HttpServer over libevhtp: routes, limits on header and body, a responder that can outlive request and server, and a stop that accepts what waits, finishes what is open and reports what it cut. Handlers run outside libevhtp's callbacks. Conclusion: one race remains: a request that arrives in the moment an idle connection is closed after its grace is not read, so it does not run.

--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -33,7 +33,7 @@
 
 // An HTTP server. Its address is an IP address: names are not resolved.
 struct HttpPeer {
-  std::string address;     // default: empty; as in "127.0.0.1"
+  std::string address{};   // default: empty; as in "127.0.0.1"
   std::uint16_t port = 0;  // default: 0, which is not valid
 
   friend auto operator<=>(const HttpPeer&, const HttpPeer&) = default;
@@ -57,14 +57,14 @@
 
 struct HttpRequest {
   HttpMethod method = HttpMethod::kGet;        // default: kGet
-  std::string path;                            // default: empty; starts with /
-  HttpHeaders headers;                         // default: none
-  std::string body;                            // default: empty
+  std::string path{};                          // default: empty; starts with /
+  HttpHeaders headers{};                       // default: none
+  std::string body{};                          // default: empty
   Duration timeout = std::chrono::seconds(5);  // default: 5 s; queue included
   std::size_t max_answer_bytes = 1 << 20;      // default: 1 MiB; body
   std::size_t max_answer_header = 16 << 10;    // default: 16 KiB
   bool close_after = false;                    // default: false; keep alive
-  std::optional<LiveConnectionRequirement> live_connection;  // default: none
+  std::optional<LiveConnectionRequirement> live_connection{};  // default: none
 };
 
 //-----------------------------------------------------------------------------
@@ -98,11 +98,11 @@
   HttpResult result = HttpResult::kInvalidRequest;  // default: as named
   Delivery delivery = Delivery::kNeverSent;         // default: kNeverSent
   int status = 0;                                   // default: 0; if answered
-  HttpHeaders headers;                              // default: none
-  std::string body;                                 // default: empty
+  HttpHeaders headers{};                            // default: none
+  std::string body{};                               // default: empty
   ConnectionId connection = 0;                      // default: 0, none used
   bool connection_reused = false;  // default: false; carried a request before
-  std::string message;             // default: empty; reason of a failure
+  std::string message{};           // default: empty; reason of a failure
 
   bool Answered() const { return this->result == HttpResult::kAnswered; }
 };
--- /dev/null
+++ b/src/transport/http_server.cc
@@ -0,0 +1,630 @@
+#include "src/transport/http_server.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <evhtp/evhtp.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace peridot {
+namespace {
+
+// Time between two checks for idle connections during a stop.
+constexpr Duration kStopCheckInterval = std::chrono::milliseconds(10);
+
+timeval ToTimeval(Duration duration) {
+  const auto us =
+      std::chrono::duration_cast<std::chrono::microseconds>(duration);
+  timeval result{};
+  result.tv_sec = us.count() / 1'000'000;
+  result.tv_usec = us.count() % 1'000'000;
+  return result;
+}
+
+std::optional<HttpMethod> FromLibrary(htp_method method) {
+  switch (method) {
+    case htp_method_GET:
+      return HttpMethod::kGet;
+    case htp_method_HEAD:
+      return HttpMethod::kHead;
+    case htp_method_POST:
+      return HttpMethod::kPost;
+    case htp_method_PUT:
+      return HttpMethod::kPut;
+    case htp_method_DELETE:
+      return HttpMethod::kDelete;
+    default:
+      return std::nullopt;
+  }
+}
+
+// libevhtp declares hooks without parameters and casts them back.
+template <typename F>
+evhtp_hook ToHook(F* function) {
+  return reinterpret_cast<evhtp_hook>(reinterpret_cast<void (*)()>(function));
+}
+
+HttpHeaders CopyHeaders(evhtp_headers_t* list) {
+  HttpHeaders headers;
+  const evhtp_kv* entry = nullptr;
+  TAILQ_FOREACH(entry, list, next) {
+    headers.push_back(
+        {std::string(entry->key != nullptr ? entry->key : "", entry->klen),
+         std::string(entry->val != nullptr ? entry->val : "", entry->vlen)});
+  }
+  return headers;
+}
+
+void AddHeader(evhtp_request_t* request,
+               const std::string& name,
+               const std::string& value) {
+  evhtp_headers_add_header(request->headers_out,
+                           evhtp_header_new(name.c_str(), value.c_str(), 1, 1));
+}
+
+bool HasLineBreak(const HttpHeader& header) {
+  return (header.name + header.value)
+             .find_first_of(std::string_view("\r\n\0", 3)) != std::string::npos;
+}
+
+bool HasAmbiguousLength(evhtp_headers_t* list) {
+  const HttpHeaders headers = CopyHeaders(list);
+  const int lengths = CountHeaders(headers, "Content-Length");
+  const int codings = CountHeaders(headers, "Transfer-Encoding");
+  return lengths + codings > 1;
+}
+
+}  // namespace
+
+int FaultStatus(HttpServerFault fault) {
+  switch (fault) {
+    case HttpServerFault::kNotFound:
+      return 404;
+    case HttpServerFault::kMethodNotAllowed:
+      return 405;
+    case HttpServerFault::kBadFraming:
+      return 400;
+    case HttpServerFault::kBodyTooLarge:
+      return 413;
+    case HttpServerFault::kHeaderTooLarge:
+      return 431;
+    case HttpServerFault::kNone:
+    case HttpServerFault::kNoAnswer:
+      return 500;
+  }
+  return 500;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Core
+//-----------------------------------------------------------------------------
+
+class HttpServer::Core : public std::enable_shared_from_this<Core> {
+ public:
+  using ExchangeId = std::uint64_t;
+
+  Core(EventLoop* loop, HttpServerOptions options)
+      : loop(loop), options(std::move(options)) {}
+  Core(const Core&) = delete;
+  Core& operator=(const Core&) = delete;
+  ~Core() { this->Shutdown(); }
+
+  bool Listen();
+  void Shutdown();
+  void AddRoute(HttpMethod method, std::string path, Handler handler);
+  void Stop(Duration limit, StopCallback callback);
+  void Answer(ExchangeId id, const HttpServerAnswer& answer);
+  void AnswerFault(ExchangeId id, HttpServerFault fault);
+  std::uint16_t Port() const { return this->bound_port; }
+  std::size_t OpenConnections() const { return this->connections.size(); }
+  std::size_t OpenRequests() const;
+
+ private:
+  struct Connection {
+    bool receiving = false;  // from the first header to the answer's end
+    std::size_t header_bytes = 0;
+    std::size_t body_bytes = 0;
+    HttpServerFault fault = HttpServerFault::kNone;
+    ExchangeId exchange = 0;  // 0: not yet read or already answered
+    Instant idle_since{};
+  };
+
+  struct RouteEntry {
+    HttpMethod method;
+    std::string path;
+    Handler handler;
+  };
+
+  static Core* Self(void* core) { return static_cast<Core*>(core); }
+  static evhtp_res OnPreAccept(evhtp_connection_t* connection, void* core);
+  static evhtp_res OnPostAccept(evhtp_connection_t* connection, void* core);
+  static evhtp_res OnHeadersStart(evhtp_request_t* request, void* core);
+  static evhtp_res OnHeader(evhtp_request_t* request,
+                            evhtp_header_t* header,
+                            void* core);
+  static evhtp_res OnHeaders(evhtp_request_t* request,
+                             evhtp_headers_t* headers,
+                             void* core);
+  static evhtp_res OnRead(evhtp_request_t* request,
+                          evbuffer* bytes,
+                          void* core);
+  static evhtp_res OnRequestEnd(evhtp_request_t* request, void* core);
+  static evhtp_res OnConnectionEnd(evhtp_connection_t* connection, void* core);
+  static void OnEvent(evhtp_connection_t* connection, short what, void* core);
+  static void OnRequest(evhtp_request_t* request, void* core);
+
+  Connection* Find(evhtp_connection_t* connection);
+  void BeginExchange(evhtp_request_t* request);
+  HttpServerRequest CopyRequest(evhtp_request_t* request) const;
+  void Dispatch(ExchangeId id, HttpServerFault fault);
+  const RouteEntry* FindRoute(HttpMethod method,
+                              const std::string& path,
+                              HttpServerFault* fault) const;
+  void CloseListener();
+  void CheckStop();
+  void CloseIdle();
+  void FinishStop(std::size_t cut_requests);
+
+  EventLoop* loop;
+  HttpServerOptions options;
+  evhtp_t* library = nullptr;
+  std::uint16_t bound_port = 0;
+  std::vector<RouteEntry> routes;
+  std::unordered_map<evhtp_connection_t*, Connection> connections;
+  std::unordered_map<ExchangeId, evhtp_request_t*> exchanges;
+  ExchangeId next_exchange = 1;
+
+  bool shut_down = false;
+  bool stopping = false;
+  std::optional<Instant> stop_end;
+  StopCallback on_stopped;
+  WatchId stop_timer = kNoWatch;
+};
+
+class HttpResponder::Pending {
+ public:
+  Pending(std::weak_ptr<HttpServer::Core> core, std::uint64_t exchange)
+      : core(std::move(core)), exchange(exchange) {}
+  Pending(const Pending&) = delete;
+  Pending& operator=(const Pending&) = delete;
+  ~Pending() {
+    const auto server = this->core.lock();
+    if (server && !this->answered) {
+      server->AnswerFault(this->exchange, HttpServerFault::kNoAnswer);
+    }
+  }
+
+  void Send(const HttpServerAnswer& answer) {
+    const auto server = this->core.lock();
+    if (!this->answered && server) {
+      server->Answer(this->exchange, answer);
+    }
+    this->answered = true;
+  }
+
+ private:
+  std::weak_ptr<HttpServer::Core> core;
+  std::uint64_t exchange;
+  bool answered = false;
+};
+
+bool HttpServer::Core::Listen() {
+  this->library = evhtp_new(this->loop->Base(), this);
+  if (this->library == nullptr) {
+    return false;
+  }
+  evhtp_enable_flag(this->library, EVHTP_FLAG_ENABLE_NODELAY);
+  evhtp_set_max_body_size(this->library,
+                          this->options.max_body * kDiscardFactor);
+  const timeval read = ToTimeval(this->options.read_timeout);
+  const timeval write = ToTimeval(this->options.write_timeout);
+  evhtp_set_timeouts(this->library, &read, &write);
+  evhtp_set_gencb(this->library, &OnRequest, this);
+  evhtp_set_pre_accept_cb(this->library, &OnPreAccept, this);
+  evhtp_set_post_accept_cb(this->library, &OnPostAccept, this);
+  if (evhtp_bind_socket(this->library, this->options.address.c_str(),
+                        this->options.port, this->options.backlog) != 0) {
+    return false;
+  }
+  sockaddr_storage bound{};
+  socklen_t size = sizeof(bound);
+  getsockname(evconnlistener_get_fd(this->library->server),
+              reinterpret_cast<sockaddr*>(&bound), &size);
+  this->bound_port =
+      bound.ss_family == AF_INET6
+          ? ntohs(reinterpret_cast<sockaddr_in6*>(&bound)->sin6_port)
+          : ntohs(reinterpret_cast<sockaddr_in*>(&bound)->sin_port);
+  return true;
+}
+
+void HttpServer::Core::Shutdown() {
+  this->shut_down = true;
+  this->loop->Cancel(this->stop_timer);
+  if (this->library == nullptr) {
+    return;
+  }
+  this->CloseListener();
+  while (!this->connections.empty()) {
+    // OnConnectionEnd() removes the entry.
+    evhtp_connection_free(this->connections.begin()->first);
+  }
+  evhtp_free(std::exchange(this->library, nullptr));
+}
+
+void HttpServer::Core::AddRoute(HttpMethod method,
+                                std::string path,
+                                Handler handler) {
+  this->routes.push_back({method, std::move(path), std::move(handler)});
+}
+
+std::size_t HttpServer::Core::OpenRequests() const {
+  std::size_t open = 0;
+  for (const auto& [connection, state] : this->connections) {
+    open += state.receiving ? 1 : 0;
+  }
+  return open;
+}
+
+evhtp_res HttpServer::Core::OnPreAccept(evhtp_connection_t*, void* core) {
+  const Core* self = Self(core);
+  const bool full = self->connections.size() >= self->options.max_connections;
+  return full ? EVHTP_RES_ERROR : EVHTP_RES_OK;
+}
+
+evhtp_res HttpServer::Core::OnPostAccept(evhtp_connection_t* connection,
+                                         void* core) {
+  Core* self = Self(core);
+  self->connections[connection].idle_since = self->loop->Now();
+  evhtp_connection_set_hook(connection, evhtp_hook_on_headers_start,
+                            ToHook(&OnHeadersStart), core);
+  evhtp_connection_set_hook(connection, evhtp_hook_on_header, ToHook(&OnHeader),
+                            core);
+  evhtp_connection_set_hook(connection, evhtp_hook_on_headers,
+                            ToHook(&OnHeaders), core);
+  evhtp_connection_set_hook(connection, evhtp_hook_on_read, ToHook(&OnRead),
+                            core);
+  evhtp_connection_set_hook(connection, evhtp_hook_on_request_fini,
+                            ToHook(&OnRequestEnd), core);
+  evhtp_connection_set_hook(connection, evhtp_hook_on_connection_fini,
+                            ToHook(&OnConnectionEnd), core);
+  evhtp_connection_set_hook(connection, evhtp_hook_on_event, ToHook(&OnEvent),
+                            core);
+  return EVHTP_RES_OK;
+}
+
+evhtp_res HttpServer::Core::OnHeadersStart(evhtp_request_t* request,
+                                           void* core) {
+  Connection* connection = Self(core)->Find(request->conn);
+  if (connection != nullptr) {
+    *connection = Connection{.receiving = true};
+  }
+  return EVHTP_RES_OK;
+}
+
+evhtp_res HttpServer::Core::OnHeader(evhtp_request_t* request,
+                                     evhtp_header_t* header,
+                                     void* core) {
+  Core* self = Self(core);
+  Connection* connection = self->Find(request->conn);
+  if (connection == nullptr) {
+    return EVHTP_RES_OK;
+  }
+  connection->header_bytes += header->klen + header->vlen;
+  if (connection->header_bytes > self->options.max_header) {
+    connection->fault = HttpServerFault::kHeaderTooLarge;
+  }
+  const std::size_t limit = self->options.max_header * kDiscardFactor;
+  return connection->header_bytes > limit ? EVHTP_RES_ERROR : EVHTP_RES_OK;
+}
+
+evhtp_res HttpServer::Core::OnHeaders(evhtp_request_t* request,
+                                      evhtp_headers_t* headers,
+                                      void* core) {
+  Connection* connection = Self(core)->Find(request->conn);
+  if (connection != nullptr && HasAmbiguousLength(headers)) {
+    connection->fault = HttpServerFault::kBadFraming;
+  }
+  return EVHTP_RES_OK;
+}
+
+evhtp_res HttpServer::Core::OnRead(evhtp_request_t* request,
+                                   evbuffer* bytes,
+                                   void* core) {
+  Core* self = Self(core);
+  Connection* connection = self->Find(request->conn);
+  if (connection == nullptr) {
+    return EVHTP_RES_OK;
+  }
+  connection->body_bytes += evbuffer_get_length(bytes);
+  if (connection->body_bytes > self->options.max_body &&
+      connection->fault == HttpServerFault::kNone) {
+    connection->fault = HttpServerFault::kBodyTooLarge;
+  }
+  if (connection->fault != HttpServerFault::kNone) {
+    evbuffer_drain(bytes, evbuffer_get_length(bytes));
+  }
+  return EVHTP_RES_OK;
+}
+
+evhtp_res HttpServer::Core::OnRequestEnd(evhtp_request_t* request, void* core) {
+  Core* self = Self(core);
+  Connection* connection = self->Find(request->conn);
+  if (connection != nullptr) {
+    self->exchanges.erase(connection->exchange);
+    *connection = Connection{.idle_since = self->loop->Now()};
+  }
+  return EVHTP_RES_OK;
+}
+
+evhtp_res HttpServer::Core::OnConnectionEnd(evhtp_connection_t* connection,
+                                            void* core) {
+  Core* self = Self(core);
+  const auto found = self->connections.find(connection);
+  if (found != self->connections.end()) {
+    self->exchanges.erase(found->second.exchange);
+    self->connections.erase(found);
+  }
+  return EVHTP_RES_OK;
+}
+
+void HttpServer::Core::OnEvent(evhtp_connection_t*, short, void*) {
+  // libevhtp ignores an end of file when errno happens to be EAGAIN from an
+  // earlier call, and then keeps the connection for ever.
+  errno = 0;
+}
+
+void HttpServer::Core::OnRequest(evhtp_request_t* request, void* core) {
+  Self(core)->BeginExchange(request);
+}
+
+HttpServer::Core::Connection* HttpServer::Core::Find(
+    evhtp_connection_t* connection) {
+  const auto found = this->connections.find(connection);
+  return found == this->connections.end() ? nullptr : &found->second;
+}
+
+void HttpServer::Core::BeginExchange(evhtp_request_t* request) {
+  Connection* connection = this->Find(request->conn);
+  if (connection == nullptr) {
+    return;
+  }
+  const ExchangeId id = this->next_exchange++;
+  connection->receiving = true;
+  connection->exchange = id;
+  this->exchanges[id] = request;
+  // libevhtp keeps the request while it is paused, even if the client leaves.
+  evhtp_request_pause(request);
+  this->loop->Post(
+      [weak = this->weak_from_this(), id, fault = connection->fault] {
+        if (const std::shared_ptr<Core> core = weak.lock()) {
+          core->Dispatch(id, fault);
+        }
+      });
+}
+
+HttpServerRequest HttpServer::Core::CopyRequest(
+    evhtp_request_t* request) const {
+  HttpServerRequest copy;
+  copy.method = FromLibrary(request->method).value_or(HttpMethod::kGet);
+  if (request->uri != nullptr && request->uri->path != nullptr) {
+    copy.path = request->uri->path->full;
+  }
+  if (request->uri != nullptr && request->uri->query_raw != nullptr) {
+    copy.query = reinterpret_cast<const char*>(request->uri->query_raw);
+  }
+  copy.headers = CopyHeaders(request->headers_in);
+  copy.body.resize(evbuffer_get_length(request->buffer_in));
+  evbuffer_copyout(request->buffer_in, copy.body.data(), copy.body.size());
+  return copy;
+}
+
+void HttpServer::Core::Dispatch(ExchangeId id, HttpServerFault fault) {
+  const auto found = this->exchanges.find(id);
+  if (found == this->exchanges.end()) {
+    return;
+  }
+  if (fault != HttpServerFault::kNone) {
+    this->AnswerFault(id, fault);
+    return;
+  }
+  if (!FromLibrary(found->second->method)) {
+    this->AnswerFault(id, HttpServerFault::kMethodNotAllowed);
+    return;
+  }
+  HttpServerRequest request = this->CopyRequest(found->second);
+  const RouteEntry* route =
+      this->FindRoute(request.method, request.path, &fault);
+  if (route == nullptr) {
+    this->AnswerFault(id, fault);
+    return;
+  }
+  // A copy: the handler may add routes or destroy the server.
+  const Handler handler = route->handler;
+  handler(std::move(request),
+          HttpResponder(std::make_shared<HttpResponder::Pending>(
+              this->weak_from_this(), id)));
+}
+
+const HttpServer::Core::RouteEntry* HttpServer::Core::FindRoute(
+    HttpMethod method,
+    const std::string& path,
+    HttpServerFault* fault) const {
+  const RouteEntry* best = nullptr;
+  *fault = HttpServerFault::kNotFound;
+  for (const RouteEntry& route : this->routes) {
+    const bool matches = route.path.ends_with('/')
+                             ? path.starts_with(route.path)
+                             : path == route.path;
+    if (!matches) {
+      continue;
+    }
+    if (route.method != method) {
+      *fault = HttpServerFault::kMethodNotAllowed;
+      continue;
+    }
+    if (best == nullptr || route.path.size() > best->path.size()) {
+      best = &route;
+    }
+  }
+  return best;
+}
+
+void HttpServer::Core::Answer(ExchangeId id, const HttpServerAnswer& answer) {
+  const auto found = this->exchanges.find(id);
+  if (found == this->exchanges.end()) {
+    return;
+  }
+  evhtp_request_t* request = found->second;
+  Connection* connection = this->Find(request->conn);
+  this->exchanges.erase(found);
+  for (const HttpHeader& header : answer.headers) {
+    if (!HasLineBreak(header)) {
+      AddHeader(request, header.name, header.value);
+    }
+  }
+  const bool has_length = answer.status != 204 && answer.status != 304;
+  if (has_length) {
+    AddHeader(request, "Content-Length", std::to_string(answer.body.size()));
+  }
+  if (has_length && request->method != htp_method_HEAD) {
+    evbuffer_add(request->buffer_out, answer.body.data(), answer.body.size());
+  }
+  const bool end_connection =
+      this->stopping || connection->fault != HttpServerFault::kNone;
+  const bool client_left = (evhtp_connection_get_flags(request->conn) &
+                            EVHTP_CONN_FLAG_FREE_CONN) != 0;
+  *connection = Connection{.idle_since = this->loop->Now()};
+  if (end_connection) {
+    // evhtp_request_set_keepalive() only sets the flag, it never clears it.
+    // Without the flag libevhtp adds "Connection: close".
+    evhtp_request_disable_flag(request, EVHTP_REQ_FLAG_KEEPALIVE);
+    if (!client_left) {
+      // After evhtp_request_resume() libevhtp would not close the connection.
+      evhtp_connection_disable_flag(request->conn, EVHTP_CONN_FLAG_PAUSED);
+      evhtp_send_reply(request, static_cast<evhtp_res>(answer.status));
+      return;
+    }
+  }
+  evhtp_send_reply(request, static_cast<evhtp_res>(answer.status));
+  evhtp_request_resume(request);
+}
+
+void HttpServer::Core::AnswerFault(ExchangeId id, HttpServerFault fault) {
+  HttpServerAnswer answer;
+  if (this->options.format_fault) {
+    answer = this->options.format_fault(fault);
+  }
+  answer.status = FaultStatus(fault);
+  this->Answer(id, answer);
+}
+
+void HttpServer::Core::CloseListener() {
+  if (this->library != nullptr && this->library->server != nullptr) {
+    evhtp_unbind_socket(this->library);
+  }
+}
+
+void HttpServer::Core::Stop(Duration limit, StopCallback callback) {
+  this->stopping = true;
+  this->on_stopped = std::move(callback);
+  this->stop_end = this->loop->Now() + limit;
+  // The loop gets one check interval to accept what waits in the backlog:
+  // closing the listener resets connections that were not accepted.
+  this->stop_timer =
+      this->loop->After(kStopCheckInterval, [this] { this->CheckStop(); });
+}
+
+void HttpServer::Core::CheckStop() {
+  this->CloseListener();
+  this->CloseIdle();
+  if (this->connections.empty()) {
+    this->FinishStop(0);
+    return;
+  }
+  if (this->loop->Now() >= *this->stop_end) {
+    this->FinishStop(this->OpenRequests());
+    return;
+  }
+  this->stop_timer =
+      this->loop->After(kStopCheckInterval, [this] { this->CheckStop(); });
+}
+
+void HttpServer::Core::CloseIdle() {
+  const Instant oldest = this->loop->Now() - this->options.idle_grace;
+  std::vector<evhtp_connection_t*> idle;
+  for (const auto& [connection, state] : this->connections) {
+    const bool in_transit =
+        evbuffer_get_length(bufferevent_get_input(connection->bev)) > 0 ||
+        evbuffer_get_length(bufferevent_get_output(connection->bev)) > 0;
+    if (!state.receiving && !in_transit && state.idle_since <= oldest) {
+      idle.push_back(connection);
+    }
+  }
+  for (evhtp_connection_t* connection : idle) {
+    evhtp_connection_free(connection);
+  }
+}
+
+void HttpServer::Core::FinishStop(std::size_t cut_requests) {
+  while (!this->connections.empty()) {
+    evhtp_connection_free(this->connections.begin()->first);
+  }
+  // The callback may destroy the server.
+  const StopCallback callback = std::move(this->on_stopped);
+  callback({.cut_requests = cut_requests});
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] HttpServer
+//-----------------------------------------------------------------------------
+
+void HttpResponder::Send(const HttpServerAnswer& answer) const {
+  this->pending->Send(answer);
+}
+
+Result<std::unique_ptr<HttpServer>> HttpServer::Create(
+    EventLoop* loop,
+    HttpServerOptions options) {
+  const std::string peer = options.address + ":" + std::to_string(options.port);
+  auto core = std::make_shared<Core>(loop, std::move(options));
+  if (!core->Listen()) {
+    return MakeError(ErrorCode::kUnavailable, "listen", peer,
+                     "cannot listen on the address");
+  }
+  return std::unique_ptr<HttpServer>(new HttpServer(std::move(core)));
+}
+
+HttpServer::HttpServer(std::shared_ptr<Core> core) : core(std::move(core)) {}
+
+HttpServer::~HttpServer() {
+  this->core->Shutdown();
+}
+
+void HttpServer::Route(HttpMethod method, std::string path, Handler handler) {
+  this->core->AddRoute(method, std::move(path), std::move(handler));
+}
+
+void HttpServer::Stop(Duration limit, StopCallback callback) {
+  this->core->Stop(limit, std::move(callback));
+}
+
+std::uint16_t HttpServer::Port() const {
+  return this->core->Port();
+}
+
+std::size_t HttpServer::OpenConnections() const {
+  return this->core->OpenConnections();
+}
+
+std::size_t HttpServer::OpenRequests() const {
+  return this->core->OpenRequests();
+}
+
+}  // namespace peridot
--- /dev/null
+++ b/tests/http_server_test.cc
@@ -0,0 +1,342 @@
+// Tests of the HTTP server over loopback sockets.
+
+#include <catch2/catch.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "src/transport/event_loop.h"
+#include "src/transport/http_client.h"
+#include "src/transport/http_server.h"
+#include "tests/support/raw_server.h"
+
+namespace peridot {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::kAwaitLimit;
+using testing::RawClient;
+
+// One loop and one server that echoes POST /echo and holds GET /hold.
+struct Fixture {
+  SystemClock clock;
+  std::unique_ptr<EventLoop> loop = EventLoop::Create(clock).value();
+  std::unique_ptr<HttpServer> server;
+  std::vector<HttpServerRequest> requests;
+  std::vector<HttpResponder> held;
+  std::optional<HttpStopReport> stopped;
+
+  explicit Fixture(HttpServerOptions options = {}) {
+    this->server = HttpServer::Create(this->loop.get(), options).value();
+    this->server->Route(
+        HttpMethod::kPost, "/echo",
+        [this](HttpServerRequest request, HttpResponder r) {
+          r.Send({.headers = {{"X-Kind", "echo"}}, .body = request.body});
+          this->requests.push_back(std::move(request));
+        });
+    this->server->Route(HttpMethod::kGet, "/hold",
+                        [this](HttpServerRequest, HttpResponder r) {
+                          this->held.push_back(std::move(r));
+                        });
+  }
+
+  bool Await(const std::function<bool()>& done) {
+    return this->loop->RunUntil(done, kAwaitLimit);
+  }
+  bool AwaitText(const RawClient& client, const std::string& text) {
+    return this->Await(
+        [&] { return client.Received().find(text) != std::string::npos; });
+  }
+  void Stop(Duration limit = kAwaitLimit) {
+    this->server->Stop(limit, [this](HttpStopReport r) { this->stopped = r; });
+  }
+};
+
+std::string Echo(const std::string& body) {
+  return "POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+const char kHold[] = "GET /hold HTTP/1.1\r\nHost: x\r\n\r\n";
+
+//-----------------------------------------------------------------------------
+// [SECTION] Routes and answers
+//-----------------------------------------------------------------------------
+
+TEST_CASE("a request reaches its handler whole", "[http_server]") {
+  Fixture f;
+  RawClient client(f.loop.get(), f.server->Port());
+  client.Write("POST /echo?a=1&b HTTP/1.1\r\nPeridot-Attempt: a7\r\n");
+  client.Write("Content-Length: 4\r\n\r\nbo");
+  client.Write("dy");
+  REQUIRE(f.AwaitText(client, "\r\n\r\nbody"));
+  REQUIRE(client.Received().starts_with("HTTP/1.1 200 OK\r\n"));
+  REQUIRE(f.requests[0].path == "/echo");
+  REQUIRE(f.requests[0].query == "a=1&b");
+  REQUIRE(FindHeader(f.requests[0].headers, "peridot-attempt") == "a7");
+}
+
+TEST_CASE("a chunked body is put together", "[http_server]") {
+  Fixture f;
+  RawClient client(f.loop.get(), f.server->Port());
+  client.Write("POST /echo HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+  client.Write("3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+  REQUIRE(f.AwaitText(client, "\r\n\r\nabcde"));
+}
+
+TEST_CASE("requests in a row on one connection are answered in order",
+          "[http_server]") {
+  Fixture f;
+  RawClient client(f.loop.get(), f.server->Port());
+  client.Write(Echo("one") + Echo("two") + Echo("three"));
+  REQUIRE(f.AwaitText(client, "\r\n\r\nthree"));
+  const std::string all = client.Received();
+  REQUIRE(all.find("\r\n\r\none") < all.find("\r\n\r\ntwo"));
+  REQUIRE(f.server->OpenConnections() == 1);
+}
+
+TEST_CASE("unknown paths and methods are refused", "[http_server]") {
+  Fixture f;
+  RawClient path(f.loop.get(), f.server->Port());
+  path.Write("GET /other HTTP/1.1\r\n\r\n");
+  REQUIRE(f.AwaitText(path, "HTTP/1.1 404 "));
+  RawClient method(f.loop.get(), f.server->Port());
+  method.Write("GET /echo HTTP/1.1\r\n\r\n");
+  REQUIRE(f.AwaitText(method, "HTTP/1.1 405 "));
+  RawClient unsupported(f.loop.get(), f.server->Port());
+  unsupported.Write("PATCH /echo HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+  REQUIRE(f.AwaitText(unsupported, "HTTP/1.1 405 "));
+}
+
+TEST_CASE("the longest matching prefix wins", "[http_server]") {
+  Fixture f;
+  for (const char* path : {"/v1/", "/v1/tasks/", "/v1/tasks/exact"}) {
+    f.server->Route(HttpMethod::kGet, path,
+                    [path](const HttpServerRequest&, const HttpResponder& r) {
+                      r.Send({.body = std::string("by ") + path + "."});
+                    });
+  }
+  RawClient client(f.loop.get(), f.server->Port());
+  client.Write("GET /v1/tasks/t1 HTTP/1.1\r\n\r\n");
+  REQUIRE(f.AwaitText(client, "by /v1/tasks/."));
+  client.Write("GET /v1/tasks/exact HTTP/1.1\r\n\r\n");
+  REQUIRE(f.AwaitText(client, "by /v1/tasks/exact."));
+  client.Write("GET /v1/x HTTP/1.1\r\n\r\n");
+  REQUIRE(f.AwaitText(client, "by /v1/."));
+}
+
+TEST_CASE("an answer can be sent later and only once", "[http_server]") {
+  Fixture f;
+  RawClient client(f.loop.get(), f.server->Port());
+  client.Write(kHold);
+  REQUIRE(f.Await([&] { return f.held.size() == 1; }));
+  REQUIRE(f.server->OpenRequests() == 1);
+  f.held[0].Send({.body = "first"});
+  f.held[0].Send({.body = "second"});
+  REQUIRE(f.AwaitText(client, "first"));
+  client.Write(Echo("more"));
+  REQUIRE(f.AwaitText(client, "more"));
+  REQUIRE(client.Received().find("second") == std::string::npos);
+}
+
+TEST_CASE("a dropped responder answers 500", "[http_server]") {
+  // Guards against a client that waits for ever after a handler's defect.
+  Fixture f;
+  RawClient client(f.loop.get(), f.server->Port());
+  client.Write(kHold);
+  REQUIRE(f.Await([&] { return f.held.size() == 1; }));
+  f.held.clear();
+  REQUIRE(f.AwaitText(client, "HTTP/1.1 500 "));
+}
+
+TEST_CASE("an answer to a client that has left does nothing", "[http_server]") {
+  Fixture f;
+  auto client = std::make_unique<RawClient>(f.loop.get(), f.server->Port());
+  client->Write(kHold);
+  REQUIRE(f.Await([&] { return f.held.size() == 1; }));
+  client.reset();
+  f.loop->RunUntil([] { return false; }, milliseconds(20));
+  f.held[0].Send({.body = "late"});
+  REQUIRE(f.Await([&] { return f.server->OpenConnections() == 0; }));
+}
+
+TEST_CASE("a responder may outlive the server", "[http_server]") {
+  Fixture f;
+  RawClient client(f.loop.get(), f.server->Port());
+  client.Write(kHold);
+  REQUIRE(f.Await([&] { return f.held.size() == 1; }));
+  f.server.reset();
+  f.held[0].Send({.body = "late"});
+  REQUIRE(f.Await([&] { return client.Closed(); }));
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Bad input
+//-----------------------------------------------------------------------------
+
+TEST_CASE("an oversized body gets 413 and its connection ends",
+          "[http_server]") {
+  Fixture f({.max_body = 100});
+  RawClient client(f.loop.get(), f.server->Port());
+  client.Write(Echo(std::string(101, 'x')));
+  REQUIRE(f.AwaitText(client, "HTTP/1.1 413 "));
+  REQUIRE(f.Await([&] { return client.Closed(); }));
+  REQUIRE(f.requests.empty());
+}
+
+TEST_CASE("a body far above the limit is not read to its end",
+          "[http_server]") {
+  Fixture f({.max_body = 100});
+  RawClient client(f.loop.get(), f.server->Port());
+  client.Write("POST /echo HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n");
+  client.Write(std::string(100'000, 'x'));
+  REQUIRE(f.Await([&] { return client.Closed(); }));
+  REQUIRE(f.Await([&] { return f.server->OpenConnections() == 0; }));
+  REQUIRE(f.requests.empty());
+}
+
+TEST_CASE("an oversized header section is refused", "[http_server]") {
+  Fixture f({.max_header = 100});
+  RawClient some(f.loop.get(), f.server->Port());
+  some.Write("GET /hold HTTP/1.1\r\nX: " + std::string(150, 'x') + "\r\n\r\n");
+  REQUIRE(f.AwaitText(some, "HTTP/1.1 431 "));
+  RawClient many(f.loop.get(), f.server->Port());
+  many.Write("GET /hold HTTP/1.1\r\n");
+  for (int i = 0; i < 1000; ++i) {
+    many.Write("X: " + std::string(150, 'x') + "\r\n");
+  }
+  REQUIRE(f.Await([&] { return many.Closed(); }));
+  REQUIRE(f.held.empty());
+}
+
+TEST_CASE("two lengths in one request are refused", "[http_server]") {
+  // Guards against a body whose end the load balancer sees elsewhere.
+  Fixture f;
+  RawClient client(f.loop.get(), f.server->Port());
+  client.Write(
+      "POST /echo HTTP/1.1\r\nContent-Length: 3\r\n"
+      "Content-Length: 3\r\n\r\nabc");
+  REQUIRE(f.Await([&] { return client.Closed(); }));
+  REQUIRE(client.Received().find("200") == std::string::npos);
+  REQUIRE(f.requests.empty());
+}
+
+TEST_CASE("bytes that are not HTTP end the connection", "[http_server]") {
+  Fixture f;
+  RawClient client(f.loop.get(), f.server->Port());
+  client.Write(std::string("\x00\x01\x02 nonsense\r\n\r\n", 16));
+  REQUIRE(f.Await([&] { return client.Closed(); }));
+}
+
+TEST_CASE("a client that leaves early frees its connection", "[http_server]") {
+  // Guards against descriptors kept for ever after an ignored end of file.
+  Fixture f;
+  for (int i = 0; i < 20; ++i) {
+    RawClient idle(f.loop.get(), f.server->Port());
+    RawClient partial(f.loop.get(), f.server->Port());
+    partial.Write("POST /echo HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc");
+    REQUIRE(f.Await([&] { return f.server->OpenConnections() == 2; }));
+    errno = EAGAIN;
+  }
+  REQUIRE(f.Await([&] { return f.server->OpenConnections() == 0; }));
+  REQUIRE(f.server->OpenRequests() == 0);
+}
+
+TEST_CASE("connections beyond the cap are closed", "[http_server]") {
+  Fixture f({.max_connections = 1});
+  RawClient first(f.loop.get(), f.server->Port());
+  first.Write(kHold);
+  REQUIRE(f.Await([&] { return f.held.size() == 1; }));
+  RawClient second(f.loop.get(), f.server->Port());
+  REQUIRE(f.Await([&] { return second.Closed(); }));
+  REQUIRE(f.server->OpenConnections() == 1);
+}
+
+TEST_CASE("a port in use is reported", "[http_server]") {
+  Fixture f;
+  auto second = HttpServer::Create(f.loop.get(), {.port = f.server->Port()});
+  REQUIRE(second.has_error());
+  REQUIRE(second.error().step == "listen");
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Graceful stop
+//-----------------------------------------------------------------------------
+
+TEST_CASE("a stop finishes open requests and then reports", "[http_server]") {
+  // Guards I10: a planned stop cuts no request.
+  Fixture f({.idle_grace = milliseconds(20)});
+  RawClient held(f.loop.get(), f.server->Port());
+  held.Write(kHold);
+  RawClient partial(f.loop.get(), f.server->Port());
+  partial.Write("POST /echo HTTP/1.1\r\nContent-Length: 4\r\n\r\nbo");
+  RawClient idle(f.loop.get(), f.server->Port());
+  REQUIRE(f.Await(
+      [&] { return f.held.size() == 1 && f.server->OpenConnections() == 3; }));
+
+  f.Stop();
+  REQUIRE(f.Await([&] { return idle.Closed(); }));
+  REQUIRE_FALSE(f.stopped);
+  RawClient refused(f.loop.get(), f.server->Port());
+  REQUIRE(f.Await([&] { return refused.Closed(); }));
+  REQUIRE_FALSE(refused.Connected());
+
+  partial.Write("dy");
+  f.held[0].Send({.body = "done"});
+  REQUIRE(f.Await([&] { return f.stopped.has_value(); }));
+  REQUIRE(f.stopped->cut_requests == 0);
+  REQUIRE(f.AwaitText(held, "done"));
+  REQUIRE(f.AwaitText(held, "Connection: close"));
+  REQUIRE(f.AwaitText(partial, "\r\n\r\nbody"));
+}
+
+TEST_CASE("a request that arrives during the stop is answered",
+          "[http_server]") {
+  Fixture f({.idle_grace = kAwaitLimit});
+  RawClient client(f.loop.get(), f.server->Port());
+  client.Write(Echo("one"));
+  REQUIRE(f.AwaitText(client, "\r\n\r\none"));
+  f.Stop();
+  client.Write(Echo("two"));
+  REQUIRE(f.AwaitText(client, "\r\n\r\ntwo"));
+  REQUIRE(f.Await([&] { return f.stopped.has_value(); }));
+  REQUIRE(f.stopped->cut_requests == 0);
+}
+
+TEST_CASE("a stop that exceeds its limit says what it cut", "[http_server]") {
+  Fixture f;
+  RawClient client(f.loop.get(), f.server->Port());
+  client.Write(kHold);
+  REQUIRE(f.Await([&] { return f.held.size() == 1; }));
+  f.Stop(milliseconds(20));
+  REQUIRE(f.Await([&] { return f.stopped.has_value(); }));
+  REQUIRE(f.stopped->cut_requests == 1);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] With the client
+//-----------------------------------------------------------------------------
+
+TEST_CASE("client and server exchange many requests on one loop",
+          "[http_server]") {
+  Fixture f;
+  HttpClient client(f.loop.get(), {.max_connections_per_peer = 4});
+  const HttpPeer peer{"127.0.0.1", f.server->Port()};
+  int matched = 0;
+  for (int i = 0; i < 500; ++i) {
+    HttpRequest request;
+    request.method = HttpMethod::kPost;
+    request.path = "/echo";
+    request.body = std::to_string(i);
+    request.timeout = kAwaitLimit;
+    client.Send(peer, request, [&matched, i](const HttpOutcome& outcome) {
+      matched += outcome.body == std::to_string(i) ? 1 : 0;
+    });
+  }
+  REQUIRE(f.Await([&] { return matched == 500; }));
+  REQUIRE(f.server->OpenConnections() == 4);
+}
+
+}  // namespace
+}  // namespace peridot
