Drop the log level that the logger does not have

Cause: two enums named LogLevel in one namespace. Ruled out: mapping one to the other; the logger has no trace level. Change: the daemon's configuration uses the logger's levels. Conclusion: one enum.

--- /dev/null
+++ b/src/daemon/admin_api.h
@@ -0,0 +1,80 @@
+// Operators' requests: settings, keys, zones, hosts and status.
+//
+// Index:
+//   [SECTION] AdminApi
+//
+// Every request needs an operators' key: the one of the daemon's configuration
+// or a key of the reserved team for operators.
+
+#ifndef SRC_DAEMON_ADMIN_API_H_
+#define SRC_DAEMON_ADMIN_API_H_
+
+#include <functional>
+#include <string>
+
+#include "src/daemon/daemon_config.h"
+#include "src/daemon/dispatch_task.h"
+#include "src/daemon/permit_task.h"
+#include "src/daemon/settings_task.h"
+#include "src/protocol/problem.h"
+#include "src/transport/event_loop.h"
+#include "src/transport/http_server.h"
+
+namespace peridot {
+
+//-----------------------------------------------------------------------------
+// [SECTION] AdminApi
+//-----------------------------------------------------------------------------
+
+// Not thread-safe: lives on the loop's thread.
+class AdminApi {
+ public:
+  AdminApi(EventLoop* loop,
+           HttpServer* server,
+           SettingsTask* settings,
+           const PermitTask* permits,
+           const DispatchTask* dispatch,
+           const DaemonConfig* config);
+
+ private:
+  using Handler =
+      std::function<void(const HttpServerRequest&, const HttpResponder&)>;
+  using Edit = std::function<Result<void>(SettingsDocument*)>;
+
+  void Route(HttpServer* server,
+             HttpMethod method,
+             std::string path,
+             Handler handler);
+  bool IsOperator(const HttpServerRequest& request) const;
+  void GetSettings(const HttpResponder& responder);
+  void PutSettings(const HttpServerRequest& request,
+                   const HttpResponder& responder);
+  void Explain(const HttpServerRequest& request,
+               const HttpResponder& responder);
+  void GrantKey(const HttpServerRequest& request,
+                const HttpResponder& responder);
+  void WithdrawKey(const HttpServerRequest& request,
+                   const HttpResponder& responder);
+  void PutZone(const HttpServerRequest& request,
+               const HttpResponder& responder);
+  void GetStatus(const HttpResponder& responder);
+  void GetHosts(const HttpResponder& responder);
+  void GetPools(const HttpResponder& responder);
+  // Applies an edit to the adopted settings and writes the result.
+  void Change(const Edit& edit,
+              std::function<void(const ChangeAnswer&)> done,
+              const HttpResponder& responder);
+  void AnswerChange(const ChangeAnswer& answer,
+                    Revision base,
+                    const HttpResponder& responder);
+
+  EventLoop* loop;
+  SettingsTask* settings;
+  const PermitTask* permits;
+  const DispatchTask* dispatch;
+  const DaemonConfig* config;
+};
+
+}  // namespace peridot
+
+#endif  // SRC_DAEMON_ADMIN_API_H_
--- a/src/daemon/daemon_config.cc
+++ b/src/daemon/daemon_config.cc
@@ -14,7 +14,7 @@
 namespace peridot {
 namespace {
 
-constexpr std::array<const char*, 5> kLogLevelNames = {"trace", "debug", "info",
+constexpr std::array<const char*, 4> kLogLevelNames = {"debug", "info",
                                                        "warn", "error"};
 
 // Each function sets a field from its text and returns whether it could.
@@ -89,7 +89,7 @@
      [](const std::string& text, DaemonConfig& config) {
        return ReadDigest(text, config.admin_key_digest);
      }},
-    {"log_level", "one of trace, debug, info, warn, error", false,
+    {"log_level", "one of debug, info, warn, error", false,
      [](const std::string& text, DaemonConfig& config) {
        return ReadLogLevel(text, config.log_level);
      }},
--- a/src/daemon/daemon_config.h
+++ b/src/daemon/daemon_config.h
@@ -26,6 +26,7 @@
 #include "src/state/error.h"
 #include "src/state/ids.h"
 #include "src/state/team_keys.h"
+#include "src/transport/log.h"
 
 namespace peridot {
 
@@ -33,8 +34,6 @@
 // [SECTION] Configuration
 //-----------------------------------------------------------------------------
 
-enum class LogLevel { kTrace, kDebug, kInfo, kWarn, kError };
-
 // The example takes 300 bytes; a larger file is not a configuration.
 inline constexpr std::size_t kMaxDaemonConfigBytes = 64UL * 1024UL;
 
--- a/src/daemon/dispatch_task.cc
+++ b/src/daemon/dispatch_task.cc
@@ -224,7 +224,7 @@
   EndpointLease& lease = this->dispatcher->LeaseOf(id);
   const LeaseTick tick = lease.OnTick(now);
   if (tick.replace_connection) {
-    LogEvent(LogLevel::kWarn, "connection_replaced",
+    LogEvent(LogLevel::kWarning, "connection_replaced",
              {{"peer", id.value}, {"reason", "silent"}});
     this->endpoint_client->ReplaceConnections(id);
   }
@@ -497,7 +497,7 @@
     const bool outcome = use == SlotUse::kSucceeded || use == SlotUse::kFailed;
     if (outcome && this->outliers.OnOutcome(returned->endpoint,
                                             use == SlotUse::kSucceeded, now)) {
-      LogEvent(LogLevel::kWarn, "endpoint_health_changed",
+      LogEvent(LogLevel::kWarning, "endpoint_health_changed",
                {{"peer", returned->endpoint.value},
                 {"healthy", this->outliers.Health(returned->endpoint) ==
                                     EndpointHealth::kHealthy
--- a/src/daemon/permit_task.cc
+++ b/src/daemon/permit_task.cc
@@ -133,7 +133,7 @@
   const auto message = DecodePermitMessage(envelope);
   if (!message) {
     LogEvent(
-        LogLevel::kWarn, "peer_message_malformed",
+        LogLevel::kWarning, "peer_message_malformed",
         {{"peer", envelope.sender()}, {"reason", message.error().message}});
     return;
   }
--- a/src/daemon/settings_task.cc
+++ b/src/daemon/settings_task.cc
@@ -73,7 +73,7 @@
           this->loop->After(kRegisterRetry, [this] { this->Register(); });
         };
         if (!rows) {
-          LogEvent(LogLevel::kWarn, "registration_failed",
+          LogEvent(LogLevel::kWarning, "registration_failed",
                    {{"step", rows.error().step},
                     {"peer", rows.error().peer},
                     {"reason", rows.error().message}});
--- a/tests/daemon_config_test.cc
+++ b/tests/daemon_config_test.cc
@@ -63,8 +63,7 @@
           "d.yaml:6: membership: expected an IP number and a port, as in "
           "127.0.0.1:7000 or [::1]:7000\n"
           "d.yaml:7: admin_key_digest: expected 64 hexadecimal digits\n"
-          "d.yaml:8: log_level: expected one of trace, debug, info, warn, "
-          "error\n"
+          "d.yaml:8: log_level: expected one of debug, info, warn, error\n"
           "d.yaml:9: port: expected one of daemon, zone, listen, peer_listen, "
           "table, objects, membership, admin_key_digest, log_level\n"
           "d.yaml:10: daemon: expected a key once; it is also on line 1");
