Keep a team's credit so that its share holds over time

Ruled out: sums of all owners' usage in each decision. All owners would act on the same late sum at once and overshoot together. Also ruled out: ending a credit as soon as no demand is seen; a short queue looks empty between two messages. Change: SlotAllocator::OnTick() adds up what a backlogged team got too little or too much and the next picks make it good within a second. Conclusion: the share holds at each owner and so over the fleet.

--- /dev/null
+++ b/bench/fairness_bench.cc
@@ -0,0 +1,409 @@
+// How near each team comes to its weighted max-min share under turning demand.
+//
+// bench_fairness [--seed N] [--seconds N]
+//
+// 9 daemons in 3 zones divide the slots of 30 workers; 6 teams, one far larger
+// than the rest; every queue in turn asks for five times its mean for 10 s and
+// for a twentieth in between. Run times differ by up to 4 times from the
+// declared ones. The naive version is one FIFO per owner.
+
+#include <algorithm>
+#include <boost/program_options.hpp>
+#include <chrono>
+#include <cmath>
+#include <cstdint>
+#include <cstdio>
+#include <deque>
+#include <iostream>
+#include <map>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "src/coordination/slot_allocator.h"
+#include "src/coordination/slot_ledger.h"
+#include "tests/support/event_schedule.h"
+#include "tests/support/result_line.h"
+
+namespace peridot {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::Better;
+using testing::EventSchedule;
+using testing::PrintResult;
+
+constexpr int kDaemons = 9;
+constexpr int kWorkers = 30;
+constexpr int kSlots = 8;
+constexpr int kCapacity = kWorkers * kSlots;
+constexpr int kTeams = 6;
+constexpr std::int64_t kShares[kTeams] = {10, 2, 1, 1, 1, 1};
+constexpr Duration kDeclared = milliseconds(400);
+constexpr Duration kPhase = seconds(10);
+constexpr Duration kWindow = seconds(5);
+constexpr Duration kStep = milliseconds(20);
+constexpr Duration kOneWay = std::chrono::microseconds(1'400);
+constexpr Duration kDemandSpacing = milliseconds(5);  // as DispatchConfig
+constexpr double kLoad = 0.85;  // mean demand as a part of the capacity
+const PoolId kPool("pool");
+
+std::string TeamName(int team) {
+  return "t" + std::to_string(team);
+}
+
+// The division that one owner makes: weighted max-min, or first come first
+// served over all teams.
+struct Waiting {
+  int team = 0;
+  Instant since{};
+  Duration run{};
+};
+
+struct Daemon {
+  SlotLedger ledger;
+  SlotAllocator allocator;
+  std::vector<std::deque<Waiting>> queues{kTeams};
+  bool demand_due[kTeams] = {};
+};
+
+struct Measure {
+  double shortfall = 0;
+  double idle = 0;
+  std::vector<double> urgent_waits_ms;
+};
+
+class Fleet {
+ public:
+  Fleet(std::uint64_t seed, bool naive, Duration length)
+      : naive(naive), length(length), schedule(seed), daemons(kDaemons) {
+    this->schedule.RunUntil(Instant{} + seconds(1));
+    for (int worker = 0; worker < kWorkers; ++worker) {
+      Daemon& owner =
+          this->daemons[static_cast<std::size_t>(worker % kDaemons)];
+      const EndpointId id("w" + std::to_string(worker));
+      owner.ledger.OnEndpoint(id, kPool, ZoneId("z"), SlotCount(kSlots));
+      owner.ledger.SetUsable(id, true);
+    }
+  }
+
+  Measure Run() {
+    this->start = this->schedule.Now();
+    this->Step();
+    for (int team = 0; team < kTeams; ++team) {
+      this->Arrive(team);
+    }
+    this->schedule.RunUntil(this->start + this->length);
+    this->measure.idle =
+        this->idle_slot_time /
+        (static_cast<double>(kCapacity) * static_cast<double>(this->steps));
+    return this->measure;
+  }
+
+ private:
+  // Mean tasks a second of a team, and its demand now: each in its turn asks
+  // for five times its mean, a twentieth in between.
+  double RateNow(int team) const {
+    std::int64_t total = 0;
+    for (const std::int64_t share : kShares) {
+      total += share;
+    }
+    const double mean_run_s = 0.4 * kMeanRunFactor;
+    const double mean = kLoad * kCapacity / mean_run_s *
+                        static_cast<double>(kShares[team]) /
+                        static_cast<double>(total);
+    const auto phase = (this->schedule.Now() - this->start) / kPhase;
+    const bool peak = phase % kTeams == team;
+    return mean * (peak ? 5.0 : 0.05);
+  }
+
+  void Arrive(int team) {
+    const double rate = this->RateNow(team);
+    const double gap_s = -std::log(this->Uniform()) / rate;
+    const Duration gap = std::min<Duration>(
+        Duration(static_cast<std::int64_t>(gap_s * 1e9)), milliseconds(200));
+    if (gap < milliseconds(200)) {
+      const auto daemon =
+          static_cast<std::size_t>(this->schedule.Random(0, kDaemons - 1));
+      this->daemons[daemon].queues[static_cast<std::size_t>(team)].push_back(
+          {team, this->schedule.Now(), this->RunTime()});
+      ++this->backlog[team];
+      this->DemandChanged(static_cast<int>(daemon), team);
+    }
+    this->schedule.After(gap, EventSchedule::kNoNode,
+                         [this, team] { this->Arrive(team); });
+  }
+
+  // Between a quarter of the declared run time and four times it.
+  Duration RunTime() {
+    const double factor = std::exp2(4.0 * this->Uniform() - 2.0);
+    return Duration(static_cast<std::int64_t>(
+        factor * static_cast<double>(kDeclared.count())));
+  }
+
+  double Uniform() {
+    return (static_cast<double>(this->schedule.Random(1, 1'000'000))) / 1e6;
+  }
+
+  void Step() {
+    const Instant now = this->schedule.Now();
+    for (int d = 0; d < kDaemons; ++d) {
+      for (int team = 0; team < kTeams; ++team) {
+        this->SendDemand(d, team);
+      }
+    }
+    for (Daemon& owner : this->daemons) {
+      owner.allocator.OnTick(owner.ledger.UsableSlots(kPool), now);
+      this->Lend(&owner);
+    }
+    this->Account();
+    this->schedule.After(kStep, EventSchedule::kNoNode,
+                         [this] { this->Step(); });
+  }
+
+  // Changes within the spacing go out as one message.
+  void DemandChanged(int from, int team) {
+    bool& due = this->daemons[static_cast<std::size_t>(from)].demand_due[team];
+    if (std::exchange(due, true)) {
+      return;
+    }
+    this->schedule.After(kDemandSpacing, EventSchedule::kNoNode,
+                         [this, from, team, &due] {
+                           due = false;
+                           this->SendDemand(from, team);
+                         });
+  }
+
+  // Every daemon registers its demand with every owner.
+  void SendDemand(int from, int team) {
+    const Instant now = this->schedule.Now();
+    const auto& queue = this->daemons[static_cast<std::size_t>(from)]
+                            .queues[static_cast<std::size_t>(team)];
+    const SlotDemand demand{
+        .daemon = {DaemonId("d" + std::to_string(from)), Incarnation(1)},
+        .queue = QueueId(TeamName(team)),
+        .team = TeamId(TeamName(team)),
+        .share = Share(kShares[team]),
+        .waiting = static_cast<std::int64_t>(queue.size()),
+        .longest_wait =
+            queue.empty() ? Duration::zero() : now - queue.front().since};
+    for (Daemon& owner : this->daemons) {
+      this->schedule.After(this->WayTo(owner, from), EventSchedule::kNoNode,
+                           [this, &owner, demand] {
+                             owner.allocator.OnDemand(demand,
+                                                      this->schedule.Now());
+                             this->Lend(&owner);
+                           });
+    }
+  }
+
+  Duration WayTo(const Daemon& owner, int daemon) const {
+    return &owner == &this->daemons[static_cast<std::size_t>(daemon)]
+               ? Duration::zero()
+               : kOneWay;
+  }
+
+  void Lend(Daemon* owner) {
+    const Instant now = this->schedule.Now();
+    while (owner->ledger.HasFree(kPool)) {
+      if (this->naive) {
+        if (!this->LendOldest(owner)) {
+          return;
+        }
+        continue;
+      }
+      const auto pick = owner->allocator.Pick(now);
+      if (!pick) {
+        return;
+      }
+      const auto slot = owner->ledger.Take(kPool, pick->team, now);
+      const int from = pick->daemon.daemon.value.back() - '0';
+      const int team = pick->team.value.back() - '0';
+      this->schedule.After(this->WayTo(*owner, from), EventSchedule::kNoNode,
+                           [=, this, token = slot->token] {
+                             this->StartOrReturn(owner, token, from, team);
+                           });
+    }
+  }
+
+  bool LendOldest(Daemon* owner) {
+    int best_daemon = -1;
+    int best_team = -1;
+    Instant oldest = Instant::max();
+    for (int d = 0; d < kDaemons; ++d) {
+      for (int team = 0; team < kTeams; ++team) {
+        const auto& queue = this->daemons[static_cast<std::size_t>(d)]
+                                .queues[static_cast<std::size_t>(team)];
+        if (!queue.empty() && queue.front().since < oldest) {
+          oldest = queue.front().since;
+          best_daemon = d;
+          best_team = team;
+        }
+      }
+    }
+    if (best_daemon < 0) {
+      return false;
+    }
+    const auto slot = owner->ledger.Take(kPool, TeamId(TeamName(best_team)),
+                                         this->schedule.Now());
+    this->StartOrReturn(owner, slot->token, best_daemon, best_team);
+    return true;
+  }
+
+  void StartOrReturn(Daemon* owner, SlotToken token, int from, int team) {
+    auto& queue = this->daemons[static_cast<std::size_t>(from)]
+                      .queues[static_cast<std::size_t>(team)];
+    if (queue.empty()) {
+      return this->Return(owner, token);
+    }
+    const Waiting task = queue.front();
+    queue.pop_front();
+    --this->backlog[team];
+    ++this->running[team];
+    this->measure.urgent_waits_ms.push_back(
+        std::chrono::duration<double, std::milli>(this->schedule.Now() -
+                                                  task.since)
+            .count());
+    this->schedule.After(task.run, EventSchedule::kNoNode, [=, this] {
+      --this->running[team];
+      this->Return(owner, token);
+    });
+  }
+
+  void Return(Daemon* owner, SlotToken token) {
+    const auto returned =
+        owner->ledger.Return(token, false, this->schedule.Now());
+    owner->allocator.OnReleased(returned->team);
+    this->Lend(owner);
+  }
+
+  // Usage against the weighted max-min share of the teams' real demand.
+  void Account() {
+    std::int64_t used = 0;
+    std::int64_t waiting = 0;
+    for (int team = 0; team < kTeams; ++team) {
+      used += this->running[team];
+      waiting += this->backlog[team];
+    }
+    ++this->steps;
+    this->idle_slot_time +=
+        static_cast<double>(std::min<std::int64_t>(kCapacity - used, waiting));
+    const std::vector<double> fair = this->FairShares();
+    for (int team = 0; team < kTeams; ++team) {
+      this->window_usage[team] += static_cast<double>(this->running[team]);
+      this->window_fair[team] += fair[static_cast<std::size_t>(team)];
+      this->window_backlogged[team] =
+          this->window_backlogged[team] && this->backlog[team] > 0;
+    }
+    if (++this->window_steps * kStep >= kWindow) {
+      this->CloseWindow();
+    }
+  }
+
+  void CloseWindow() {
+    for (int team = 0; team < kTeams; ++team) {
+      if (this->window_backlogged[team] && this->window_fair[team] > 0) {
+        const double shortfall =
+            1.0 - this->window_usage[team] / this->window_fair[team];
+        this->measure.shortfall = std::max(this->measure.shortfall, shortfall);
+      }
+      this->window_usage[team] = 0;
+      this->window_fair[team] = 0;
+      this->window_backlogged[team] = true;
+    }
+    this->window_steps = 0;
+  }
+
+  // Water filling: demand is what runs and what waits.
+  std::vector<double> FairShares() const {
+    std::vector<double> fair(kTeams, 0);
+    std::vector<bool> done(kTeams, false);
+    double left = kCapacity;
+    for (;;) {
+      double weights = 0;
+      for (int team = 0; team < kTeams; ++team) {
+        weights += done[static_cast<std::size_t>(team)]
+                       ? 0
+                       : static_cast<double>(kShares[team]);
+      }
+      if (weights == 0) {
+        return fair;
+      }
+      bool limited = false;
+      for (int team = 0; team < kTeams; ++team) {
+        const auto i = static_cast<std::size_t>(team);
+        const double demand =
+            static_cast<double>(this->running[team] + this->backlog[team]);
+        if (!done[i] &&
+            demand <= left * static_cast<double>(kShares[team]) / weights) {
+          fair[i] = demand;
+          done[i] = true;
+          limited = true;
+        }
+      }
+      if (!limited) {
+        for (int team = 0; team < kTeams; ++team) {
+          const auto i = static_cast<std::size_t>(team);
+          if (!done[i]) {
+            fair[i] = left * static_cast<double>(kShares[team]) / weights;
+          }
+        }
+        return fair;
+      }
+      left = kCapacity;
+      for (int team = 0; team < kTeams; ++team) {
+        const auto i = static_cast<std::size_t>(team);
+        left -= done[i] ? fair[i] : 0;
+      }
+    }
+  }
+
+  // Mean of 2^x for x uniform in [-2, 2].
+  static constexpr double kMeanRunFactor = 1.3525;
+
+  bool naive;
+  Duration length;
+  EventSchedule schedule;
+  std::vector<Daemon> daemons;
+  Instant start{};
+  std::int64_t backlog[kTeams] = {};
+  std::int64_t running[kTeams] = {};
+  double window_usage[kTeams] = {};
+  double window_fair[kTeams] = {};
+  bool window_backlogged[kTeams] = {true, true, true, true, true, true};
+  std::int64_t window_steps = 0;
+  std::int64_t steps = 0;
+  double idle_slot_time = 0;
+  Measure measure;
+};
+
+void Run(std::uint64_t seed, std::int64_t length_s) {
+  std::printf(
+      "bench fairness seed=%llu daemons=%d workers=%d slots=%d "
+      "teams=%d seconds=%lld\n",
+      static_cast<unsigned long long>(seed), kDaemons, kWorkers, kSlots, kTeams,
+      static_cast<long long>(length_s));
+  const Measure ours = Fleet(seed, false, seconds(length_s)).Run();
+  const Measure naive = Fleet(seed, true, seconds(length_s)).Run();
+  PrintResult({"fairness", "shortfall", "fraction", ours.shortfall,
+               naive.shortfall, 0.03, Better::kLower});
+  PrintResult({"fairness", "idle", "fraction", ours.idle, naive.idle, 0.005,
+               Better::kLower});
+}
+
+}  // namespace
+}  // namespace peridot
+
+int main(int argc, char** argv) {
+  namespace po = boost::program_options;
+  po::options_description options("bench_fairness");
+  options.add_options()("seed", po::value<std::uint64_t>()->default_value(1))(
+      "seconds", po::value<std::int64_t>()->default_value(300));
+  po::variables_map values;
+  po::store(po::parse_command_line(argc, argv, options), values);
+  peridot::Run(values["seed"].as<std::uint64_t>(),
+               values["seconds"].as<std::int64_t>());
+  return 0;
+}
--- a/src/coordination/slot_allocator.cc
+++ b/src/coordination/slot_allocator.cc
@@ -4,19 +4,6 @@
 #include <utility>
 
 namespace peridot {
-namespace {
-
-// Whether a team with use_a slots and share_a is further below its share than
-// the other one, after receiving one more slot. Integers keep it exact.
-bool IsFurtherBelow(std::int64_t use_a,
-                    Share share_a,
-                    std::int64_t use_b,
-                    Share share_b) {
-  return (use_a + 1) * share_b.value < (use_b + 1) * share_a.value;
-}
-
-}  // namespace
-
 SlotAllocator::SlotAllocator(SlotAllocatorConfig config) : config(config) {}
 
 void SlotAllocator::OnDemand(const SlotDemand& demand, Instant now) {
@@ -52,16 +39,17 @@
 std::optional<SlotPick> SlotAllocator::Pick(Instant now) {
   Team* best_team = nullptr;
   Entry* best_entry = nullptr;
+  double best_deficit = 0;
   for (Team& team : this->teams) {
     Entry* entry = this->BestEntry(&team, now);
     if (entry == nullptr) {
       continue;
     }
-    if (best_team == nullptr ||
-        IsFurtherBelow(team.in_use, team.share, best_team->in_use,
-                       best_team->share)) {
+    const double deficit = this->Deficit(team);
+    if (best_team == nullptr || deficit > best_deficit) {
       best_team = &team;
       best_entry = entry;
+      best_deficit = deficit;
     }
   }
   if (best_team == nullptr) {
@@ -73,6 +61,28 @@
                   best_team->id};
 }
 
+void SlotAllocator::OnTick(std::int64_t slots, Instant now) {
+  const double step =
+      this->last_tick == Instant{}
+          ? 0
+          : std::chrono::duration<double>(now - this->last_tick).count();
+  this->last_tick = now;
+  const double time =
+      std::chrono::duration<double>(this->config.credit_time).count();
+  this->Divide(slots, now);
+  for (Team& team : this->teams) {
+    if (this->DemandOf(team, now) <= team.in_use) {
+      // It got all that it asked for. The credit fades instead of ending at
+      // once: between two messages of a daemon a short queue looks empty.
+      team.credit *= std::max(0.0, 1.0 - 4.0 * step / time);
+      continue;
+    }
+    const double bound = this->config.max_credit * time * team.fair;
+    team.credit += (team.fair - static_cast<double>(team.in_use)) * step;
+    team.credit = std::clamp(team.credit, -bound, bound);
+  }
+}
+
 void SlotAllocator::OnReleased(const TeamId& team) {
   Team& entry = this->TeamOf(team);
   entry.in_use = std::max<std::int64_t>(0, entry.in_use - 1);
@@ -92,6 +102,57 @@
       });
 }
 
+std::int64_t SlotAllocator::DemandOf(const Team& team, Instant now) const {
+  std::int64_t demand = team.in_use;
+  for (const Entry& entry : team.entries) {
+    demand += this->IsLive(entry, now) ? entry.demand.waiting : 0;
+  }
+  return demand;
+}
+
+// Water filling: teams that ask for less than their share get what they ask
+// for, the others divide the rest by weight.
+void SlotAllocator::Divide(std::int64_t slots, Instant now) {
+  for (Team& team : this->teams) {
+    team.fair = -1;
+  }
+  for (bool limited = true; limited;) {
+    limited = false;
+    double left = static_cast<double>(slots);
+    double weights = 0;
+    for (const Team& team : this->teams) {
+      left -= std::max(team.fair, 0.0);
+      weights += team.fair < 0 ? static_cast<double>(team.share.value) : 0;
+    }
+    for (Team& team : this->teams) {
+      const auto demand = static_cast<double>(this->DemandOf(team, now));
+      const double part =
+          left * static_cast<double>(team.share.value) / weights;
+      if (team.fair < 0 && demand <= part) {
+        team.fair = demand;
+        limited = true;
+      }
+    }
+    if (!limited) {
+      for (Team& team : this->teams) {
+        team.fair =
+            team.fair >= 0
+                ? team.fair
+                : left * static_cast<double>(team.share.value) / weights;
+      }
+    }
+  }
+}
+
+// How far the team stands below its share after one more slot, in units of its
+// weight. Without a tick it is plain weighted max-min.
+double SlotAllocator::Deficit(const Team& team) const {
+  const double time =
+      std::chrono::duration<double>(this->config.credit_time).count();
+  return (team.credit / time - static_cast<double>(team.in_use) - 1.0) /
+         static_cast<double>(team.share.value);
+}
+
 SlotAllocator::Team& SlotAllocator::TeamOf(const TeamId& id) {
   const auto [found, added] = this->index.try_emplace(id, this->teams.size());
   if (added) {
--- a/src/coordination/slot_allocator.h
+++ b/src/coordination/slot_allocator.h
@@ -11,6 +11,11 @@
 // max-min over teams, then by priority over the team's queues, then the longest
 // wait. No owner leaves a slot idle while any registered demand waits.
 //
+// An owner has few slots, so a team's share of them is rarely a whole number.
+// What a backlogged team got too little or too much is kept as its credit and
+// made good by the next picks, so that the share holds over time at each owner
+// and therefore over the fleet.
+//
 // Not thread-safe: one event loop owns each value.
 //
 // Known shortcoming: a slot is the only resource; processors, memory and
@@ -42,6 +47,12 @@
   // A rebuild that has waited this long is served like daily work, so that it
   // finishes under constant daily load.
   Duration ageing = std::chrono::minutes(10);  // default: 10 min
+  // Time in which a credit is made good. Shorter than the 5 s over which the
+  // share is measured, longer than most tasks.
+  Duration credit_time = std::chrono::seconds(1);  // default: 1 s
+  // Credit beyond this part of the team's share over credit_time is dropped, so
+  // that a team which could not be served for long does not shut out the rest.
+  double max_credit = 4;  // default: 4
 };
 
 //-----------------------------------------------------------------------------
@@ -80,6 +91,10 @@
   // Drops all demand of a daemon that left or was fenced.
   void OnDaemonGone(const DaemonId& daemon);
 
+  // Updates the credits. Call it about every 50 ms; slots is the number of
+  // usable slots that this owner divides.
+  void OnTick(std::int64_t slots, Instant now);
+
   // Chooses the demand that gets the next free slot, counts the slot as used by
   // its team and takes one task off the demand. Returns nothing if no demand
   // waits. Cost: linear in the number of teams with demand; no allocation
@@ -104,9 +119,14 @@
     TeamId id;
     Share share = Share(1);
     std::int64_t in_use = 0;
+    double fair = 0;    // slots; its share of this owner's
+    double credit = 0;  // slot-seconds owed to it
     std::vector<Entry> entries;
   };
 
+  std::int64_t DemandOf(const Team& team, Instant now) const;
+  void Divide(std::int64_t slots, Instant now);
+  double Deficit(const Team& team) const;
   Team& TeamOf(const TeamId& id);
   bool IsLive(const Entry& entry, Instant now) const;
   Entry* BestEntry(Team* team, Instant now) const;
@@ -114,6 +134,7 @@
 
   SlotAllocatorConfig config;
   std::vector<Team> teams;              // default: none
+  Instant last_tick{};                  // default: epoch
   std::map<TeamId, std::size_t> index;  // default: none; into teams
 };
 
--- a/src/coordination/slot_ledger.cc
+++ b/src/coordination/slot_ledger.cc
@@ -24,9 +24,11 @@
   if (found != this->index.end()) {
     const std::uint32_t entry = found->second;
     this->Remove(entry);
+    this->CountSlots(entry, -1);
     this->endpoints[entry].slots = static_cast<std::uint32_t>(slots.value);
     this->endpoints[entry].pool = this->PoolIndex(pool);
     this->endpoints[entry].zone = zone;
+    this->CountSlots(entry, 1);
     this->Insert(entry);
     return;
   }
@@ -53,6 +55,7 @@
   }
   const std::uint32_t entry = found->second;
   this->Remove(entry);
+  this->CountSlots(entry, -1);
   while (this->endpoints[entry].first_token != kNone) {
     const std::uint32_t token = this->endpoints[entry].first_token;
     ended.push_back(std::move(this->tokens[token].team));
@@ -71,7 +74,9 @@
     return;
   }
   this->Remove(found->second);
+  this->CountSlots(found->second, -1);
   this->endpoints[found->second].usable = usable;
+  this->CountSlots(found->second, 1);
   this->Insert(found->second);
 }
 
@@ -95,6 +100,13 @@
   return std::nullopt;
 }
 
+std::int64_t SlotLedger::UsableSlots(const PoolId& pool) const {
+  const auto found = this->pool_index.find(pool);
+  return found == this->pool_index.end()
+             ? 0
+             : this->pools[found->second].usable_slots;
+}
+
 bool SlotLedger::HasFree(const PoolId& pool) const {
   const auto found = this->pool_index.find(pool);
   if (found == this->pool_index.end()) {
@@ -173,11 +185,19 @@
   const auto [found, added] = this->pool_index.try_emplace(
       pool, static_cast<std::uint32_t>(this->pools.size()));
   if (added) {
-    this->pools.push_back({pool, {}});
+    this->pools.push_back({.id = pool});
   }
   return found->second;
 }
 
+void SlotLedger::CountSlots(std::uint32_t entry, std::int64_t sign) {
+  const Endpoint& endpoint = this->endpoints[entry];
+  if (endpoint.usable) {
+    this->pools[endpoint.pool].usable_slots +=
+        sign * static_cast<std::int64_t>(endpoint.slots);
+  }
+}
+
 void SlotLedger::Insert(std::uint32_t entry) {
   Endpoint& endpoint = this->endpoints[entry];
   if (!endpoint.usable || endpoint.used >= endpoint.slots) {
--- a/src/coordination/slot_ledger.h
+++ b/src/coordination/slot_ledger.h
@@ -86,6 +86,9 @@
                                 const TeamId& team,
                                 Instant now);
 
+  // Slots of the usable endpoints of the pool, free or not.
+  std::int64_t UsableSlots(const PoolId& pool) const;
+
   // Whether Take() would give a slot.
   bool HasFree(const PoolId& pool) const;
 
@@ -130,6 +133,7 @@
   // Endpoints by number of used slots; full ones are in no bucket.
   struct Pool {
     PoolId id;
+    std::int64_t usable_slots = 0;
     std::vector<std::vector<std::uint32_t>> buckets;
   };
   struct Refused {
@@ -139,6 +143,7 @@
   };
 
   std::uint32_t PoolIndex(const PoolId& pool);
+  void CountSlots(std::uint32_t endpoint, std::int64_t sign);
   void Insert(std::uint32_t endpoint);
   void Remove(std::uint32_t endpoint);
   void ChangeUsed(std::uint32_t endpoint, int by);
--- a/src/daemon/dispatch_task.cc
+++ b/src/daemon/dispatch_task.cc
@@ -208,6 +208,9 @@
   this->dispatcher->OnTick(now);
   this->slots.OnTick(now);
   this->outliers.OnTick(now);
+  for (auto& [pool, allocator] : this->allocators) {
+    allocator.OnTick(this->slots.UsableSlots(pool), now);
+  }
   for (const auto& [id, endpoint] : this->endpoints) {
     if (endpoint.owned || this->dispatcher->UsesEndpoint(id)) {
       this->TickLease(id);
--- a/tests/slot_allocator_test.cc
+++ b/tests/slot_allocator_test.cc
@@ -7,6 +7,7 @@
 #include <map>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace peridot {
 namespace {
@@ -120,5 +121,37 @@
   }
 }
 
+TEST_CASE("a share that is no whole number of slots holds over time",
+          "[shares]") {
+  // Guards against rounding: 4 slots among weights 10, 1 and 1 give the small
+  // teams a third of a slot each.
+  SlotAllocator allocator;
+  std::map<std::string, std::int64_t> used;
+  std::vector<std::string> running;
+  Instant now = kStart;
+  for (int step = 0; step < 20'000; ++step) {
+    now += milliseconds(50);
+    allocator.OnDemand(Demand("a", 100, 10), now);
+    allocator.OnDemand(Demand("b", 100, 1), now);
+    allocator.OnDemand(Demand("c", 100, 1), now);
+    allocator.OnTick(4, now);
+    if (running.size() == 4) {
+      allocator.OnReleased(TeamId(running.front()));
+      running.erase(running.begin());
+    }
+    while (running.size() < 4) {
+      running.push_back(allocator.Pick(now)->team.value);
+    }
+    for (const std::string& team : running) {
+      ++used[team];
+    }
+  }
+  const double total = 4.0 * 20'000;
+  REQUIRE(static_cast<double>(used["b"]) / total ==
+          Approx(1.0 / 12).epsilon(0.03));
+  REQUIRE(static_cast<double>(used["c"]) / total ==
+          Approx(1.0 / 12).epsilon(0.03));
+}
+
 }  // namespace
 }  // namespace peridot
