Test the stand-ins as whole programs

Cause: nothing showed that the models' behavior reaches the other end of a connection, and later tests need the daemon as a process.

--- /dev/null
+++ b/tests/support/http_client.h
@@ -0,0 +1,133 @@
+// A blocking HTTP client for tests of whole programs.
+//
+// Index:
+//   [SECTION] Answer
+//   [SECTION] HttpClient
+
+#ifndef TESTS_SUPPORT_HTTP_CLIENT_H_
+#define TESTS_SUPPORT_HTTP_CLIENT_H_
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <sys/queue.h>
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace peridot::testing {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Answer
+//-----------------------------------------------------------------------------
+
+struct HttpAnswer {
+  int status = 0;                              // default: 0
+  std::map<std::string, std::string> headers;  // names as sent
+  std::string body;                            // default: empty
+
+  // Precondition: the body is JSON.
+  nlohmann::json Json() const { return nlohmann::json::parse(this->body); }
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] HttpClient
+//-----------------------------------------------------------------------------
+
+// One persistent connection to a port of the loopback address. A call after
+// the server closed it opens a new one. Not thread-safe.
+class HttpClient {
+ public:
+  using Headers = std::map<std::string, std::string>;
+
+  // Longer than any answer takes on a busy machine.
+  static constexpr std::chrono::milliseconds kPatience{60'000};
+
+  explicit HttpClient(std::uint16_t port)
+      : base(event_base_new()),
+        connection(
+            evhttp_connection_base_new(base, nullptr, "127.0.0.1", port)) {}
+  ~HttpClient() {
+    evhttp_connection_free(this->connection);
+    event_base_free(this->base);
+  }
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  // Returns the whole answer. Nothing: the connection was refused or closed,
+  // the answer was cut short, or the time has passed, which also closes the
+  // connection.
+  std::optional<HttpAnswer> Call(
+      evhttp_cmd_type method,
+      const std::string& path,
+      const std::string& body = {},
+      const Headers& headers = {},
+      std::chrono::milliseconds patience = kPatience) {
+    this->answer.reset();
+    const timeval limit = {patience.count() / 1'000,
+                           patience.count() % 1'000 * 1'000};
+    evhttp_connection_set_timeout_tv(this->connection, &limit);
+    evhttp_request* request = evhttp_request_new(&HttpClient::OnDone, this);
+    evkeyvalq* output = evhttp_request_get_output_headers(request);
+    evhttp_add_header(output, "Host", "127.0.0.1");
+    for (const auto& [name, value] : headers) {
+      evhttp_add_header(output, name.c_str(), value.c_str());
+    }
+    evbuffer_add(evhttp_request_get_output_buffer(request), body.data(),
+                 body.size());
+    if (evhttp_make_request(this->connection, request, method, path.c_str()) ==
+        0)
+      event_base_dispatch(this->base);
+    return std::exchange(this->answer, std::nullopt);
+  }
+
+  std::optional<HttpAnswer> Get(const std::string& path) {
+    return this->Call(EVHTTP_REQ_GET, path);
+  }
+  std::optional<HttpAnswer> Post(const std::string& path,
+                                 const std::string& body,
+                                 const Headers& headers = {}) {
+    return this->Call(EVHTTP_REQ_POST, path, body, headers);
+  }
+  std::optional<HttpAnswer> Put(const std::string& path,
+                                const std::string& body,
+                                const Headers& headers = {}) {
+    return this->Call(EVHTTP_REQ_PUT, path, body, headers);
+  }
+  std::optional<HttpAnswer> Delete(const std::string& path) {
+    return this->Call(EVHTTP_REQ_DELETE, path);
+  }
+
+ private:
+  static void OnDone(evhttp_request* request, void* client) {
+    auto* const self = static_cast<HttpClient*>(client);
+    event_base_loopbreak(self->base);
+    if (request == nullptr || evhttp_request_get_response_code(request) == 0)
+      return;
+    HttpAnswer answer;
+    answer.status = evhttp_request_get_response_code(request);
+    const evkeyvalq* headers = evhttp_request_get_input_headers(request);
+    for (const evkeyval* item = headers->tqh_first; item != nullptr;
+         item = item->next.tqe_next) {
+      answer.headers[item->key] = item->value;
+    }
+    evbuffer* input = evhttp_request_get_input_buffer(request);
+    answer.body.resize(evbuffer_get_length(input));
+    evbuffer_copyout(input, answer.body.data(), answer.body.size());
+    self->answer = std::move(answer);
+  }
+
+  event_base* base;
+  evhttp_connection* connection;
+  std::optional<HttpAnswer> answer;
+};
+
+}  // namespace peridot::testing
+
+#endif  // TESTS_SUPPORT_HTTP_CLIENT_H_
