--- /dev/null
+++ b/src/transport/log.h
@@ -0,0 +1,61 @@
+// Log lines: one event a line, as key=value pairs, through log4cplus.
+//
+// Index:
+//   [SECTION] Types
+//   [SECTION] Output
+//   [SECTION] Events
+//
+// A line reads "time=... level=... event=NAME KEY=VALUE ...". Keys and events
+// are lower_snake_case. Keys of teams and their bearer tokens are never logged.
+
+#ifndef SRC_TRANSPORT_LOG_H_
+#define SRC_TRANSPORT_LOG_H_
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+#include "src/state/error.h"
+
+namespace peridot {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Types
+//-----------------------------------------------------------------------------
+
+enum class LogLevel { kDebug, kInfo, kWarning, kError };
+
+struct LogField {
+  std::string_view key;  // default: empty
+  std::string value;     // default: empty; quoted when needed
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Output
+//-----------------------------------------------------------------------------
+
+// Sends the lines of this level and above to standard error. Call it once,
+// before the first event and before other threads start.
+void StartLog(LogLevel lowest);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Events
+//-----------------------------------------------------------------------------
+
+// Writes one event. Thread-safe. Does nothing before StartLog().
+void LogEvent(LogLevel level,
+              std::string_view event,
+              std::initializer_list<LogField> fields);
+
+// Writes one event with the error's step, peer, code and message.
+void LogError(LogLevel level, std::string_view event, const Error& error);
+
+// Returns "event=NAME KEY=VALUE ...". A value that is empty or holds a space,
+// a quote, an equals sign, a backslash or a control character is quoted, with
+// \" \\ \n \r \t and \xNN as escapes.
+std::string FormatEvent(std::string_view event,
+                        std::initializer_list<LogField> fields);
+
+}  // namespace peridot
+
+#endif  // SRC_TRANSPORT_LOG_H_
--- /dev/null
+++ b/src/transport/metrics.cc
@@ -0,0 +1,101 @@
+#include "src/transport/metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <map>
+#include <mutex>
+
+namespace peridot {
+namespace {
+
+// Upper bounds in seconds. Dense around the 1.1 s in which urgent work has to
+// start, and from 1 ms, the one-way time between zones.
+const prometheus::Histogram::BucketBoundaries kLatencyBounds = {
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25,
+    0.5,   0.75,   1.0,   1.1,  1.5,   2.5,  5.0, 10.0};
+
+prometheus::Family<prometheus::Counter>& CounterFamily(
+    prometheus::Registry& registry,
+    const char* name,
+    const char* help) {
+  return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+}  // namespace
+
+struct Metrics::Families {
+  prometheus::Registry registry;
+  prometheus::Family<prometheus::Counter>& refusals =
+      CounterFamily(registry,
+                    "peridot_refusals_total",
+                    "Tasks that were refused, by refusal code.");
+  prometheus::Family<prometheus::Counter>& retries =
+      CounterFamily(registry,
+                    "peridot_retries_total",
+                    "Attempts that were repeated, by reason.");
+  prometheus::Family<prometheus::Counter>& peer_refused =
+      CounterFamily(registry,
+                    "peridot_peer_messages_refused_total",
+                    "Messages of other daemons that were refused, by reason.");
+  prometheus::Family<prometheus::Counter>& peer_dropped = CounterFamily(
+      registry,
+      "peridot_peer_messages_dropped_total",
+      "Messages that were dropped because the peer's queue was full.");
+  prometheus::Family<prometheus::Histogram>& latency =
+      prometheus::BuildHistogram()
+          .Name("peridot_latency_seconds")
+          .Help("Time taken, by step.")
+          .Register(registry);
+  std::mutex mutex;
+  std::map<std::string, prometheus::Gauge*> gauges;  // guarded by mutex
+};
+
+Metrics::Metrics() : families(std::make_unique<Families>()) {}
+
+Metrics::~Metrics() = default;
+
+void Metrics::CountRefusal(const std::string& reason) {
+  this->families->refusals.Add({{"reason", reason}}).Increment();
+}
+
+void Metrics::CountRetry(const std::string& reason) {
+  this->families->retries.Add({{"reason", reason}}).Increment();
+}
+
+void Metrics::CountPeerMessageRefused(const std::string& reason) {
+  this->families->peer_refused.Add({{"reason", reason}}).Increment();
+}
+
+void Metrics::CountPeerMessageDropped(const std::string& peer) {
+  this->families->peer_dropped.Add({{"peer", peer}}).Increment();
+}
+
+void Metrics::SetGauge(const std::string& name, double value) {
+  const std::lock_guard lock(this->families->mutex);
+  prometheus::Gauge*& gauge = this->families->gauges[name];
+  if (gauge == nullptr) {
+    gauge = &prometheus::BuildGauge()
+                 .Name("peridot_" + name)
+                 .Help("Current value.")
+                 .Register(this->families->registry)
+                 .Add({});
+  }
+  gauge->Set(value);
+}
+
+void Metrics::ObserveLatency(const std::string& step, Duration latency) {
+  const double seconds = std::chrono::duration<double>(latency).count();
+  this->families->latency.Add({{"step", step}}, kLatencyBounds)
+      .Observe(seconds);
+}
+
+std::string Metrics::Expose() const {
+  return prometheus::TextSerializer().Serialize(
+      this->families->registry.Collect());
+}
+
+}  // namespace peridot
--- /dev/null
+++ b/src/transport/metrics.h
@@ -0,0 +1,58 @@
+// Metrics of one daemon, in a prometheus-cpp registry.
+//
+// Index:
+//   [SECTION] Metrics
+//
+// All members are thread-safe.
+
+#ifndef SRC_TRANSPORT_METRICS_H_
+#define SRC_TRANSPORT_METRICS_H_
+
+#include <memory>
+#include <string>
+
+#include "src/state/clock.h"
+
+namespace peridot {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Metrics
+//-----------------------------------------------------------------------------
+
+// Labels take values from fixed sets only (refusal codes, reasons, step and
+// queue names): each value is a series of its own for ever.
+class Metrics {
+ public:
+  Metrics();
+  Metrics(const Metrics&) = delete;
+  Metrics& operator=(const Metrics&) = delete;
+  ~Metrics();
+
+  void CountRefusal(const std::string& reason);             // one task refused
+  void CountRetry(const std::string& reason);               // one retry begun
+  void CountPeerMessageRefused(const std::string& reason);  // one message
+  void CountPeerMessageDropped(const std::string& peer);    // queue was full
+
+  // Sets the gauge `peridot_NAME`. The name is lower_snake_case and ends in
+  // its unit.
+  void SetGauge(const std::string& name, double value);
+
+  // Adds to the histogram `peridot_latency_seconds{step}`.
+  void ObserveLatency(const std::string& step, Duration latency);
+
+  // Returns all metrics in the Prometheus text format, version 0.0.4.
+  std::string Expose() const;
+
+ private:
+  struct Families;  // metrics.cc
+
+  std::unique_ptr<Families> families;
+};
+
+// The value of the Content-Type header of Expose().
+inline constexpr char kMetricsContentType[] =
+    "text/plain; version=0.0.4; charset=utf-8";
+
+}  // namespace peridot
+
+#endif  // SRC_TRANSPORT_METRICS_H_
