Give the operators' tool a namespace of its own

Cause: peridot::ChangeAnswer, HttpRequest, HttpHeaders and HttpMethod exist both in the tool and in the daemon's layers, with different members. The test program links both, which breaks the one-definition rule. Ruled out: a prefix on each name, which the next name would lack. Change: the tool's code is in peridot::ctl. Conclusion: names of the tool cannot meet those of other layers.

--- a/src/ctl/admin_client.cc
+++ b/src/ctl/admin_client.cc
@@ -9,7 +9,7 @@
 #include <chrono>
 #include <memory>
 
-namespace peridot {
+namespace peridot::ctl {
 namespace {
 
 constexpr std::size_t kMaxReplyHeaderBytes = 64UL * 1024UL;
@@ -168,4 +168,4 @@
   return std::move(exchange.reply);
 }
 
-}  // namespace peridot
+}  // namespace peridot::ctl
--- a/src/ctl/admin_client.h
+++ b/src/ctl/admin_client.h
@@ -24,7 +24,7 @@
 #include "src/state/clock.h"
 #include "src/state/error.h"
 
-namespace peridot {
+namespace peridot::ctl {
 
 //-----------------------------------------------------------------------------
 // [SECTION] Messages
@@ -108,6 +108,6 @@
   Duration limit;  // of one request
 };
 
-}  // namespace peridot
+}  // namespace peridot::ctl
 
 #endif  // SRC_CTL_ADMIN_CLIENT_H_
--- a/src/ctl/admin_reply.cc
+++ b/src/ctl/admin_reply.cc
@@ -2,7 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
-namespace peridot {
+namespace peridot::ctl {
 namespace {
 
 using Json = nlohmann::json;
@@ -83,4 +83,4 @@
   return ExitCode::kUnknown;
 }
 
-}  // namespace peridot
+}  // namespace peridot::ctl
--- a/src/ctl/admin_reply.h
+++ b/src/ctl/admin_reply.h
@@ -15,7 +15,7 @@
 #include "src/ctl/exit_code.h"
 #include "src/state/error.h"
 
-namespace peridot {
+namespace peridot::ctl {
 
 //-----------------------------------------------------------------------------
 // [SECTION] Answers
@@ -58,6 +58,6 @@
 // changed nothing and counts as unreachable.
 ExitCode ExitCodeOf(const HttpRequest& request, const Error& error);
 
-}  // namespace peridot
+}  // namespace peridot::ctl
 
 #endif  // SRC_CTL_ADMIN_REPLY_H_
--- a/src/ctl/command_line.cc
+++ b/src/ctl/command_line.cc
@@ -11,7 +11,7 @@
 
 #include "src/state/settings_schema.h"
 
-namespace peridot {
+namespace peridot::ctl {
 namespace {
 
 namespace po = boost::program_options;
@@ -386,4 +386,4 @@
          "complete -o default -F _peridotctl peridotctl\n";
 }
 
-}  // namespace peridot
+}  // namespace peridot::ctl
--- a/src/ctl/command_line.h
+++ b/src/ctl/command_line.h
@@ -24,7 +24,7 @@
 #include "src/state/clock.h"
 #include "src/state/error.h"
 
-namespace peridot {
+namespace peridot::ctl {
 
 //-----------------------------------------------------------------------------
 // [SECTION] Commands
@@ -119,6 +119,6 @@
 // Prints a script that completes commands and options in bash.
 void PrintBashCompletion(std::ostream& out);
 
-}  // namespace peridot
+}  // namespace peridot::ctl
 
 #endif  // SRC_CTL_COMMAND_LINE_H_
--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -7,7 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <string_view>
 
-namespace peridot {
+namespace peridot::ctl {
 namespace {
 
 constexpr std::string_view kRevisionComment = "# revision: ";
@@ -142,4 +142,4 @@
   return ParseSettings(reply.body, "settings", Revision(*revision));
 }
 
-}  // namespace peridot
+}  // namespace peridot::ctl
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -30,7 +30,7 @@
 #include "src/state/settings_tree.h"
 #include "src/state/team_keys.h"
 
-namespace peridot {
+namespace peridot::ctl {
 
 //-----------------------------------------------------------------------------
 // [SECTION] Inputs
@@ -325,6 +325,6 @@
   return CommandRunner<S>(line, key.value(), server, out, err).Run();
 }
 
-}  // namespace peridot
+}  // namespace peridot::ctl
 
 #endif  // SRC_CTL_COMMANDS_H_
--- a/src/ctl/exit_code.h
+++ b/src/ctl/exit_code.h
@@ -8,7 +8,7 @@
 #ifndef SRC_CTL_EXIT_CODE_H_
 #define SRC_CTL_EXIT_CODE_H_
 
-namespace peridot {
+namespace peridot::ctl {
 
 //-----------------------------------------------------------------------------
 // [SECTION] Exit codes
@@ -25,6 +25,6 @@
   kFailed = 7,       // the task ran and failed
 };
 
-}  // namespace peridot
+}  // namespace peridot::ctl
 
 #endif  // SRC_CTL_EXIT_CODE_H_
--- a/src/ctl/peridotctl_main.cc
+++ b/src/ctl/peridotctl_main.cc
@@ -13,20 +13,20 @@
 int main(int argc, char** argv) {
   const std::vector<std::string> arguments(argv + 1, argv + argc);
   if (arguments == std::vector<std::string>{"--help"}) {
-    peridot::PrintUsage(std::cout);
-    return static_cast<int>(peridot::ExitCode::kDone);
+    peridot::ctl::PrintUsage(std::cout);
+    return static_cast<int>(peridot::ctl::ExitCode::kDone);
   }
-  const auto line = peridot::ParseCommandLine(arguments);
+  const auto line = peridot::ctl::ParseCommandLine(arguments);
   if (line.has_error()) {
     std::cerr << "peridotctl: " << line.error().message
               << "; see peridotctl --help\n";
-    return static_cast<int>(peridot::ExitCode::kUsage);
+    return static_cast<int>(peridot::ctl::ExitCode::kUsage);
   }
   // A server that closes its connection during a write must not end the tool.
   std::signal(SIGPIPE, SIG_IGN);
   evthread_use_pthreads();
-  const peridot::EvhttpClient client(line.value().timeout);
-  const peridot::ExitCode exit = peridot::RunCommand(
+  const peridot::ctl::EvhttpClient client(line.value().timeout);
+  const peridot::ctl::ExitCode exit = peridot::ctl::RunCommand(
       line.value(), std::getenv("PERIDOT_KEY"), client, std::cout, std::cerr);
   return static_cast<int>(exit);
 }
--- a/src/ctl/render.cc
+++ b/src/ctl/render.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
-namespace peridot {
+namespace peridot::ctl {
 namespace {
 
 using Json = nlohmann::ordered_json;
@@ -258,4 +258,4 @@
   return table;
 }
 
-}  // namespace peridot
+}  // namespace peridot::ctl
--- a/src/ctl/render.h
+++ b/src/ctl/render.h
@@ -18,7 +18,7 @@
 #include "src/state/error.h"
 #include "src/state/settings_tree.h"
 
-namespace peridot {
+namespace peridot::ctl {
 
 //-----------------------------------------------------------------------------
 // [SECTION] Table
@@ -74,6 +74,6 @@
 // Rows of id and team. The digests are left out.
 Table TableOfKeys(const SettingsDocument& document);
 
-}  // namespace peridot
+}  // namespace peridot::ctl
 
 #endif  // SRC_CTL_RENDER_H_
--- a/src/ctl/submit.cc
+++ b/src/ctl/submit.cc
@@ -7,7 +7,7 @@
 #include "src/ctl/admin_reply.h"
 #include "src/ctl/render.h"
 
-namespace peridot {
+namespace peridot::ctl {
 namespace {
 
 using Json = nlohmann::ordered_json;
@@ -141,4 +141,4 @@
   return request;
 }
 
-}  // namespace peridot
+}  // namespace peridot::ctl
--- a/src/ctl/submit.h
+++ b/src/ctl/submit.h
@@ -21,7 +21,7 @@
 #include "src/ctl/command_line.h"
 #include "src/ctl/exit_code.h"
 
-namespace peridot {
+namespace peridot::ctl {
 
 //-----------------------------------------------------------------------------
 // [SECTION] Results
@@ -101,6 +101,6 @@
   return results;
 }
 
-}  // namespace peridot
+}  // namespace peridot::ctl
 
 #endif  // SRC_CTL_SUBMIT_H_
