--- a/src/coordination/settings_lease.cc
+++ b/src/coordination/settings_lease.cc
@@ -123,7 +123,8 @@
   // Six rounds fit into a lease, three after its first half has passed.
   const bool due =
       !this->last_probe_sent || now - *this->last_probe_sent >= window / 6;
-  if (fresh || !due) {
+  // A newcomer probes until it is acknowledged.
+  if ((fresh && this->IsSettled(now)) || !due) {
     return;
   }
   this->last_probe_sent = now;
@@ -139,6 +140,12 @@
   if (!this->write) {
     return;
   }
+  if (!this->write->resolved && this->write->sends == 0) {
+    if (now - this->write->begun > this->options.max_write_wait) {
+      this->Resolve(WriteState::kNotSent, now, actions);
+    }
+    return;
+  }
   if (!this->write->resolved) {
     if (now - this->write->last_sent >= this->options.write_retry) {
       this->write->last_sent = now;
@@ -287,6 +294,14 @@
   this->last_contact = std::max(this->last_contact.value_or(sent), sent);
   this->OfferProof(read.revision, sent);
   this->ResolveFromRead(read, now, actions);
+  // A write sent into an outage stays unresolved until the store returns, and
+  // while it is unresolved no daemon can extend its proof by rule 3. It is
+  // sent only when the store has just answered.
+  const bool prepared =
+      this->write && !this->write->resolved && this->write->sends == 0;
+  if (prepared && sent >= this->write->begun) {
+    this->SendPreparedWrite(now, actions);
+  }
   return actions;
 }
 
@@ -311,8 +326,13 @@
   reply.probe_id = probe_id;
   reply.revision = this->known;
   reply.registry_version = this->registry.version;
-  const bool usable = !this->stopped && !this->reverted && this->last_contact;
-  if (!usable || !this->registry.Lists(requester)) {
+  const bool usable =
+      !this->stopped && !this->leaving && !this->reverted && this->last_contact;
+  // A proof can be later than the registry that this daemon holds: it came
+  // from a peer whose registry already shows the requester as fenced. Passing
+  // it on would extend the fenced session past its fence.
+  const bool has_latest = this->registry.version == this->registry_known;
+  if (!usable || !has_latest || !this->registry.Lists(requester)) {
     return reply;
   }
   const std::optional<Instant> expiry = this->ProofExpiry();
@@ -321,8 +341,7 @@
     reply.proof_age = std::chrono::ceil<microseconds>(now - this->proof->at) +
                       microseconds(1);
   }
-  const bool has_latest = this->registry.version == this->registry_known;
-  reply.no_outstanding_write = has_latest && !this->HasUnresolvedWrite();
+  reply.no_outstanding_write = !this->HasUnresolvedWrite();
   reply.settled = this->IsSettled(now);
   return reply;
 }
@@ -368,7 +387,7 @@
 
 void SettingsLease::TryStatements(Instant now) {
   const bool usable = this->options.use_statements && this->last_contact &&
-                      !this->stopped && !this->reverted &&
+                      !this->stopped && !this->leaving && !this->reverted &&
                       !this->HasUnresolvedWrite() &&
                       this->registry.version == this->registry_known &&
                       this->registry.Lists(this->registration.session);
@@ -413,7 +432,7 @@
 //-----------------------------------------------------------------------------
 
 bool SettingsLease::HasUnresolvedWrite() const {
-  return this->write && !this->write->resolved;
+  return this->write && !this->write->resolved && this->write->sends > 0;
 }
 
 bool SettingsLease::IsSettled(Instant now) const {
@@ -428,15 +447,16 @@
                                                   Instant now) {
   const std::string step = "begin_write";
   const std::string peer = this->registration.session.daemon.value;
-  if (this->stopped) {
+  const bool ends_session = request.kind == ControlWriteKind::kGone;
+  if (this->stopped || this->leaving != ends_session) {
     return MakeError(ErrorCode::kPermission, step, peer,
-                     "the session has stopped");
+                     "the session has stopped or is leaving");
   }
-  if (!this->IsSettled(now)) {
+  if (!ends_session && !this->IsSettled(now)) {
     return MakeError(ErrorCode::kPermission, step, peer,
                      "no settled daemon has acknowledged this session yet");
   }
-  if (this->HasUnresolvedWrite()) {
+  if (this->write && !this->write->resolved) {
     return MakeError(ErrorCode::kUnavailable, step, peer,
                      "the outcome of the previous write is not known");
   }
@@ -452,29 +472,42 @@
                          ", which is not the current revision " +
                          std::to_string(this->known.value));
   }
-  TableTransaction transaction = std::move(request.registry_change);
-  transaction.operation_id = request.operation_id;
+  settings_lease_internal::Write next;
+  next.operation_id = request.operation_id;
+  next.transaction = std::move(request.registry_change);
+  next.transaction.operation_id = std::move(request.operation_id);
+  next.changes_settings = changes_settings;
+  next.base = this->known;
+  next.text = std::move(request.text);
+  next.begun = now;
+  this->write = std::move(next);
+  SettingsActions actions;
+  this->StartRead(now, actions);
+  return actions;
+}
+
+void SettingsLease::SendPreparedWrite(Instant now, SettingsActions& actions) {
+  settings_lease_internal::Write& next = *this->write;
+  if (next.base != this->known || this->held != this->known) {
+    this->Resolve(WriteState::kConflict, now, actions);
+    return;
+  }
+  TableTransaction& transaction = next.transaction;
   // A registry change checks the settings too: the lease of the proofs that a
   // fenced session can still hold is then known.
-  transaction.checks.push_back({SettingsKey(), RowVersion(this->known.value)});
+  transaction.checks.push_back({SettingsKey(), RowVersion(next.base.value)});
   const DaemonId& self = this->registration.session.daemon;
   if (!CheckedVersion(transaction, SessionKey(self))) {
     transaction.checks.push_back({SessionKey(self), this->session_version});
   }
-  if (changes_settings) {
-    transaction.puts.push_back({SettingsKey(), std::move(request.text)});
+  if (next.changes_settings) {
+    transaction.puts.push_back({SettingsKey(), std::move(next.text)});
   }
-  transaction.puts.push_back({OperationKey(self), request.operation_id});
-  settings_lease_internal::Write next;
-  next.operation_id = request.operation_id;
-  next.transaction = transaction;
-  next.changes_settings = changes_settings;
+  transaction.puts.push_back({OperationKey(self), next.operation_id});
   next.lease = this->lease;
   next.last_sent = now;
-  this->write = std::move(next);
-  SettingsActions actions;
-  actions.emplace_back(SendWrite{std::move(transaction)});
-  return actions;
+  next.sends = 1;
+  actions.emplace_back(SendWrite{transaction});
 }
 
 SettingsActions SettingsLease::OnWriteAnswer(const std::string& operation_id,
@@ -535,6 +568,7 @@
   settings_lease_internal::Write& done = *this->write;
   done.resolved = true;
   done.committed = state == WriteState::kCommitted;
+  done.not_sent = state == WriteState::kNotSent;
   if (done.committed) {
     const auto base = CheckedVersion(done.transaction, SettingsKey());
     if (done.changes_settings) {
@@ -545,7 +579,7 @@
     } else {
       // The fenced session's proofs were made before the fence committed.
       done.in_force_at =
-          std::max(this->older_lapsed_at, now + UpperBound(this->lease));
+          std::max(this->older_lapsed_at, now + UpperBound(done.lease));
     }
   }
   actions.emplace_back(WriteChanged{done.operation_id, state, done.revision});
@@ -560,7 +594,7 @@
     return WriteState::kUnknown;
   }
   if (!this->write->committed) {
-    return WriteState::kConflict;
+    return this->write->not_sent ? WriteState::kNotSent : WriteState::kConflict;
   }
   return now >= this->write->in_force_at ? WriteState::kInForce
                                          : WriteState::kCommitted;
@@ -624,8 +658,8 @@
 //-----------------------------------------------------------------------------
 
 std::optional<Instant> SettingsLease::ProofExpiry() const {
-  const bool usable = !this->stopped && !this->reverted && this->proof &&
-                      this->held == this->known &&
+  const bool usable = !this->stopped && !this->leaving && !this->reverted &&
+                      this->proof && this->held == this->known &&
                       this->proof->revision == this->held;
   if (!usable) {
     return std::nullopt;
--- a/src/coordination/settings_lease.h
+++ b/src/coordination/settings_lease.h
@@ -73,6 +73,9 @@
   // An unresolved write is sent again this often, under the same id.
   Duration write_retry = std::chrono::milliseconds(500);  // default: 500 ms
 
+  // A control write waits this long for the store to answer a read.
+  Duration max_write_wait = std::chrono::seconds(2);  // default: 2 s
+
   // After the last own read, rule 3 extends proofs for at most this long. A
   // newcomer that nobody acknowledges waits as long before it writes.
   Duration max_storeless_extension = std::chrono::minutes(15);  // default
@@ -177,7 +180,8 @@
 };
 enum class WriteState {
   kNone,       // no write with this id
-  kUnknown,    // sent, outcome not known yet
+  kUnknown,    // waits for a read or is sent, outcome not known yet
+  kNotSent,    // never sent, because the store did not answer; no effect
   kConflict,   // did not and will not take effect
   kCommitted,  // accepted, not yet in force
   kInForce,    // no daemon can act on an older revision
@@ -216,7 +220,8 @@
 
 enum class ControlWriteKind {
   kSettings,  // changes row "settings"
-  kRegistry,  // fences a session or marks it gone
+  kRegistry,  // fences a session
+  kGone,      // ends this session, after OnLeave(); needs no acknowledgement
 };
 
 struct ControlWrite {
@@ -224,7 +229,7 @@
   std::string operation_id;  // unique over all daemons and incarnations
   Revision base;             // kSettings: the revision that it was made against
   std::string text;          // kSettings: the new value of row "settings"
-  // kRegistry: checks and puts of "registry" and "session/<daemon>".
+  // kRegistry, kGone: checks and puts of "registry" and "session/<daemon>".
   TableTransaction registry_change;
 };
 
@@ -268,7 +273,8 @@
   // lease is its `settings_lease_ms`.
   void OnAdopted(Revision revision, Duration lease);
 
-  // Starts a control write. Errors: kPermission when the session is not
+  // Starts a control write: a read, and the write once the store has answered
+  // it. Errors: kPermission when the session is not
   // settled or has stopped, kConflict when base is not the known revision,
   // kUnavailable while another write is unresolved.
   Result<SettingsActions> BeginWrite(ControlWrite write, Instant now);
@@ -289,8 +295,9 @@
   std::optional<std::uint64_t> RestrictedLimit(const std::string& team,
                                                Instant now) const;
 
-  // The session leaves: it stops acting and gives no more statements.
-  void OnLeave() { this->stopped = true; }
+  // The session leaves: it stops acting and gives no more statements. It ends
+  // with a control write kGone.
+  void OnLeave() { this->leaving = true; }
 
   // Whether a start is justified now on revision Held().
   bool MayAct(Instant now) const;
@@ -322,6 +329,7 @@
   void TryStatements(Instant now);
   void StartRead(Instant now, SettingsActions& actions);
   void StartProbes(Instant now, SettingsActions& actions);
+  void SendPreparedWrite(Instant now, SettingsActions& actions);
   void RetryWrite(Instant now, SettingsActions& actions);
   void ResolveFromRead(const StoreRead& read,
                        Instant now,
@@ -335,7 +343,8 @@
   Registration registration;
   SettingsLeaseOptions options;
   std::uint64_t next_id = 0;
-  bool stopped = false;
+  bool stopped = false;  // fenced or superseded
+  bool leaving = false;
   bool acknowledged = false;  // by a settled session of the registry
   bool reverted = false;      // the store shows less than was seen
 
--- a/src/coordination/settings_lease_internal.h
+++ b/src/coordination/settings_lease_internal.h
@@ -50,10 +50,14 @@
   TableTransaction transaction;
   bool changes_settings = true;
   Duration lease{};  // of the revision held when the write was sent
-  int sends = 1;
+  Revision base;     // known when the write was begun
+  std::string text;  // moved into the transaction when it is sent
+  Instant begun{};
+  int sends = 0;  // 0: waits for the answer to a read
   Instant last_sent{};
   bool resolved = false;
   bool committed = false;
+  bool not_sent = false;
   bool reported_in_force = false;
   Revision revision;  // written by it; 0 unless committed
   Instant in_force_at{};
