--- a/src/coordination/endpoint_lease.cc
+++ b/src/coordination/endpoint_lease.cc
@@ -71,7 +71,7 @@
   if (!this->held || now >= this->valid_until) {
     return LeaseRefusal::kNoLease;
   }
-  if (this->leaving) {
+  if (this->IsLeaving()) {
     return LeaseRefusal::kLeaving;
   }
   if (!idempotent && now - this->last_answer > this->config.proven_live) {
--- a/src/coordination/endpoint_lease.h
+++ b/src/coordination/endpoint_lease.h
@@ -94,9 +94,9 @@
   // The request failed without an answer.
   void OnFailed(Instant now);
 
-  // The platform's list says that the endpoint leaves. It stays so until the
-  // endpoint has started again.
-  void OnLeaving() { this->leaving = true; }
+  // Whether the platform's list, joined with heartbeats, says that the endpoint
+  // leaves. What the endpoint itself reported stays until it starts again.
+  void SetListedLeaving(bool listed) { this->listed_leaving = listed; }
 
   // Returns whether an attempt may start now.
   LeaseRefusal CheckStart(Instant now, bool idempotent) const;
@@ -115,21 +115,22 @@
   bool IsSurelyStopped(const LeaseId& lease, Instant now) const;
 
   const std::optional<EndpointReport>& Report() const { return this->report; }
-  bool IsLeaving() const { return this->leaving; }
+  bool IsLeaving() const { return this->leaving || this->listed_leaving; }
 
  private:
   Instant StoppedBy(Instant last_sent) const;
 
   EndpointLeaseConfig config;
   std::optional<EndpointReport> report;  // default: none
-  Instant clock_read_by{};   // default: epoch; bound of report->clock_us
-  Instant valid_until{};     // default: epoch; end of the lease
-  Instant last_answer{};     // default: epoch
-  Instant last_sent{};       // default: epoch
-  Instant last_renewal{};    // default: epoch; of the current lease
-  bool outstanding = false;  // default: false
-  bool leaving = false;      // default: false
-  bool held = false;         // default: false
+  Instant clock_read_by{};      // default: epoch; bound of report->clock_us
+  Instant valid_until{};        // default: epoch; end of the lease
+  Instant last_answer{};        // default: epoch
+  Instant last_sent{};          // default: epoch
+  Instant last_renewal{};       // default: epoch; of the current lease
+  bool outstanding = false;     // default: false
+  bool leaving = false;         // default: false; reported by the endpoint
+  bool listed_leaving = false;  // default: false
+  bool held = false;            // default: false
 };
 
 }  // namespace peridot
--- /dev/null
+++ b/src/daemon/daemon.h
@@ -0,0 +1,43 @@
+// One peridotd process: its sockets, its tasks and how it stops.
+//
+// Index:
+//   [SECTION] Daemon
+
+#ifndef SRC_DAEMON_DAEMON_H_
+#define SRC_DAEMON_DAEMON_H_
+
+#include <memory>
+
+#include "src/daemon/daemon_config.h"
+#include "src/state/error.h"
+
+namespace peridot {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Daemon
+//-----------------------------------------------------------------------------
+
+class Daemon {
+ public:
+  // Binds the sockets. Fails if an address cannot be bound.
+  static Result<std::unique_ptr<Daemon>> Create(DaemonConfig config);
+
+  Daemon(const Daemon&) = delete;
+  Daemon& operator=(const Daemon&) = delete;
+  ~Daemon();
+
+  // Runs until SIGTERM or SIGINT and a graceful stop, or until the session was
+  // fenced. Returns the exit code of the process.
+  int Run();
+
+ private:
+  class Core;  // daemon.cc
+
+  explicit Daemon(std::unique_ptr<Core> core);
+
+  std::unique_ptr<Core> core;
+};
+
+}  // namespace peridot
+
+#endif  // SRC_DAEMON_DAEMON_H_
--- a/src/daemon/daemon_config.cc
+++ b/src/daemon/daemon_config.cc
@@ -14,8 +14,8 @@
 namespace peridot {
 namespace {
 
-constexpr std::array<const char*, 4> kLogLevelNames = {"debug", "info",
-                                                       "warn", "error"};
+constexpr std::array<const char*, 4> kLogLevelNames = {"debug", "info", "warn",
+                                                       "error"};
 
 // Each function sets a field from its text and returns whether it could.
 bool ReadName(const std::string& text, std::string& name) {
--- a/src/daemon/dispatch_task.cc
+++ b/src/daemon/dispatch_task.cc
@@ -7,7 +7,6 @@
 
 #include "src/coordination/endpoint_owner.h"
 #include "src/transport/log.h"
-#include "src/transport/metrics.h"
 
 namespace peridot {
 namespace {
@@ -33,6 +32,7 @@
                            PeerLink* peers,
                            const SettingsTask* settings,
                            PermitTask* permits,
+                           Metrics* metrics,
                            DaemonId self,
                            ZoneId zone,
                            Hooks hooks,
@@ -43,6 +43,7 @@
       peers(peers),
       settings(settings),
       permits(permits),
+      metrics(metrics),
       self(std::move(self)),
       zone(std::move(zone)),
       hooks(std::move(hooks)),
@@ -147,7 +148,7 @@
 //-----------------------------------------------------------------------------
 
 void DispatchTask::PollMembership() {
-  this->membership->List([this](Result<std::vector<HostRecord>> hosts) {
+  this->membership->List([this](Result<std::vector<ListedEndpoint>> hosts) {
     if (hosts) {
       this->OnMembership(hosts.value());
     }
@@ -156,14 +157,11 @@
   });
 }
 
-void DispatchTask::OnMembership(const std::vector<HostRecord>& hosts) {
+void DispatchTask::OnMembership(const std::vector<ListedEndpoint>& hosts) {
   std::map<EndpointId, Endpoint> next;
-  for (const HostRecord& host : hosts) {
+  for (const ListedEndpoint& host : hosts) {
     const auto known = this->endpoints.find(host.endpoint);
     const bool owned = known != this->endpoints.end() && known->second.owned;
-    if (host.leaving) {
-      this->dispatcher->LeaseOf(host.endpoint).OnLeaving();
-    }
     next.emplace(host.endpoint, Endpoint{host, owned});
   }
   for (const auto& [id, endpoint] : this->endpoints) {
@@ -173,6 +171,7 @@
     }
   }
   this->endpoints = std::move(next);
+  this->endpoint_membership.OnList(hosts);
   this->AssignOwners();
 }
 
@@ -260,6 +259,7 @@
     return;
   }
   lease.OnReport(report, sent, now);
+  this->endpoint_membership.OnHeartbeat(id, report.boot, report.leaving, now);
   const auto endpoint = this->endpoints.find(id);
   if (endpoint != this->endpoints.end() && endpoint->second.owned) {
     const PoolId& pool = endpoint->second.host.pool;
@@ -280,14 +280,21 @@
 // Slots of an endpoint are lent only while a start there could succeed.
 void DispatchTask::UpdateUsable(const EndpointId& id) {
   const auto endpoint = this->endpoints.find(id);
-  if (endpoint == this->endpoints.end() || !endpoint->second.owned) {
+  if (endpoint == this->endpoints.end()) {
+    return;
+  }
+  if (!endpoint->second.owned && !this->dispatcher->UsesEndpoint(id)) {
     return;
   }
-  const bool ready = this->dispatcher->LeaseOf(id).CheckStart(
-                         this->loop->Now(), false) == LeaseRefusal::kNone;
+  EndpointLease& lease = this->dispatcher->LeaseOf(id);
+  lease.SetListedLeaving(this->endpoint_membership.IsLeaving(id));
+  if (!endpoint->second.owned) {
+    return;
+  }
+  const bool ready =
+      lease.CheckStart(this->loop->Now(), false) == LeaseRefusal::kNone;
   this->slots.SetUsable(
-      id, ready && !endpoint->second.host.leaving &&
-              this->outliers.Health(id) != EndpointHealth::kEjected &&
+      id, ready && this->outliers.Health(id) != EndpointHealth::kEjected &&
               this->settings->IsZoneIn(endpoint->second.host.zone.value));
 }
 
@@ -476,6 +483,8 @@
   }
   const Instant now = this->loop->Now();
   const EndpointId id(message.endpoint());
+  this->dispatcher->LeaseOf(id).SetListedLeaving(
+      this->endpoint_membership.IsLeaving(id));
   this->dispatcher->OnGrant(
       {.owner = from,
        .token = message.token(),
@@ -487,6 +496,7 @@
                                          this->config.grant_valid)},
       now);
   if (this->dispatcher->UsesEndpoint(id)) {
+    this->UpdateUsable(id);
     this->TickLease(id);
   }
   this->CarryActions();
@@ -548,11 +558,12 @@
         if (reply == AttemptReply::kDone) {
           this->answers[task] = std::move(body);
         } else {
-          CountRetry(reply == AttemptReply::kNeverStarted ? "never_started"
-                     : reply == AttemptReply::kFailed     ? "failed"
-                     : reply == AttemptReply::kStopped    ? "stopped"
-                     : reply == AttemptReply::kNotSent    ? "not_sent"
-                                                          : "no_answer");
+          this->metrics->CountRetry(
+              reply == AttemptReply::kNeverStarted ? "never_started"
+              : reply == AttemptReply::kFailed     ? "failed"
+              : reply == AttemptReply::kStopped    ? "stopped"
+              : reply == AttemptReply::kNotSent    ? "not_sent"
+                                                   : "no_answer");
         }
         this->dispatcher->OnReply(task, attempt, reply, this->loop->Now());
         this->CarryActions();
--- a/src/daemon/dispatch_task.h
+++ b/src/daemon/dispatch_task.h
@@ -18,6 +18,7 @@
 #include <unordered_map>
 
 #include "src/coordination/dispatcher.h"
+#include "src/coordination/membership.h"
 #include "src/coordination/outlier_detector.h"
 #include "src/coordination/slot_allocator.h"
 #include "src/coordination/slot_ledger.h"
@@ -27,6 +28,7 @@
 #include "src/daemon/permit_task.h"
 #include "src/daemon/settings_task.h"
 #include "src/transport/event_loop.h"
+#include "src/transport/metrics.h"
 
 namespace peridot {
 
@@ -69,6 +71,7 @@
                PeerLink* peers,
                const SettingsTask* settings,
                PermitTask* permits,
+               Metrics* metrics,
                DaemonId self,
                ZoneId zone,
                Hooks hooks,
@@ -106,7 +109,7 @@
   using TaskDispatcher = Dispatcher<SettingsTask, PermitTask>;
 
   struct Endpoint {
-    HostRecord host;
+    ListedEndpoint host;
     bool owned = false;
   };
   struct SentDemand {
@@ -115,7 +118,7 @@
   };
 
   void PollMembership();
-  void OnMembership(const std::vector<HostRecord>& hosts);
+  void OnMembership(const std::vector<ListedEndpoint>& hosts);
   void AssignOwners();
   void OnTick();
   void TickLease(const EndpointId& id);
@@ -147,6 +150,7 @@
   PeerLink* peers;
   const SettingsTask* settings;
   PermitTask* permits;
+  Metrics* metrics;
   DaemonId self;
   ZoneId zone;
   Hooks hooks;
@@ -156,6 +160,7 @@
   OutlierDetector outliers;
   std::map<PoolId, SlotAllocator> allocators;
   std::map<EndpointId, Endpoint> endpoints;
+  EndpointMembership endpoint_membership;
   std::map<QueueId, std::int64_t> demand;  // of this daemon, within its permits
   std::map<QueueId, SentDemand> sent_demand;
   std::unordered_map<TaskId, std::string> answers;  // of tasks just done
--- a/src/daemon/membership_client.h
+++ b/src/daemon/membership_client.h
@@ -9,7 +9,7 @@
 #include <functional>
 #include <vector>
 
-#include "src/protocol/platform_http.h"
+#include "src/coordination/membership.h"
 #include "src/state/error.h"
 #include "src/transport/http_client.h"
 
@@ -22,7 +22,7 @@
 // Not thread-safe: lives on the loop's thread.
 class MembershipClient {
  public:
-  using ListCallback = std::function<void(Result<std::vector<HostRecord>>)>;
+  using ListCallback = std::function<void(Result<std::vector<ListedEndpoint>>)>;
 
   MembershipClient(HttpClient* http, HttpPeer peer);
 
--- a/src/daemon/peer_link.h
+++ b/src/daemon/peer_link.h
@@ -10,10 +10,12 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 
 #include "src/coordination/registry.h"
 #include "src/protocol/generated/peer.pb.h"
 #include "src/state/ids.h"
+#include "src/transport/metrics.h"
 #include "src/transport/peer_socket.h"
 
 namespace peridot {
@@ -29,13 +31,15 @@
   using Handler =
       std::function<void(const SessionId& from, const proto::Envelope&)>;
 
-  PeerLink(PeerSocket* socket, DaemonId self);
+  PeerLink(DaemonId self, Metrics* metrics);
+
+  // Must be called before any other member. The socket must outlive the link.
+  void SetSocket(PeerSocket* peer_socket) { this->socket = peer_socket; }
 
   // The session under which this daemon sends from now on.
   void SetSession(const SessionId& session) { this->session = session; }
 
-  // Where the daemons are. A message from a session that is not listed is still
-  // delivered: the modules decide what it is worth.
+  // Where the daemons are. Messages from others are refused and counted.
   void SetRegistry(const Registry& registry);
 
   // Sends the body to the daemon. A message to an unknown daemon is dropped.
@@ -44,14 +48,19 @@
   // Calls the handler for each message with this body.
   void OnBody(proto::Envelope::BodyCase body, Handler handler);
 
-  // A message arrived that passed the envelope's checks.
-  void Deliver(const proto::Envelope& envelope);
+  // Replaces the connection to the daemon, which may have gone silent.
+  void Reconnect(const DaemonId& to);
+
+  // Checks a message and calls its handler.
+  void Deliver(std::string_view bytes);
 
  private:
-  PeerSocket* socket;
+  PeerSocket* socket = nullptr;
   DaemonId self;
+  Metrics* metrics;
   SessionId session;
   std::uint64_t next_sequence = 1;
+  std::map<DaemonId, Incarnation> incarnations;  // of registered daemons
   std::map<proto::Envelope::BodyCase, Handler> handlers;
 };
 
--- a/src/daemon/permit_task.cc
+++ b/src/daemon/permit_task.cc
@@ -48,8 +48,9 @@
                                     .leases = bounds});
     found->second.OnLeaseBounds(bounds);
     found->second.OnSessionRow(this->settings->SessionVersion());
-    this->Carry(team.id, found->second.OnLimit(team.limit, tree->revision(),
-                                               this->loop->Now()));
+    this->Carry(team.id,
+                found->second.OnLimit(team.limit, tree->CurrentRevision(),
+                                      this->loop->Now()));
   }
 }
 
--- a/src/daemon/settings_task.cc
+++ b/src/daemon/settings_task.cc
@@ -170,29 +170,26 @@
   }
   this->lease->OnLeave();
   const std::string session_key = SessionKey(this->config->daemon);
-  auto finished = std::make_shared<bool>(false);
-  const auto finish = [finished, done = std::move(done)] {
-    if (!std::exchange(*finished, true)) {
-      done();
-    }
-  };
-  this->loop->After(limit, finish);
   this->table->Read(
       {RegistryKey(), session_key}, {},
-      [this, session_key, finish](Result<std::vector<TableRow>> rows) {
+      [this, session_key, limit,
+       done = std::move(done)](Result<std::vector<TableRow>> rows) {
         if (!rows) {
-          return finish();
+          return done();
         }
-        const auto now_listed =
-            ParseRegistry(FindRow(rows.value(), RegistryKey()));
+        const auto listed = ParseRegistry(FindRow(rows.value(), RegistryKey()));
         const auto row = ParseSession(FindRow(rows.value(), session_key));
-        if (!now_listed || !row) {
-          return finish();
+        if (!listed || !row) {
+          return done();
         }
-        this->table->Transact(
-            PlanRemoval(now_listed.value(), row.value(), this->session, false,
-                        this->NextOperationId()),
-            [finish](const CommitAnswer&) { finish(); });
+        ControlWrite write;
+        write.kind = ControlWriteKind::kGone;
+        write.operation_id = this->NextOperationId();
+        write.registry_change =
+            PlanRemoval(listed.value(), row.value(), this->session, false,
+                        write.operation_id);
+        this->Begin(std::move(write), limit,
+                    [done](const ChangeAnswer&) { done(); });
       });
 }
 
--- a/tests/dispatcher_test.cc
+++ b/tests/dispatcher_test.cc
@@ -176,7 +176,7 @@
     expected = StartBlock::kZoneOut;
   }
   SECTION("leaving") {
-    f.dispatcher.LeaseOf(kEndpoint).OnLeaving();
+    f.dispatcher.LeaseOf(kEndpoint).SetListedLeaving(true);
     expected = StartBlock::kEndpointLeaving;
   }
   SECTION("no permit") {
--- a/tests/endpoint_lease_test.cc
+++ b/tests/endpoint_lease_test.cc
@@ -69,14 +69,17 @@
           "[endpoint_lease]") {
   // Guards against a late answer that was written before the host left.
   EndpointLease lease;
-  lease.OnReport(Report(0), kStart, kStart);
-  lease.OnLeaving();
+  EndpointReport leaving = Report(0);
+  leaving.leaving = true;
+  lease.OnReport(leaving, kStart, kStart);
   lease.OnReport(Report(1'000), kStart, kStart);
   REQUIRE(lease.CheckStart(kStart, true) == LeaseRefusal::kLeaving);
   EndpointReport restarted = Report(0);
   restarted.boot = BootId("b2");
   lease.OnReport(restarted, kStart, kStart);
   REQUIRE(lease.CheckStart(kStart, true) == LeaseRefusal::kNone);
+  lease.SetListedLeaving(true);
+  REQUIRE(lease.CheckStart(kStart, true) == LeaseRefusal::kLeaving);
 }
 
 TEST_CASE("a silent connection is replaced after its limit",
