--- a/src/coordination/endpoint_lease.cc
+++ b/src/coordination/endpoint_lease.cc
@@ -26,7 +26,7 @@
     return tick;
   }
   const bool renew = this->held && now < this->valid_until;
-  tick.request = renew ? LeaseRequest::kHeartbeat : LeaseRequest::kAcquire;
+  tick.request = renew ? LeaseStep::kHeartbeat : LeaseStep::kAcquire;
   this->outstanding = true;
   this->last_sent = now;
   if (renew) {
--- a/src/coordination/endpoint_lease.h
+++ b/src/coordination/endpoint_lease.h
@@ -53,14 +53,14 @@
   bool leaving = false;       // default: false
 };
 
-enum class LeaseRequest {
+enum class LeaseStep {
   kNone,       // nothing to send
   kAcquire,    // ask for a new lease
   kHeartbeat,  // renew the lease until RenewUntilUs()
 };
 
 struct LeaseTick {
-  LeaseRequest request = LeaseRequest::kNone;  // default: kNone
+  LeaseStep request = LeaseStep::kNone;  // default: kNone
   bool replace_connection = false;  // default: false; close before sending
 };
 
--- a/src/coordination/registry.cc
+++ b/src/coordination/registry.cc
@@ -24,7 +24,8 @@
   return item.is_object() && item.contains("daemon") &&
          item["daemon"].is_string() && item.contains("incarnation") &&
          item["incarnation"].is_number_unsigned() && item.contains("address") &&
-         item["address"].is_string() && item.contains("zone") &&
+         item["address"].is_string() && item.contains("http") &&
+         item["http"].is_string() && item.contains("zone") &&
          item["zone"].is_string();
 }
 
@@ -52,6 +53,7 @@
         {{DaemonId(item["daemon"].get<std::string>()),
           Incarnation(item["incarnation"].get<std::uint64_t>())},
          item["address"].get<std::string>(),
+         item["http"].get<std::string>(),
          ZoneId(item["zone"].get<std::string>())});
   }
   return registry;
@@ -80,6 +82,7 @@
     list.push_back({{"daemon", entry.session.daemon.value},
                     {"incarnation", entry.session.incarnation.value},
                     {"address", entry.peer_address},
+                    {"http", entry.http_address},
                     {"zone", entry.zone.value}});
   }
   return list.dump();
@@ -101,7 +104,8 @@
   std::erase_if(next.daemons, [&](const RegisteredDaemon& entry) {
     return entry.session.daemon == self.session.daemon;
   });
-  next.daemons.push_back({plan.session, self.peer_address, self.zone});
+  next.daemons.push_back(self);
+  next.daemons.back().session = plan.session;
   std::sort(next.daemons.begin(), next.daemons.end(),
             [](const auto& a, const auto& b) { return a.session < b.session; });
   const std::string session_key = SessionRowKeyOf(self.session.daemon);
--- a/src/coordination/registry.h
+++ b/src/coordination/registry.h
@@ -30,6 +30,7 @@
 struct RegisteredDaemon {
   SessionId session;         // default: none
   std::string peer_address;  // default: empty; "IP:port" of the peer socket
+  std::string http_address;  // default: empty; "IP:port" for callers
   ZoneId zone;               // default: empty
 
   friend bool operator==(const RegisteredDaemon&,
--- a/src/daemon/admin_api.h
+++ b/src/daemon/admin_api.h
@@ -49,8 +49,6 @@
   void GetSettings(const HttpResponder& responder);
   void PutSettings(const HttpServerRequest& request,
                    const HttpResponder& responder);
-  void Explain(const HttpServerRequest& request,
-               const HttpResponder& responder);
   void GrantKey(const HttpServerRequest& request,
                 const HttpResponder& responder);
   void WithdrawKey(const HttpServerRequest& request,
--- a/src/daemon/dispatch_task.cc
+++ b/src/daemon/dispatch_task.cc
@@ -138,6 +138,16 @@
   return this->dispatcher ? this->dispatcher->Waiting(queue) : 0;
 }
 
+std::vector<DispatchTask::HostStatus> DispatchTask::Hosts() const {
+  std::vector<HostStatus> hosts;
+  hosts.reserve(this->endpoints.size());
+  for (const auto& [id, endpoint] : this->endpoints) {
+    hosts.push_back({endpoint.host, this->endpoint_membership.IsLeaving(id),
+                     endpoint.owned});
+  }
+  return hosts;
+}
+
 void DispatchTask::OnStopExcess(const TeamId& team, PermitCount count) {
   this->dispatcher->OnStopExcess(team, count.value);
   this->CarryActions();
@@ -230,31 +240,31 @@
              {{"peer", id.value}, {"reason", "silent"}});
     this->endpoint_client->ReplaceConnections(id);
   }
-  const auto on_answer = [this, id, now](LeaseAnswer answer,
+  const auto on_answer = [this, id, now](LeaseResult answer,
                                          const EndpointReport& report) {
     this->OnLeaseAnswer(id, answer, report, now);
   };
-  if (tick.request == LeaseRequest::kAcquire) {
+  if (tick.request == LeaseStep::kAcquire) {
     this->endpoint_client->Acquire(id, this->settings->Session(),
                                    EndpointLeaseConfig{}.lease, on_answer);
   }
-  if (tick.request == LeaseRequest::kHeartbeat) {
+  if (tick.request == LeaseStep::kHeartbeat) {
     this->endpoint_client->Heartbeat(id, lease.Report()->lease,
                                      lease.RenewUntilUs(now), on_answer);
   }
 }
 
 void DispatchTask::OnLeaseAnswer(const EndpointId& id,
-                                 LeaseAnswer answer,
+                                 LeaseResult answer,
                                  const EndpointReport& report,
                                  Instant sent) {
   const Instant now = this->loop->Now();
   EndpointLease& lease = this->dispatcher->LeaseOf(id);
-  if (answer == LeaseAnswer::kFailed) {
+  if (answer == LeaseResult::kFailed) {
     lease.OnFailed(now);
     return;
   }
-  if (answer == LeaseAnswer::kRefused) {
+  if (answer == LeaseResult::kRefused) {
     lease.OnRefused(now);
     return;
   }
--- a/src/daemon/dispatch_task.h
+++ b/src/daemon/dispatch_task.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "src/coordination/dispatcher.h"
 #include "src/coordination/membership.h"
@@ -65,6 +66,13 @@
     std::function<void(const RecordIntent&)> record_intent;
   };
 
+  // One entry of the platform's list, with what this daemon knows of it.
+  struct HostStatus {
+    ListedEndpoint listed;
+    bool leaving = false;
+    bool owned = false;
+  };
+
   DispatchTask(EventLoop* loop,
                EndpointClient* endpoints,
                MembershipClient* membership,
@@ -103,6 +111,7 @@
   std::size_t OpenTasks() const { return this->dispatcher->OpenTasks(); }
   std::size_t OpenAttempts() const { return this->dispatcher->OpenAttempts(); }
   std::int64_t Waiting(const QueueId& queue) const;
+  std::vector<HostStatus> Hosts() const;
   std::size_t OwnedEndpoints() const { return this->slots.Endpoints(); }
 
  private:
@@ -123,7 +132,7 @@
   void OnTick();
   void TickLease(const EndpointId& id);
   void OnLeaseAnswer(const EndpointId& id,
-                     LeaseAnswer answer,
+                     LeaseResult answer,
                      const EndpointReport& report,
                      Instant sent);
   void UpdateUsable(const EndpointId& id);
--- /dev/null
+++ b/src/daemon/endpoint_client.cc
@@ -0,0 +1,270 @@
+#include "src/daemon/endpoint_client.h"
+
+#include <chrono>
+#include <utility>
+
+#include "src/protocol/endpoint_http.h"
+#include "src/protocol/socket_address.h"
+
+namespace peridot {
+namespace {
+
+// A heartbeat answers within a round trip; the caller replaces a connection
+// that stays silent for longer.
+constexpr Duration kControlTimeout = std::chrono::seconds(1);
+constexpr Duration kProvenLive = std::chrono::seconds(1);
+// Answered by every endpoint without effect; proves a connection live.
+constexpr char kProbePath[] = "/v1/attempts/probe";
+
+std::optional<HttpPeer> PeerOf(const EndpointId& endpoint) {
+  const auto address = SocketAddress::Parse(endpoint.value);
+  if (!address) {
+    return std::nullopt;
+  }
+  return HttpPeer{address.value().ip, address.value().port};
+}
+
+HttpRequest MakeRequest(HttpCall call, Duration timeout) {
+  HttpRequest request;
+  request.method = call.method;
+  request.path = std::move(call.path);
+  request.headers = std::move(call.headers);
+  request.body = std::move(call.body);
+  request.timeout = timeout;
+  return request;
+}
+
+EndpointReport ReportOf(const LeaseGrant& grant) {
+  return {.lease = grant.lease,
+          .boot = grant.boot,
+          .clock_us = grant.clock_us,
+          .slots = grant.slots,
+          .running = grant.used,
+          .leaving = grant.leaving};
+}
+
+EndpointReport ReportOf(const LeaseId& lease, const HeartbeatAnswer& beat) {
+  return {.lease = lease,
+          .boot = beat.boot,
+          .clock_us = beat.clock_us,
+          .slots = beat.slots,
+          .running = beat.used,
+          .leaving = beat.leaving};
+}
+
+AttemptReply ReplyOf(const AttemptAnswer& answer) {
+  if (answer.fault != AnswerFault::kNone) {
+    return AttemptReply::kNoAnswer;
+  }
+  switch (answer.state) {
+    case AttemptState::kNeverStarted:
+      return AttemptReply::kNeverStarted;
+    case AttemptState::kDone:
+      return answer.has_result ? AttemptReply::kDone : AttemptReply::kNoAnswer;
+    case AttemptState::kFailed:
+      return AttemptReply::kFailed;
+    case AttemptState::kStopped:
+      return AttemptReply::kStopped;
+    case AttemptState::kRunning:
+      return AttemptReply::kNoAnswer;
+  }
+  return AttemptReply::kNoAnswer;
+}
+
+FenceReply FenceReplyOf(const AttemptAnswer& answer) {
+  if (answer.fault != AnswerFault::kNone) {
+    return FenceReply::kNoAnswer;
+  }
+  switch (answer.state) {
+    case AttemptState::kNeverStarted:
+      return FenceReply::kNeverStarted;
+    case AttemptState::kRunning:
+      return FenceReply::kRunning;
+    case AttemptState::kDone:
+      return FenceReply::kDone;
+    case AttemptState::kFailed:
+      return FenceReply::kFailed;
+    case AttemptState::kStopped:
+      return FenceReply::kStopped;
+    case AttemptState::kUnknown:
+      return FenceReply::kUnknown;
+  }
+  return FenceReply::kNoAnswer;
+}
+
+}  // namespace
+
+EndpointClient::EndpointClient(HttpClient* http) : http(http) {}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Leases
+//-----------------------------------------------------------------------------
+
+void EndpointClient::Acquire(const EndpointId& endpoint,
+                             const SessionId& holder,
+                             Duration lease,
+                             LeaseCallback callback) {
+  const auto peer = PeerOf(endpoint);
+  if (!peer) {
+    return callback(LeaseResult::kFailed, {});
+  }
+  this->http->Send(
+      *peer,
+      MakeRequest(EncodeLease({holder.daemon, holder.incarnation, lease}),
+                  kControlTimeout),
+      [callback = std::move(callback)](const HttpOutcome& outcome) {
+        if (!outcome.answered()) {
+          return callback(LeaseResult::kFailed, {});
+        }
+        const auto answer = ParseLeaseAnswer(outcome.status, outcome.body);
+        if (!answer) {
+          return callback(LeaseResult::kFailed, {});
+        }
+        if (const auto* grant = std::get_if<LeaseGrant>(&answer.value())) {
+          return callback(LeaseResult::kReport, ReportOf(*grant));
+        }
+        callback(LeaseResult::kRefused, {});
+      });
+}
+
+void EndpointClient::Heartbeat(const EndpointId& endpoint,
+                               const LeaseId& lease,
+                               std::int64_t until_us,
+                               LeaseCallback callback) {
+  const auto peer = PeerOf(endpoint);
+  if (!peer) {
+    return callback(LeaseResult::kFailed, {});
+  }
+  this->http->Send(
+      *peer, MakeRequest(EncodeHeartbeat({lease, until_us}), kControlTimeout),
+      [lease, callback = std::move(callback)](const HttpOutcome& outcome) {
+        if (!outcome.answered()) {
+          return callback(LeaseResult::kFailed, {});
+        }
+        const auto beat = ParseHeartbeatAnswer(outcome.status, outcome.body);
+        if (!beat) {
+          return callback(LeaseResult::kRefused, {});
+        }
+        callback(LeaseResult::kReport, ReportOf(lease, beat.value()));
+      });
+}
+
+void EndpointClient::Release(const EndpointId& endpoint, const LeaseId& lease) {
+  if (const auto peer = PeerOf(endpoint)) {
+    this->http->Send(*peer,
+                     MakeRequest(EncodeLeaseRelease(lease), kControlTimeout),
+                     [](const HttpOutcome&) {});
+  }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Attempts
+//-----------------------------------------------------------------------------
+
+void EndpointClient::Start(const StartAttempt& attempt,
+                           const TeamId& team,
+                           const std::string& payload,
+                           Duration timeout,
+                           ReplyCallback callback) {
+  const auto peer = PeerOf(attempt.endpoint);
+  if (!peer) {
+    return callback(AttemptReply::kNotSent, "");
+  }
+  HttpRequest request =
+      MakeRequest(EncodeAttempt({.attempt = attempt.attempt,
+                                 .lease = attempt.lease,
+                                 .boot = attempt.boot,
+                                 .not_after_us = attempt.not_after_us,
+                                 .run = attempt.run_time,
+                                 .idempotent = attempt.idempotent,
+                                 .task = attempt.task,
+                                 .team = team,
+                                 .body = payload}),
+                  timeout);
+  if (!attempt.idempotent) {
+    request.live_connection =
+        LiveConnectionRequirement{kProvenLive, kProbePath};
+  }
+  this->http->Send(
+      *peer, std::move(request),
+      [this, id = attempt.attempt,
+       callback = std::move(callback)](HttpOutcome outcome) {
+        if (!outcome.answered()) {
+          const bool sent = outcome.delivery == Delivery::kMayHaveReached;
+          return callback(
+              sent ? AttemptReply::kNoAnswer : AttemptReply::kNotSent, "");
+        }
+        AttemptAnswer answer = CheckAttemptAnswer(
+            id, outcome.status, outcome.headers, std::move(outcome.body));
+        if (answer.fault != AnswerFault::kNone) {
+          this->http->CloseConnection(outcome.connection);
+        }
+        callback(ReplyOf(answer), std::move(answer.body));
+      });
+}
+
+void EndpointClient::Fence(const EndpointId& endpoint,
+                           const AttemptId& attempt,
+                           const BootId& boot,
+                           FenceCallback callback) {
+  const auto peer = PeerOf(endpoint);
+  if (!peer) {
+    return callback(FenceReply::kNoAnswer, "");
+  }
+  HttpRequest request =
+      MakeRequest(EncodeFence(attempt, boot), kControlTimeout);
+  request.live_connection = LiveConnectionRequirement{kProvenLive, kProbePath};
+  this->http->Send(
+      *peer, std::move(request),
+      [this, endpoint, attempt,
+       callback = std::move(callback)](HttpOutcome outcome) {
+        if (!outcome.answered()) {
+          return callback(FenceReply::kNoAnswer, "");
+        }
+        const FenceReply reply = FenceReplyOf(CheckAttemptAnswer(
+            attempt, outcome.status, outcome.headers, std::move(outcome.body)));
+        if (reply != FenceReply::kDone) {
+          return callback(reply, "");
+        }
+        this->FetchResult(endpoint, attempt, callback);
+      });
+}
+
+// A fence names the state only; the result of a task that is done is read by a
+// request of its own.
+void EndpointClient::FetchResult(const EndpointId& endpoint,
+                                 const AttemptId& attempt,
+                                 FenceCallback callback) {
+  this->http->Send(
+      *PeerOf(endpoint),
+      MakeRequest(EncodeAttemptState(attempt), kControlTimeout),
+      [attempt, callback = std::move(callback)](HttpOutcome outcome) {
+        if (!outcome.answered()) {
+          return callback(FenceReply::kNoAnswer, "");
+        }
+        AttemptAnswer answer = CheckAttemptAnswer(
+            attempt, outcome.status, outcome.headers, std::move(outcome.body));
+        const bool whole = answer.fault == AnswerFault::kNone &&
+                           answer.state == AttemptState::kDone &&
+                           answer.has_result;
+        callback(whole ? FenceReply::kDone : FenceReply::kNoAnswer,
+                 std::move(answer.body));
+      });
+}
+
+void EndpointClient::Stop(const EndpointId& endpoint,
+                          const AttemptId& attempt) {
+  if (const auto peer = PeerOf(endpoint)) {
+    this->http->Send(*peer,
+                     MakeRequest(EncodeAttemptStop(attempt), kControlTimeout),
+                     [](const HttpOutcome&) {});
+  }
+}
+
+void EndpointClient::ReplaceConnections(const EndpointId& endpoint) {
+  if (const auto peer = PeerOf(endpoint)) {
+    this->http->CloseConnections(*peer);
+  }
+}
+
+}  // namespace peridot
--- a/src/daemon/endpoint_client.h
+++ b/src/daemon/endpoint_client.h
@@ -22,7 +22,7 @@
 // [SECTION] Results
 //-----------------------------------------------------------------------------
 
-enum class LeaseAnswer {
+enum class LeaseResult {
   kReport,   // the lease is held
   kRefused,  // the endpoint knows no such lease or gives none
   kFailed,   // no usable answer
@@ -36,7 +36,7 @@
 // loop's thread. Each callback is called once, from the loop.
 class EndpointClient {
  public:
-  using LeaseCallback = std::function<void(LeaseAnswer, const EndpointReport&)>;
+  using LeaseCallback = std::function<void(LeaseResult, const EndpointReport&)>;
   // The body is the whole answer if the reply is kDone.
   using ReplyCallback = std::function<void(AttemptReply, std::string body)>;
   using FenceCallback = std::function<void(FenceReply, std::string body)>;
@@ -75,6 +75,10 @@
   void ReplaceConnections(const EndpointId& endpoint);
 
  private:
+  void FetchResult(const EndpointId& endpoint,
+                   const AttemptId& attempt,
+                   FenceCallback callback);
+
   HttpClient* http;
 };
 
--- a/src/daemon/settings_task.cc
+++ b/src/daemon/settings_task.cc
@@ -5,6 +5,7 @@
 #include <random>
 #include <utility>
 
+#include "src/protocol/digest.h"
 #include "src/protocol/peer_codec.h"
 #include "src/protocol/settings_yaml.h"
 #include "src/transport/log.h"
@@ -16,6 +17,8 @@
 
 constexpr Duration kTick = milliseconds(50);
 constexpr Duration kRegisterRetry = milliseconds(200);
+constexpr Duration kFetchRetry = milliseconds(200);
+constexpr char kDocumentKey[] = "settings_document";
 
 // Differs between starts of one daemon, so that an operation id of an earlier
 // process is never taken for one of this process.
@@ -45,8 +48,10 @@
       proto::Envelope::kPeerDocument,
       [this](const SessionId&, const proto::Envelope& envelope) {
         if (this->lease) {
+          this->peer_document = envelope.peer_document().document();
           this->Carry(this->lease->OnPeerDocument(
               DecodeDocument(envelope.peer_document()), this->loop->Now()));
+          this->peer_document.clear();
         }
       });
   this->peers->OnBody(
@@ -89,6 +94,7 @@
             PlanRegistration(before.value(), row.value(),
                              {.session = {this->config->daemon, Incarnation(0)},
                               .peer_address = this->config->peer_listen.Text(),
+                              .http_address = this->config->listen.Text(),
                               .zone = this->config->zone},
                              this->NextOperationId());
         plan.transaction.puts.push_back({OperationKey(this->config->daemon),
@@ -319,22 +325,49 @@
 }
 
 void SettingsTask::Do(const AdoptSettings& action) {
-  auto parsed = ParseSettings(action.text, "settings", action.revision);
+  if (Sha256Hex(this->peer_document) == action.text) {
+    return this->Adopt(action.revision, this->peer_document);
+  }
+  this->FetchSettings(action.revision, action.text);
+}
+
+void SettingsTask::FetchSettings(Revision revision, const std::string& digest) {
+  this->table->Read(
+      {SettingsKey(), kDocumentKey}, {},
+      [this, revision, digest](Result<std::vector<TableRow>> rows) {
+        // A later revision is offered by the next read.
+        if (this->lease->Known() != revision) {
+          return;
+        }
+        const std::string document =
+            rows ? FindRow(rows.value(), kDocumentKey).value : std::string();
+        if (Sha256Hex(document) == digest) {
+          return this->Adopt(revision, document);
+        }
+        this->loop->After(kFetchRetry, [this, revision, digest] {
+          this->FetchSettings(revision, digest);
+        });
+      });
+}
+
+void SettingsTask::Adopt(Revision revision, const std::string& document) {
+  auto parsed = ParseSettings(document, "settings", revision);
   if (!parsed) {
     LogEvent(LogLevel::kError, "settings_malformed",
-             {{"revision", std::to_string(action.revision.value)},
+             {{"revision", std::to_string(revision.value)},
               {"reason", parsed.error().message}});
     return;
   }
+  this->adopted_digest = Sha256Hex(document);
   this->tree = std::move(parsed.value());
   this->key_teams.clear();
   for (const TeamKey& key : this->tree->Document().keys) {
     this->key_teams.emplace(key.id, key.team);
   }
-  this->lease->OnAdopted(action.revision, this->tree->Fleet().settings_lease);
+  this->lease->OnAdopted(revision, this->tree->Fleet().settings_lease);
   this->EndRestrictions();
   LogEvent(LogLevel::kInfo, "settings_adopted",
-           {{"revision", std::to_string(action.revision.value)}});
+           {{"revision", std::to_string(revision.value)}});
   this->hooks.on_settings();
 }
 
@@ -379,11 +412,13 @@
   write.kind = ControlWriteKind::kSettings;
   write.operation_id = this->NextOperationId();
   write.base = base;
-  write.text = FormatSettings(document);
-  if (write.text.size() > kMaxSettingsBytes) {
+  std::string text = FormatSettings(document);
+  if (text.size() > kMaxSettingsBytes) {
     return callback({ChangeResult::kUnavailable, base,
                      "the settings exceed 1 MiB of text"});
   }
+  write.text = Sha256Hex(text);
+  write.registry_change.puts.push_back({kDocumentKey, std::move(text)});
   this->Begin(std::move(write), limit, std::move(callback));
 }
 
@@ -526,9 +561,11 @@
   }
   proto::Envelope envelope;
   EncodeDocument({.revision = this->lease->Held(),
-                  .text = FormatSettings(this->tree->Document()),
+                  .text = this->adopted_digest,
                   .registry = this->lease->Registry()},
                  envelope.mutable_peer_document());
+  envelope.mutable_peer_document()->set_document(
+      FormatSettings(this->tree->Document()));
   this->peers->Send(to.daemon, std::move(envelope));
 }
 
--- a/src/daemon/settings_task.h
+++ b/src/daemon/settings_task.h
@@ -4,6 +4,10 @@
 //   [SECTION] Results
 //   [SECTION] SettingsTask
 //
+// Row "settings" holds only the digest of the document, so that the frequent
+// reads that renew the proof stay small; the document is row
+// "settings_document", written in the same transaction and read once a change.
+//
 // Owns the SettingsLease: registers the session, reads the settings and the
 // registry, exchanges proofs with peers and writes changes. Implements the
 // SettingsView that the dispatcher checks before every start.
@@ -144,6 +148,8 @@
   void Do(const WriteChanged& action);
   void Do(const ReportReversion& action);
   void Do(const StopSession& action);
+  void FetchSettings(Revision revision, const std::string& digest);
+  void Adopt(Revision revision, const std::string& document);
   void OnRows(std::uint64_t read_id, const std::vector<TableRow>& rows);
   void Begin(ControlWrite write, Duration limit, ChangeCallback callback);
   void ExpireWaiting();
@@ -161,6 +167,9 @@
   Hooks hooks;
   std::optional<SettingsLease> lease;
   std::optional<SettingsTree> tree;
+  std::string adopted_digest;  // of tree's document
+  // A document that a peer sent, until its revision is offered.
+  std::string peer_document;
   std::unordered_map<KeyId, TeamId> key_teams;
   Registry registry;
   SessionId session;
--- /dev/null
+++ b/src/daemon/table_client.cc
@@ -0,0 +1,69 @@
+#include "src/daemon/table_client.h"
+
+#include <utility>
+
+#include "src/protocol/platform_http.h"
+
+namespace peridot {
+namespace {
+
+// Longer than a slow store's answer, shorter than the time in which a caller
+// gives up; an answer that comes later is treated as lost.
+constexpr Duration kTimeout = std::chrono::seconds(2);
+constexpr std::size_t kMaxAnswer = 64UL << 20;
+
+}  // namespace
+
+TableClient::TableClient(HttpClient* http, HttpPeer peer)
+    : http(http), peer(std::move(peer)) {}
+
+void TableClient::Read(std::vector<std::string> keys,
+                       std::vector<std::string> prefixes,
+                       ReadCallback callback) {
+  auto call = EncodeRead({std::move(keys), std::move(prefixes)});
+  if (!call) {
+    return callback(call.error());
+  }
+  HttpRequest request = ToHttpRequest(std::move(call.value()));
+  request.timeout = kTimeout;
+  request.max_answer_bytes = kMaxAnswer;
+  this->http->Send(this->peer, std::move(request),
+                   [peer = this->peer, callback = std::move(callback)](
+                       const HttpOutcome& outcome) {
+                     if (!outcome.answered()) {
+                       return callback(OutcomeError(outcome, "read", peer));
+                     }
+                     callback(ParseRows(outcome.status, outcome.body));
+                   });
+}
+
+void TableClient::Transact(TableTransaction transaction,
+                           CommitCallback callback) {
+  auto call = EncodeTransact(transaction);
+  if (!call) {
+    // Nothing was sent; the read-back finds no effect.
+    return callback({});
+  }
+  HttpRequest request = ToHttpRequest(std::move(call.value()));
+  request.timeout = kTimeout;
+  this->http->Send(
+      this->peer, std::move(request),
+      [callback = std::move(callback)](const HttpOutcome& outcome) {
+        if (!outcome.answered()) {
+          return callback({});
+        }
+        auto answer = ParseCommitAnswer(outcome.status, outcome.body);
+        callback(answer ? std::move(answer.value()) : CommitAnswer{});
+      });
+}
+
+TableRow FindRow(const std::vector<TableRow>& rows, const std::string& key) {
+  for (const TableRow& row : rows) {
+    if (row.key == key) {
+      return row;
+    }
+  }
+  return TableRow{.key = key};
+}
+
+}  // namespace peridot
--- a/src/daemon/task_api.h
+++ b/src/daemon/task_api.h
@@ -6,23 +6,26 @@
 //
 // Owns the tasks that this daemon has accepted: their payloads, the callers
 // that wait, and the answers of finished asynchronous tasks until they expire.
+// A task id names the session that accepted the task; a request for a task of
+// another live daemon is passed on to it once.
 
 #ifndef SRC_DAEMON_TASK_API_H_
 #define SRC_DAEMON_TASK_API_H_
 
 #include <cstdint>
 #include <deque>
-#include <map>
+#include <functional>
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 
 #include "src/daemon/dispatch_task.h"
-#include "src/daemon/journal_task.h"
 #include "src/daemon/settings_task.h"
 #include "src/protocol/problem.h"
 #include "src/protocol/task_http.h"
 #include "src/transport/event_loop.h"
+#include "src/transport/http_client.h"
 #include "src/transport/http_server.h"
 #include "src/transport/metrics.h"
 
@@ -36,6 +39,26 @@
   // How long the answer of an asynchronous task can be fetched.
   Duration keep_answers = std::chrono::minutes(10);  // default: 10 min
   std::size_t max_answers = 10'000;                  // default: 10,000 tasks
+  Duration expire_period = std::chrono::seconds(1);  // default: 1 s
+};
+
+// A task that must outlive this daemon.
+struct DurableTask {
+  TaskSpec spec;                               // default: empty
+  TeamId team;                                 // default: empty
+  std::string payload;                         // default: empty
+  std::optional<std::string> idempotency_key;  // default: none
+};
+
+// What became of the record of a durable task.
+struct RecordOutcome {
+  enum class Kind {
+    kCommitted,    // the task may start
+    kDuplicate,    // the idempotency key names an earlier task
+    kUnavailable,  // nothing was recorded
+  };
+  Kind kind = Kind::kUnavailable;  // default: kUnavailable
+  TaskId existing;                 // default: empty; with kDuplicate
 };
 
 //-----------------------------------------------------------------------------
@@ -45,58 +68,80 @@
 // Not thread-safe: lives on the loop's thread.
 class TaskApi {
  public:
+  struct Hooks {
+    // Records an accepted durable task; calls back once.
+    std::function<void(const DurableTask&, std::function<void(RecordOutcome)>)>
+        record;
+    // A durable task has ended.
+    std::function<void(const FinishTask&, const std::string& answer)>
+        record_end;
+  };
+
   TaskApi(EventLoop* loop,
           HttpServer* server,
+          HttpClient* http,
           DispatchTask* dispatch,
-          JournalTask* journal,
           const SettingsTask* settings,
           Metrics* metrics,
+          Hooks hooks,
           TaskApiConfig config = {});
 
   // Hooks of the dispatch task.
   const std::string* Payload(const TaskId& task) const;
   void OnFinished(const FinishTask& end, std::string body);
 
+  // Takes over a task of a fenced session. It is durable and nobody waits.
+  void Adopt(const DurableTask& task);
+
   // Tasks that have not ended.
   std::size_t OpenTasks() const { return this->open; }
 
  private:
   struct Task {
     TaskSpec spec;
+    TeamId team;
     std::string payload;
-    bool asynchronous = false;
-    std::optional<HttpResponder> responder;
+    bool durable = false;
     bool ended = false;
-    TaskOutcome outcome = TaskOutcome::kNone;
-    Ran ran = Ran::kNo;
-    StartBlock block = StartBlock::kNone;
+    FinishTask end;
     std::string answer;
+    std::vector<HttpResponder> waiting;
     Instant accepted{};
   };
 
-  void HandleSubmit(HttpServerRequest request, HttpResponder responder);
-  void HandleGet(const HttpServerRequest& request, HttpResponder responder);
-  void HandleDelete(const HttpServerRequest& request, HttpResponder responder);
-  void Accept(const TaskSubmission& submission,
-              const TaskSpec& spec,
-              HttpResponder responder);
-  void OnRecorded(const TaskId& id, JournalVerdict verdict);
+  void HandleSubmit(HttpServerRequest request, const HttpResponder& responder);
+  void HandleGet(const HttpServerRequest& request,
+                 const HttpResponder& responder);
+  void HandleDelete(const HttpServerRequest& request,
+                    const HttpResponder& responder);
+  void AcceptDurable(TaskSubmission submission,
+                     const Task& task,
+                     const HttpResponder& responder);
+  void OnRecorded(const TaskId& id,
+                  const RecordOutcome& outcome,
+                  bool respond_async,
+                  const HttpResponder& responder);
   void Start(const TaskId& id);
-  void Answer(const TaskId& id, const Task& task, const HttpResponder& to);
-  void Refuse(const HttpResponder& to, RefusalCode code, Ran ran);
-  // Finds the task if the request's key belongs to its team.
+  HttpAnswer AnswerOf(const Task& task) const;
+  void Refuse(const HttpResponder& responder,
+              RefusalCode code,
+              const std::string& detail = "");
+  void Refuse(const HttpResponder& responder, StartBlock block);
+  // Returns the task if the caller's key belongs to its team. Otherwise the
+  // request has been answered or passed on.
   Task* FindForCaller(const HttpServerRequest& request,
-                      const HttpResponder& responder,
-                      TaskId* id);
-  std::optional<KeyId> KeyOf(const std::string& bearer) const;
+                      const HttpResponder& responder);
+  void PassOn(const HttpServerRequest& request,
+              const SessionId& session,
+              const HttpResponder& responder);
   void Expire();
-  TaskId NextTaskId();
 
   EventLoop* loop;
+  HttpClient* http;
   DispatchTask* dispatch;
-  JournalTask* journal;
   const SettingsTask* settings;
   Metrics* metrics;
+  Hooks hooks;
   TaskApiConfig config;
   std::unordered_map<TaskId, Task> tasks;
   std::deque<std::pair<Instant, TaskId>> finished;  // by the end's instant
--- a/tests/endpoint_lease_test.cc
+++ b/tests/endpoint_lease_test.cc
@@ -85,12 +85,12 @@
 TEST_CASE("a silent connection is replaced after its limit",
           "[endpoint_lease]") {
   EndpointLease lease;
-  REQUIRE(lease.OnTick(kStart).request == LeaseRequest::kAcquire);
+  REQUIRE(lease.OnTick(kStart).request == LeaseStep::kAcquire);
   REQUIRE(lease.OnTick(kStart + milliseconds(900)).request ==
-          LeaseRequest::kNone);
+          LeaseStep::kNone);
   const LeaseTick tick = lease.OnTick(kStart + seconds(1));
   REQUIRE(tick.replace_connection);
-  REQUIRE(tick.request == LeaseRequest::kAcquire);
+  REQUIRE(tick.request == LeaseStep::kAcquire);
 }
 
 TEST_CASE("a renewal never extends the lease past what the holder assumes",
@@ -99,7 +99,7 @@
   EndpointLease lease;
   lease.OnReport(Report(1'000'000), kStart, kStart);
   const Instant renewal = kStart + seconds(1);
-  REQUIRE(lease.OnTick(renewal).request == LeaseRequest::kHeartbeat);
+  REQUIRE(lease.OnTick(renewal).request == LeaseStep::kHeartbeat);
   const double until_us =
       static_cast<double>(lease.RenewUntilUs(renewal) - 1'000'000);
   const double slowest_clock = until_us / 0.99;
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -33,6 +33,7 @@
     return PlanRegistration(this->ReadRegistry(), this->ReadSession(daemon),
                             {.session = {DaemonId(daemon), Incarnation(0)},
                              .peer_address = "127.0.0.1:7000",
+                             .http_address = "127.0.0.1:7001",
                              .zone = ZoneId("z1")},
                             id);
   }
--- a/tests/support/task_world.h
+++ b/tests/support/task_world.h
@@ -248,10 +248,10 @@
     if (tick.replace_connection) {
       this->ReplaceConnection(e);
     }
-    if (tick.request == LeaseRequest::kNone) {
+    if (tick.request == LeaseStep::kNone) {
       return;
     }
-    const bool acquire = tick.request == LeaseRequest::kAcquire;
+    const bool acquire = tick.request == LeaseStep::kAcquire;
     const LeaseId id = acquire ? LeaseId() : lease.Report()->lease;
     const std::int64_t until = acquire ? 0 : lease.RenewUntilUs(now);
     this->Ask(
