--- a/src/coordination/dispatcher.h
+++ b/src/coordination/dispatcher.h
@@ -231,6 +231,10 @@
                FenceReply reply,
                Instant now);
 
+  // Why tasks of the queue are not offered a slot now; kNone if they are. It is
+  // the reason given to those whose deadline passes meanwhile.
+  void OnQueueBlocked(const QueueId& queue, StartBlock block);
+
   // The caller cancelled. Returns false for an unknown task.
   bool OnCancel(const TaskId& task, Instant now);
 
@@ -299,6 +303,7 @@
 
   using WaitingList = std::map<std::int64_t, TaskId>;
 
+  StartBlock ReasonOf(const Task& task) const;
   StartBlock CheckCaller(const TaskSpec& spec,
                          const QueueSettings& queue) const;
   StartBlock CheckStart(const TaskSpec& spec,
@@ -331,6 +336,7 @@
   std::int64_t next_waiting_key = 0;
   std::unordered_map<TaskId, Task> tasks;
   std::map<QueueId, WaitingList> waiting;
+  std::map<QueueId, StartBlock> blocked;
   std::multimap<Instant, TaskId> deadlines;
   std::multimap<Instant, TaskId> delayed;  // retries, by their instant
   RetryPolicy retries;
--- a/src/coordination/dispatcher_internal.h
+++ b/src/coordination/dispatcher_internal.h
@@ -455,6 +455,24 @@
   this->in_flight.erase(found);
 }
 
+template <SettingsView Settings, PermitPool Permits>
+void Dispatcher<Settings, Permits>::OnQueueBlocked(const QueueId& queue,
+                                                   StartBlock block) {
+  if (block == StartBlock::kNone) {
+    this->blocked.erase(queue);
+    return;
+  }
+  this->blocked[queue] = block;
+}
+
+template <SettingsView Settings, PermitPool Permits>
+StartBlock Dispatcher<Settings, Permits>::ReasonOf(const Task& task) const {
+  const auto found = this->blocked.find(task.spec.queue);
+  return task.last_block == StartBlock::kNoSlot && found != this->blocked.end()
+             ? found->second
+             : task.last_block;
+}
+
 template <SettingsView Settings, PermitPool Permits>
 void Dispatcher<Settings, Permits>::OnStopExcess(const TeamId& team,
                                                  std::int64_t count) {
@@ -500,7 +518,7 @@
                                           task.execution.CurrentEndpoint()});
     }
     task.execution.OnDeadline();
-    this->Finish(&task, task.last_block);
+    this->Finish(&task, this->ReasonOf(task));
   }
   while (!this->delayed.empty() && this->delayed.begin()->first <= now) {
     const TaskId id = this->delayed.begin()->second;
--- a/src/daemon/admin_api.cc
+++ b/src/daemon/admin_api.cc
@@ -143,11 +143,11 @@
   const SettingsTree* tree = this->settings->Tree();
   const Revision revision =
       tree == nullptr ? Revision() : tree->CurrentRevision();
-  responder.Send(
-      {200,
-       {{"Content-Type", "application/yaml"},
-        {"Peridot-Revision", std::to_string(revision.value)}},
-       tree == nullptr ? std::string() : FormatSettings(tree->Document())});
+  responder.Send({200,
+                  {{"Content-Type", "application/yaml"},
+                   {"Peridot-Revision", std::to_string(revision.value)}},
+                  FormatSettings(tree == nullptr ? SettingsDocument()
+                                                 : tree->Document())});
 }
 
 void AdminApi::PutSettings(const HttpServerRequest& request,
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -42,7 +42,7 @@
   return {address.ip, address.port};
 }
 
-HttpAnswer FormatFault(HttpServerFault fault) {
+HttpAnswer MakeFaultAnswer(HttpServerFault fault) {
   const bool too_large = fault == HttpServerFault::kBodyTooLarge ||
                          fault == HttpServerFault::kHeaderTooLarge;
   HttpAnswer answer = FormatProblem(MakeProblem(
@@ -106,7 +106,7 @@
   PeerSocketOptions socket_options;
   socket_options.address = this->config.peer_listen.ip;
   socket_options.port = this->config.peer_listen.port;
-  socket_options.max_message = kMaxEnvelopeBytes;
+  socket_options.max_message = kMaxDocumentEnvelopeBytes;
   BOOST_OUTCOME_TRY(
       created_socket,
       PeerSocket::Create(
@@ -120,7 +120,7 @@
   HttpServerOptions server_options;
   server_options.address = this->config.listen.ip;
   server_options.port = this->config.listen.port;
-  server_options.format_fault = FormatFault;
+  server_options.format_fault = MakeFaultAnswer;
   BOOST_OUTCOME_TRY(created_server,
                     HttpServer::Create(this->loop.get(), server_options));
   this->server = std::move(created_server);
--- a/src/daemon/dispatch_task.cc
+++ b/src/daemon/dispatch_task.cc
@@ -374,6 +374,10 @@
         permits_left.try_emplace(rules->team, this->permits->Free(rules->team));
     next[queue] = may_start ? std::min(waiting, left->second) : 0;
     left->second -= next[queue];
+    this->dispatcher->OnQueueBlocked(queue,
+                                     !may_start ? StartBlock::kSettingsStale
+                                     : next[queue] == 0 ? StartBlock::kTeamLimit
+                                                        : StartBlock::kNone);
   }
   for (const auto& [queue, count] : next) {
     const QueueSettings* rules = this->settings->FindQueue(queue.value);
--- a/src/daemon/endpoint_client.cc
+++ b/src/daemon/endpoint_client.cc
@@ -66,6 +66,7 @@
     case AttemptState::kStopped:
       return AttemptReply::kStopped;
     case AttemptState::kRunning:
+    case AttemptState::kUnknown:
       return AttemptReply::kNoAnswer;
   }
   return AttemptReply::kNoAnswer;
@@ -113,7 +114,7 @@
       MakeRequest(EncodeLease({holder.daemon, holder.incarnation, lease}),
                   kControlTimeout),
       [callback = std::move(callback)](const HttpOutcome& outcome) {
-        if (!outcome.answered()) {
+        if (!outcome.Answered()) {
           return callback(LeaseResult::kFailed, {});
         }
         const auto answer = ParseLeaseAnswer(outcome.status, outcome.body);
@@ -138,7 +139,7 @@
   this->http->Send(
       *peer, MakeRequest(EncodeHeartbeat({lease, until_us}), kControlTimeout),
       [lease, callback = std::move(callback)](const HttpOutcome& outcome) {
-        if (!outcome.answered()) {
+        if (!outcome.Answered()) {
           return callback(LeaseResult::kFailed, {});
         }
         const auto beat = ParseHeartbeatAnswer(outcome.status, outcome.body);
@@ -189,7 +190,7 @@
       *peer, std::move(request),
       [this, id = attempt.attempt,
        callback = std::move(callback)](HttpOutcome outcome) {
-        if (!outcome.answered()) {
+        if (!outcome.Answered()) {
           const bool sent = outcome.delivery == Delivery::kMayHaveReached;
           return callback(
               sent ? AttemptReply::kNoAnswer : AttemptReply::kNotSent, "");
@@ -214,24 +215,25 @@
   HttpRequest request =
       MakeRequest(EncodeFence(attempt, boot), kControlTimeout);
   request.live_connection = LiveConnectionRequirement{kProvenLive, kProbePath};
-  this->http->Send(
-      *peer, std::move(request),
-      [this, endpoint, attempt,
-       callback = std::move(callback)](HttpOutcome outcome) {
-        if (!outcome.answered()) {
-          return callback(FenceReply::kNoAnswer, "");
-        }
-        const FenceReply reply = FenceReplyOf(CheckAttemptAnswer(
-            attempt, outcome.status, outcome.headers, std::move(outcome.body)));
-        if (reply != FenceReply::kDone) {
-          return callback(reply, "");
-        }
-        this->FetchResult(endpoint, attempt, callback);
-      });
+  this->http->Send(*peer, std::move(request),
+                   [this, endpoint, attempt,
+                    callback = std::move(callback)](HttpOutcome outcome) {
+                     if (!outcome.Answered()) {
+                       return callback(FenceReply::kNoAnswer, "");
+                     }
+                     AttemptAnswer answer = CheckAttemptAnswer(
+                         attempt, outcome.status, outcome.headers,
+                         std::move(outcome.body));
+                     const FenceReply reply = FenceReplyOf(answer);
+                     if (reply != FenceReply::kDone || answer.has_result) {
+                       return callback(reply, std::move(answer.body));
+                     }
+                     this->FetchResult(endpoint, attempt, callback);
+                   });
 }
 
-// A fence names the state only; the result of a task that is done is read by a
-// request of its own.
+// A fence may name the state only; the result is then read by a request of its
+// own.
 void EndpointClient::FetchResult(const EndpointId& endpoint,
                                  const AttemptId& attempt,
                                  FenceCallback callback) {
@@ -239,7 +241,7 @@
       *PeerOf(endpoint),
       MakeRequest(EncodeAttemptState(attempt), kControlTimeout),
       [attempt, callback = std::move(callback)](HttpOutcome outcome) {
-        if (!outcome.answered()) {
+        if (!outcome.Answered()) {
           return callback(FenceReply::kNoAnswer, "");
         }
         AttemptAnswer answer = CheckAttemptAnswer(
--- a/src/daemon/membership_client.cc
+++ b/src/daemon/membership_client.cc
@@ -23,7 +23,7 @@
       this->peer, std::move(request),
       [peer = this->peer,
        callback = std::move(callback)](const HttpOutcome& outcome) {
-        if (!outcome.answered()) {
+        if (!outcome.Answered()) {
           return callback(OutcomeError(outcome, "list hosts", peer));
         }
         const auto hosts = ParseHosts(outcome.status, outcome.body);
--- a/src/daemon/settings_task.cc
+++ b/src/daemon/settings_task.cc
@@ -175,6 +175,7 @@
     return done();
   }
   this->lease->OnLeave();
+  this->leaving = true;
   const std::string session_key = SessionKey(this->config->daemon);
   this->table->Read(
       {RegistryKey(), session_key}, {},
@@ -381,9 +382,19 @@
       this->Resolve(action.operation_id,
                     {ChangeResult::kConflict, this->lease->Known(), ""});
       return;
+    case WriteState::kNotSent:
+      this->Resolve(action.operation_id,
+                    {ChangeResult::kUnavailable, this->lease->Known(),
+                     "the change was not sent"});
+      return;
+    case WriteState::kCommitted:
+      if (this->leaving) {
+        this->Resolve(action.operation_id,
+                      {ChangeResult::kCommitted, action.revision, ""});
+      }
+      return;
     case WriteState::kNone:
     case WriteState::kUnknown:
-    case WriteState::kCommitted:
       return;
   }
 }
@@ -395,6 +406,12 @@
 }
 
 void SettingsTask::Do(const StopSession& /*action*/) {
+  for (const Waiting& item : std::exchange(this->waiting, {})) {
+    item.callback({ChangeResult::kUnknown, this->lease->Known(), ""});
+  }
+  if (this->leaving) {
+    return;  // the registry does not list this session any more
+  }
   LogEvent(LogLevel::kError, "session_fenced",
            {{"incarnation", std::to_string(this->session.incarnation.value)}});
   this->hooks.on_stopped();
--- a/src/daemon/settings_task.h
+++ b/src/daemon/settings_task.h
@@ -178,6 +178,7 @@
   std::vector<OpenRestriction> open_restrictions;
   std::uint64_t next_operation = 1;
   std::uint64_t next_restriction = 1;
+  bool leaving = false;
   std::string start_nonce;  // random; operation ids differ between starts
 };
 
--- a/src/daemon/table_client.cc
+++ b/src/daemon/table_client.cc
@@ -30,7 +30,7 @@
   this->http->Send(this->peer, std::move(request),
                    [peer = this->peer, callback = std::move(callback)](
                        const HttpOutcome& outcome) {
-                     if (!outcome.answered()) {
+                     if (!outcome.Answered()) {
                        return callback(OutcomeError(outcome, "read", peer));
                      }
                      callback(ParseRows(outcome.status, outcome.body));
@@ -49,7 +49,7 @@
   this->http->Send(
       this->peer, std::move(request),
       [callback = std::move(callback)](const HttpOutcome& outcome) {
-        if (!outcome.answered()) {
+        if (!outcome.Answered()) {
           return callback({});
         }
         auto answer = ParseCommitAnswer(outcome.status, outcome.body);
--- a/src/daemon/task_api.cc
+++ b/src/daemon/task_api.cc
@@ -369,7 +369,7 @@
   this->http->Send(
       {address.value().ip, address.value().port}, std::move(passed),
       [this, responder](HttpOutcome outcome) {
-        if (!outcome.answered()) {
+        if (!outcome.Answered()) {
           return this->Refuse(responder, RefusalCode::kOutcomeUnknown,
                               "the daemon that accepted the task gave no "
                               "answer");
--- a/tests/dispatcher_test.cc
+++ b/tests/dispatcher_test.cc
@@ -277,6 +277,15 @@
   REQUIRE(ends[0].ran == Ran::kNo);
 }
 
+TEST_CASE("a task that ends while its queue is blocked names the reason",
+          "[dispatcher]") {
+  Fixture f;
+  f.dispatcher.OnSubmit(Fixture::Spec("t1"), kStart);
+  f.dispatcher.OnQueueBlocked(kQueue, StartBlock::kTeamLimit);
+  f.dispatcher.OnTick(kStart + seconds(11));
+  REQUIRE(f.Take<FinishTask>().at(0).block == StartBlock::kTeamLimit);
+}
+
 TEST_CASE("a late or crossed reply does not end another attempt",
           "[dispatcher]") {
   Fixture f;
