Add the protocol layer for tasks, platform, endpoints and peers

Cause: every message that enters a daemon has to be checked in one place, and each refusal and outcome needs a type. Ruled out: a default for a field that is missing or not understood, because an empty list, a clock of 0 or "idempotent" would then come from a broken message; a refusal to start without the attempt's name, because one that belongs to another attempt would make "not run" untrue. Change: envelope, problem, task_http, platform_http and endpoint_http, with encoders and parsers for both sides; an uncertain commit answer is unknown; answers to attempts are matched by attempt, length and digest. Conclusion: the transport types do not appear in this layer.

--- a/src/protocol/http_headers.h
+++ b/src/protocol/http_headers.h
@@ -1,7 +1,8 @@
-// Header lists of HTTP messages, shared by the protocol and transport layers.
+// Plain HTTP messages, shared by the protocol and transport layers.
 //
 // Index:
-//   [SECTION] Types
+//   [SECTION] Headers
+//   [SECTION] Messages
 //   [SECTION] Functions
 
 #ifndef SRC_PROTOCOL_HTTP_HEADERS_H_
@@ -15,7 +16,7 @@
 namespace peridot {
 
 //-----------------------------------------------------------------------------
-// [SECTION] Types
+// [SECTION] Headers
 //-----------------------------------------------------------------------------
 
 struct HttpHeader {
@@ -26,6 +27,28 @@
 // In the order of the message. A name can occur more than once.
 using HttpHeaders = std::vector<HttpHeader>;
 
+//-----------------------------------------------------------------------------
+// [SECTION] Messages
+//-----------------------------------------------------------------------------
+
+enum class HttpMethod { kGet, kHead, kPost, kPut, kDelete };
+
+// What to ask of a peer. Host, Content-Length and Connection are set by the
+// transport.
+struct HttpCall {
+  HttpMethod method = HttpMethod::kGet;  // default: kGet
+  std::string path{};                    // default: empty; with the query
+  HttpHeaders headers{};                 // default: none
+  std::string body{};                    // default: empty
+};
+
+// What to answer. Content-Length and Connection are set by the transport.
+struct HttpAnswer {
+  int status = 200;       // default: 200
+  HttpHeaders headers{};  // default: none
+  std::string body{};     // default: empty
+};
+
 //-----------------------------------------------------------------------------
 // [SECTION] Functions
 //-----------------------------------------------------------------------------
--- /dev/null
+++ b/src/protocol/platform_http.h
@@ -0,0 +1,137 @@
+// The platform's table, object store and membership list over HTTP. Sections
+// 14.3 to 14.5 of docs/design.md.
+//
+// Index:
+//   [SECTION] Table
+//   [SECTION] Object store
+//   [SECTION] Membership
+//   [SECTION] Faults of the stand-ins
+//
+// Each exchange has an encoder for the side that sends it and a parser for the
+// side that receives it.
+
+#ifndef SRC_PROTOCOL_PLATFORM_HTTP_H_
+#define SRC_PROTOCOL_PLATFORM_HTTP_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "src/protocol/http_headers.h"
+#include "src/state/error.h"
+#include "src/state/ids.h"
+#include "src/state/table_types.h"
+
+namespace peridot {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Table
+//-----------------------------------------------------------------------------
+
+// Fails if a key or value is not UTF-8, or the operation id is empty.
+Result<HttpCall> EncodeTransact(const TableTransaction& transaction);
+Result<TableTransaction> ParseTransact(std::string_view body);
+
+// Requires an outcome other than kUnknown, which no table answers.
+Result<HttpAnswer> FormatCommitAnswer(const CommitAnswer& answer);
+
+// 200 is kCommitted, 409 kConflict; `committed` in the body has to agree. An
+// answer that breaks this, or 5xx, gives kUnknown: the transaction may have
+// taken effect. Any other status is an error: nothing took effect.
+Result<CommitAnswer> ParseCommitAnswer(int status, std::string_view body);
+
+struct TableRead {
+  std::vector<std::string> keys;      // default: none
+  std::vector<std::string> prefixes;  // default: none
+};
+
+Result<HttpCall> EncodeRead(const TableRead& read);
+Result<TableRead> ParseRead(std::string_view body);
+Result<HttpAnswer> FormatRows(const std::vector<TableRow>& rows);
+// A row that does not exist is absent.
+Result<std::vector<TableRow>> ParseRows(int status, std::string_view body);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Object store
+//-----------------------------------------------------------------------------
+
+enum class ObjectPutMode { kReplace, kMustNotExist };
+
+// Returns whether the text can be an object's name: 1 to 512 characters of a-z,
+// A-Z, 0-9, ".", "_", "-" and "/".
+bool IsObjectName(std::string_view text);
+
+// These require IsObjectName(), and for the list a name or an empty prefix.
+HttpCall EncodePutObject(const std::string& name,
+                         std::string content,
+                         ObjectPutMode mode);
+HttpCall EncodeGetObject(const std::string& name);
+HttpCall EncodeDeleteObject(const std::string& name);
+HttpCall EncodeListObjects(const std::string& prefix);
+
+// Returns the name in `/v1/objects/{name}`.
+Result<std::string> ParseObjectPath(std::string_view path);
+
+// Returns the prefix in the query `prefix=...`; empty if there is none.
+Result<std::string> ParseObjectQuery(std::string_view query);
+
+// {"objects": [names]}.
+HttpAnswer FormatObjectList(const std::vector<std::string>& names);
+Result<std::vector<std::string>> ParseObjectList(int status,
+                                                 std::string_view body);
+
+enum class ObjectPutOutcome {
+  kStored,
+  kExists,   // 412: kMustNotExist and the name is taken
+  kUnknown,  // 5xx: may have taken effect
+};
+Result<ObjectPutOutcome> ParsePutObjectAnswer(int status);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Membership
+//-----------------------------------------------------------------------------
+
+enum class HostState { kLive, kLeaving };
+
+const char* HostStateName(HostState state);
+
+struct HostRecord {
+  HostId host;                         // default: empty
+  EndpointId endpoint;                 // default: empty; "address:port"
+  ZoneId zone;                         // default: empty
+  RackId rack;                         // default: empty
+  PoolId pool;                         // default: empty
+  HostState state = HostState::kLive;  // default: kLive
+};
+
+HttpCall EncodeListHosts();
+HttpAnswer FormatHosts(const std::vector<HostRecord>& hosts);
+// Fails if a host occurs twice: which record holds cannot be known.
+Result<std::vector<HostRecord>> ParseHosts(int status, std::string_view body);
+
+HttpCall EncodePutHost(const HostRecord& host);
+Result<HostRecord> ParseHost(std::string_view body);
+HttpCall EncodeDeleteHost(const HostId& host);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Faults of the stand-ins
+//-----------------------------------------------------------------------------
+
+// Fields without a value leave the fault as it is.
+struct PlatformFaults {
+  std::optional<bool> down{};                   // default: none
+  std::optional<std::uint64_t> latency_ms{};    // default: none; ms
+  std::optional<std::uint64_t> lose_answers{};  // default: none; answers
+  std::optional<std::uint64_t> writes_per_s{};  // default: none; writes/s
+  std::optional<std::uint64_t> reads_per_s{};   // default: none; reads/s
+  std::optional<std::uint64_t> lag_ms{};  // default: none; membership only
+};
+
+HttpCall EncodePlatformFaults(const PlatformFaults& faults);
+Result<PlatformFaults> ParsePlatformFaults(std::string_view body);
+
+}  // namespace peridot
+
+#endif  // SRC_PROTOCOL_PLATFORM_HTTP_H_
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -172,6 +172,15 @@
                               : peer.address + ":" + port;
 }
 
+HttpRequest ToHttpRequest(HttpCall call) {
+  HttpRequest request;
+  request.method = call.method;
+  request.path = std::move(call.path);
+  request.headers = std::move(call.headers);
+  request.body = std::move(call.body);
+  return request;
+}
+
 const char* HttpResultName(HttpResult result) {
   switch (result) {
     case HttpResult::kAnswered:
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -43,8 +43,6 @@
 // Returns "address:port".
 std::string PeerName(const HttpPeer& peer);
 
-enum class HttpMethod { kGet, kHead, kPost, kPut, kDelete };
-
 // Requires a connection that has completed an answer recently, so that a
 // connection that went silent is not used.
 struct LiveConnectionRequirement {
@@ -67,6 +65,9 @@
   std::optional<LiveConnectionRequirement> live_connection{};  // default: none
 };
 
+// Returns a request with the call's method, path, headers and body.
+HttpRequest ToHttpRequest(HttpCall call);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Answers
 //-----------------------------------------------------------------------------
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -38,12 +38,7 @@
   std::string body{};     // default: empty
 };
 
-struct HttpServerAnswer {
-  int status = 200;  // default: 200
-  // Content-Length and Connection are set by the server.
-  HttpHeaders headers{};  // default: none
-  std::string body{};     // default: empty
-};
+using HttpServerAnswer = HttpAnswer;
 
 //-----------------------------------------------------------------------------
 // [SECTION] Faults
--- /dev/null
+++ b/tests/platform_http_test.cc
@@ -0,0 +1,373 @@
+// Tests of the platform's and the endpoints' messages.
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "src/protocol/digest.h"
+#include "src/protocol/endpoint_http.h"
+#include "src/protocol/platform_http.h"
+
+namespace peridot {
+namespace {
+
+using std::chrono::milliseconds;
+
+//-----------------------------------------------------------------------------
+// [SECTION] Table
+//-----------------------------------------------------------------------------
+
+TEST_CASE("a transaction survives its JSON form", "[platform_http]") {
+  const TableTransaction sent{"op-1",
+                              {{"a", RowVersion(3)}, {"b", RowVersion(0)}},
+                              {{"a", "quote \" and \xc3\xa9"}},
+                              {"c"}};
+  const HttpCall call = EncodeTransact(sent).value();
+  REQUIRE(call.path == "/v1/transact");
+  const TableTransaction read = ParseTransact(call.body).value();
+  REQUIRE(read.operation_id == "op-1");
+  REQUIRE(read.checks.size() == 2);
+  REQUIRE(read.checks[0].version == RowVersion(3));
+  REQUIRE(read.puts[0].value == sent.puts[0].value);
+  REQUIRE(read.erases == sent.erases);
+}
+
+TEST_CASE("a value that JSON cannot carry is refused", "[platform_http]") {
+  // Guards against bytes that are replaced on the way to the table.
+  REQUIRE(EncodeTransact({"op", {}, {{"a", "\xff"}}, {}}).has_error());
+  REQUIRE(EncodeTransact({"", {}, {}, {}}).has_error());
+}
+
+TEST_CASE("commit answers survive their JSON form", "[platform_http]") {
+  CommitAnswer committed;
+  committed.outcome = CommitOutcome::kCommitted;
+  committed.versions = {{"a", RowVersion(4)}};
+  const HttpAnswer ok = FormatCommitAnswer(committed).value();
+  const CommitAnswer read = ParseCommitAnswer(ok.status, ok.body).value();
+  REQUIRE(read.outcome == CommitOutcome::kCommitted);
+  REQUIRE(read.versions[0].version == RowVersion(4));
+
+  CommitAnswer conflict;
+  conflict.outcome = CommitOutcome::kConflict;
+  conflict.conflicts = {{"a", RowVersion(5)}};
+  const HttpAnswer refused = FormatCommitAnswer(conflict).value();
+  const CommitAnswer seen =
+      ParseCommitAnswer(refused.status, refused.body).value();
+  REQUIRE(seen.outcome == CommitOutcome::kConflict);
+  REQUIRE(seen.conflicts[0].version == RowVersion(5));
+  REQUIRE(FormatCommitAnswer(CommitAnswer{}).has_error());
+}
+
+TEST_CASE("a commit answer that is not certain is unknown", "[platform_http]") {
+  // Guards against a write that took effect and is taken as refused, or the
+  // reverse.
+  const std::pair<int, const char*> cases[] = {
+      {200, ""},
+      {200, "{"},
+      {200, R"({"committed":true,"versions":[]})"},
+      {200, R"({"committed":true,"versions":{"a":-1}})"},
+      {200, R"({"committed":"true"})"},
+      {200, R"({"committed":false})"},
+      {409, R"({"committed":true})"},
+      {409, R"({"committed":false,"conflicts":[{"key":"a"}]})"},
+      {500, ""},
+      {503, R"({"committed":false})"}};
+  for (const auto& [status, body] : cases) {
+    CAPTURE(status, body);
+    REQUIRE(ParseCommitAnswer(status, body).value().outcome ==
+            CommitOutcome::kUnknown);
+  }
+  REQUIRE(ParseCommitAnswer(400, "").has_error());
+}
+
+TEST_CASE("rows survive their JSON form", "[platform_http]") {
+  const HttpAnswer answer =
+      FormatRows({{"a", RowVersion(1), "x"}, {"b", RowVersion(2), ""}}).value();
+  const auto rows = ParseRows(200, answer.body).value();
+  REQUIRE(rows.size() == 2);
+  REQUIRE(rows[1].key == "b");
+  const HttpCall call = EncodeRead({{"a"}, {"host/"}}).value();
+  REQUIRE(ParseRead(call.body).value().prefixes[0] == "host/");
+}
+
+TEST_CASE("an answer without its list is not an empty one", "[platform_http]") {
+  // Guards against an empty table, store or fleet read from a broken answer.
+  for (const char* body :
+       {"", "{}", "[]", R"({"rows":{}})", R"({"rows":[1]})",
+        R"({"rows":[{"key":"a"}]})", R"({"hosts":[{"host":"h"}]})",
+        R"({"objects":[1]})"}) {
+    CAPTURE(body);
+    REQUIRE(ParseRows(200, body).has_error());
+    REQUIRE(ParseHosts(200, body).has_error());
+    REQUIRE(ParseObjectList(200, body).has_error());
+  }
+  REQUIRE(ParseRows(503, "").error().code == ErrorCode::kUnavailable);
+  REQUIRE(ParseHosts(503, "").error().code == ErrorCode::kUnavailable);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Object store and membership
+//-----------------------------------------------------------------------------
+
+TEST_CASE("object calls name their object", "[platform_http]") {
+  const HttpCall put =
+      EncodePutObject("answers/1", "bytes", ObjectPutMode::kMustNotExist);
+  REQUIRE(ParseObjectPath(put.path).value() == "answers/1");
+  REQUIRE(FindHeader(put.headers, "If-None-Match") == "*");
+  REQUIRE(ParseObjectPath("/v1/objects/a?b").has_error());
+  REQUIRE(ParseObjectPath("/v1/objects/").has_error());
+  REQUIRE(EncodeListObjects("a/").path == "/v1/objects?prefix=a/");
+  REQUIRE(ParseObjectQuery("prefix=a/").value() == "a/");
+  REQUIRE(ParseObjectQuery("").value().empty());
+  REQUIRE(ParseObjectQuery("x=1").has_error());
+  REQUIRE(ParseObjectList(200, FormatObjectList({"a", "b"}).body).value() ==
+          std::vector<std::string>{"a", "b"});
+  REQUIRE(ParsePutObjectAnswer(412).value() == ObjectPutOutcome::kExists);
+  REQUIRE(ParsePutObjectAnswer(503).value() == ObjectPutOutcome::kUnknown);
+  REQUIRE(ParsePutObjectAnswer(400).has_error());
+}
+
+TEST_CASE("host records survive their JSON form", "[platform_http]") {
+  const HostRecord host{HostId("h1"),  EndpointId("127.0.0.1:9"),
+                        ZoneId("z1"),  RackId("r1"),
+                        PoolId("web"), HostState::kLeaving};
+  const auto hosts = ParseHosts(200, FormatHosts({host}).body).value();
+  REQUIRE(hosts.size() == 1);
+  REQUIRE(hosts[0].endpoint == host.endpoint);
+  REQUIRE(hosts[0].state == HostState::kLeaving);
+  REQUIRE(ParseHost(EncodePutHost(host).body).value().pool == PoolId("web"));
+  REQUIRE(ParseHosts(200, FormatHosts({host, host}).body).has_error());
+}
+
+TEST_CASE("faults set only what they name", "[platform_http]") {
+  const PlatformFaults faults{.down = true, .lose_answers = 2};
+  const PlatformFaults read =
+      ParsePlatformFaults(EncodePlatformFaults(faults).body).value();
+  REQUIRE(read.down == true);
+  REQUIRE(read.lose_answers == 2);
+  REQUIRE_FALSE(read.latency_ms);
+  REQUIRE(ParsePlatformFaults(R"({"down":1})").has_error());
+  const EndpointFaults endpoint{.fail_all = false, .truncate = 1};
+  const EndpointFaults seen =
+      ParseEndpointFaults(EncodeEndpointFaults(endpoint).body).value();
+  REQUIRE(seen.fail_all == false);
+  REQUIRE(seen.truncate == 1);
+  REQUIRE_FALSE(seen.silent);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Endpoints
+//-----------------------------------------------------------------------------
+
+TEST_CASE("leases and heartbeats survive their JSON form", "[endpoint_http]") {
+  const LeaseRequest request{DaemonId("d1"), Incarnation(2),
+                             milliseconds(2000)};
+  const LeaseRequest read = ParseLease(EncodeLease(request).body).value();
+  REQUIRE(read.holder == request.holder);
+  REQUIRE(read.duration == request.duration);
+
+  const HttpAnswer granted = FormatLeaseAnswer(
+      LeaseGrant{LeaseId("l"), BootId("b"), 77, SlotCount(8), true});
+  const auto grant = std::get<LeaseGrant>(
+      ParseLeaseAnswer(granted.status, granted.body).value());
+  REQUIRE(grant.clock_us == 77);
+  REQUIRE(grant.leaving);
+  const HttpAnswer refused =
+      FormatLeaseAnswer(LeaseConflict{DaemonId("d2"), milliseconds(900)});
+  const auto conflict = std::get<LeaseConflict>(
+      ParseLeaseAnswer(refused.status, refused.body).value());
+  REQUIRE(conflict.remaining == milliseconds(900));
+
+  HeartbeatAnswer beat;
+  beat.boot = BootId("b");
+  beat.running = {AttemptId("a1"), AttemptId("a2")};
+  beat.usage.memory = Bytes(5);
+  const HttpAnswer formatted = FormatHeartbeatAnswer(beat);
+  const auto seen = ParseHeartbeatAnswer(200, formatted.body).value();
+  REQUIRE(seen.running == beat.running);
+  REQUIRE(seen.usage.memory == Bytes(5));
+  REQUIRE(ParseHeartbeat(EncodeHeartbeat(LeaseId("l")).body).value() ==
+          LeaseId("l"));
+}
+
+TEST_CASE("lease answers with missing or wrong fields are refused",
+          "[endpoint_http]") {
+  // Guards against a lease without a boot id or with a clock of 0 by default.
+  for (const char* body :
+       {"", "{}", R"({"lease":"l","boot":"b","slots":8,"leaving":false})",
+        R"({"lease":"l","boot":"","clock_us":1,"slots":8,"leaving":false})",
+        R"({"lease":"l","boot":"b","clock_us":"1","slots":8,"leaving":false})",
+        R"({"lease":"l","boot":"b","clock_us":1,"slots":-8,"leaving":false})",
+        R"({"lease":"l","boot":"b","clock_us":1.5,"slots":8,"leaving":0})"}) {
+    CAPTURE(body);
+    REQUIRE(ParseLeaseAnswer(200, body).has_error());
+  }
+  for (const char* body :
+       {"", "[]", R"({"boot":"b","clock_us":1})",
+        R"({"boot":"","clock_us":1,"leaving":false})",
+        R"({"boot":"b","clock_us":-1,"leaving":false})",
+        R"({"boot":"b","clock_us":1,"leaving":"no"})",
+        R"({"boot":"b","clock_us":1,"leaving":false,"running":[1]})",
+        R"({"boot":"b","clock_us":1,"leaving":false,"usage":{}})"}) {
+    CAPTURE(body);
+    REQUIRE(ParseHeartbeatAnswer(200, body).has_error());
+  }
+  REQUIRE(ParseLeaseAnswer(409, R"({"holder":"d"})").has_error());
+  REQUIRE(ParseLeaseAnswer(500, "").error().code == ErrorCode::kUnavailable);
+  REQUIRE(ParseHeartbeatAnswer(404, "").error().code == ErrorCode::kPermission);
+}
+
+TEST_CASE("an attempt survives its headers", "[endpoint_http]") {
+  AttemptRequest request;
+  request.attempt = AttemptId("d1.2.3-1");
+  request.lease = LeaseId("l");
+  request.boot = BootId("b");
+  request.not_after_us = 123456;
+  request.run = milliseconds(40);
+  request.idempotent = true;
+  request.task = TaskId("d1.2.3");
+  request.body = "payload";
+  const HttpCall call = EncodeAttempt(request);
+  const AttemptRequest read = ParseAttempt(call.headers, call.body).value();
+  REQUIRE(read.attempt == request.attempt);
+  REQUIRE(read.not_after_us == 123456);
+  REQUIRE(read.run == request.run);
+  REQUIRE(read.idempotent);
+  REQUIRE(read.task == request.task);
+  REQUIRE(read.body == "payload");
+
+  // Every required header must occur exactly once and be valid.
+  for (std::size_t i = 1; i < 7; ++i) {
+    HttpHeaders missing = call.headers;
+    missing.erase(missing.begin() + static_cast<std::ptrdiff_t>(i));
+    REQUIRE(ParseAttempt(missing, "").has_error());
+    HttpHeaders twice = call.headers;
+    twice.push_back(call.headers[i]);
+    REQUIRE(ParseAttempt(twice, "").has_error());
+  }
+}
+
+TEST_CASE("attempt paths are read back", "[endpoint_http]") {
+  const AttemptId attempt("d1.2.3-1");
+  REQUIRE(ParseAttemptPath(EncodeFence(attempt).path).value().fence);
+  const auto state = ParseAttemptPath(EncodeAttemptState(attempt).path);
+  REQUIRE(state.value().attempt == attempt);
+  REQUIRE_FALSE(state.value().fence);
+  for (const char* path :
+       {"", "/v1/attempts", "/v1/attempts/", "/v1/attempts//fence",
+        "/v1/attempts/a/b/fence", "/v1/attempts/a b"}) {
+    CAPTURE(path);
+    REQUIRE(ParseAttemptPath(path).has_error());
+  }
+}
+
+// Adds what the transport adds: the length of the body.
+AttemptAnswer Check(const std::string& asked, HttpAnswer answer) {
+  answer.headers.push_back(
+      {"Content-Length", std::to_string(answer.body.size())});
+  return CheckAttemptAnswer(AttemptId(asked), answer.status, answer.headers,
+                            answer.body);
+}
+
+TEST_CASE("whole answers to the attempt are taken", "[endpoint_http]") {
+  const AttemptId a("a1");
+  const AttemptAnswer done = Check("a1", FormatAttemptResult(a, "result"));
+  REQUIRE(done.fault == AnswerFault::kNone);
+  REQUIRE(done.state == AttemptState::kDone);
+  REQUIRE(done.has_result);
+  REQUIRE(done.body == "result");
+  for (const NeverStartedReason reason :
+       {NeverStartedReason::kLease, NeverStartedReason::kNotAfter,
+        NeverStartedReason::kBoot, NeverStartedReason::kSlots,
+        NeverStartedReason::kLeaving, NeverStartedReason::kFenced}) {
+    const AttemptAnswer refused = Check("a1", FormatNeverStarted(a, reason));
+    REQUIRE(refused.fault == AnswerFault::kNone);
+    REQUIRE(refused.state == AttemptState::kNeverStarted);
+    REQUIRE(refused.never_started == reason);
+  }
+  const AttemptAnswer failed = Check("a1", FormatAttemptFailed(a));
+  REQUIRE(failed.fault == AnswerFault::kNone);
+  REQUIRE(failed.state == AttemptState::kFailed);
+  const AttemptAnswer fenced =
+      Check("a1", FormatAttemptState(a, AttemptState::kDone));
+  REQUIRE(fenced.state == AttemptState::kDone);
+  REQUIRE_FALSE(fenced.has_result);
+}
+
+TEST_CASE("answers of another attempt are never taken", "[endpoint_http]") {
+  // Guards I6, I7 and I8: neither a result nor a "not run" may cross over.
+  const AttemptId other("a2");
+  for (const HttpAnswer& answer :
+       {FormatAttemptResult(other, "result"),
+        FormatNeverStarted(other, NeverStartedReason::kFenced),
+        FormatAttemptFailed(other),
+        FormatAttemptState(other, AttemptState::kNeverStarted)}) {
+    REQUIRE(Check("a1", answer).fault == AnswerFault::kWrongAttempt);
+    HttpAnswer unnamed = answer;
+    std::erase_if(unnamed.headers, [](const HttpHeader& header) {
+      return header.name == "Peridot-Attempt";
+    });
+    REQUIRE(Check("a1", unnamed).fault == AnswerFault::kWrongAttempt);
+    HttpAnswer both = answer;
+    both.headers.push_back({"Peridot-Attempt", "a1"});
+    REQUIRE(Check("a1", both).fault == AnswerFault::kWrongAttempt);
+  }
+}
+
+TEST_CASE("cut and changed answers are never taken", "[endpoint_http]") {
+  HttpAnswer answer = FormatAttemptResult(AttemptId("a1"), "result");
+  answer.headers.push_back({"Content-Length", "6"});
+  const auto fault = [&](const std::string& body, const HttpHeaders& headers) {
+    return CheckAttemptAnswer(AttemptId("a1"), 200, headers, body).fault;
+  };
+  REQUIRE(fault("result", answer.headers) == AnswerFault::kNone);
+  REQUIRE(fault("resul", answer.headers) == AnswerFault::kWrongLength);
+  REQUIRE(fault("resulT", answer.headers) == AnswerFault::kWrongDigest);
+  HttpHeaders no_length = answer.headers;
+  no_length.pop_back();
+  REQUIRE(fault("result", no_length) == AnswerFault::kWrongLength);
+  HttpHeaders no_digest = answer.headers;
+  std::erase_if(no_digest, [](const HttpHeader& header) {
+    return header.name == "Peridot-Digest";
+  });
+  REQUIRE(fault("result", no_digest) == AnswerFault::kMalformed);
+}
+
+TEST_CASE("states that do not fit their status are malformed",
+          "[endpoint_http]") {
+  const std::pair<int, const char*> cases[] = {
+      {200, "{}"},
+      {200, R"({"state":"started"})"},
+      {200, R"({"state":1})"},
+      {409, R"({"state":"done"})"},
+      {409, R"({"state":"never_started"})"},
+      {409, R"({"state":"never_started","reason":"other"})"},
+      {500, R"({"state":"never_started"})"},
+      {500, ""},
+      {404, R"({"state":"never_started","reason":"fenced"})"}};
+  for (const auto& [status, body] : cases) {
+    CAPTURE(status, body);
+    HttpAnswer answer{.status = status, .body = body};
+    answer.headers = {{"Peridot-Attempt", "a1"}};
+    REQUIRE(Check("a1", answer).fault == AnswerFault::kMalformed);
+  }
+}
+
+TEST_CASE("the endpoint's record survives its JSON form", "[endpoint_http]") {
+  const HttpAnswer answer =
+      FormatRuns({{AttemptId("a"), TaskId("t"), TeamId("x"), 1, 2, "done"}});
+  const auto runs = ParseRuns(answer.body).value();
+  REQUIRE(runs.size() == 1);
+  REQUIRE(runs[0].ended_us == 2);
+  REQUIRE(ParseRuns("{}").has_error());
+  REQUIRE(ParseRuns(R"([{"attempt":"a"}])").has_error());
+}
+
+TEST_CASE("digests are those of SHA-256", "[endpoint_http]") {
+  // The published digest of the empty message.
+  REQUIRE(Sha256Hex("") ==
+          "e3b0c44298fc1c149afbf4c8996fb924"
+          "27ae41e4649b934ca495991b7852b855");
+}
+
+}  // namespace
+}  // namespace peridot
