Sharpen the tests of the stand-ins

Cause: of 33 one-line faults put into a scratch copy, six passed every test: a check passed on an erased row, a start 1 ms after not_after, a task that ended after the lapse, attempts kept over a restart, a wrong answer that was the right one, and connections left open by a restart. Ruled out: counting the last one as caught, since its test then passed only because its client ran out of time. Change: the tests look at these six cases; HttpClient tells a closed connection from an unanswered call. Conclusion: the models' rules are held by tests.

--- a/tests/stand_in_endpoint_test.cc
+++ b/tests/stand_in_endpoint_test.cc
@@ -84,7 +84,7 @@
 TEST_CASE("heartbeats renew the lease, a lapse stops its tasks", "[endpoint]") {
   Held held;
   held.Start("short", milliseconds(1'500));
-  held.Start("long", seconds(60));
+  held.Start("long", seconds(5));
   const auto beat =
       held.endpoint.Heartbeat(held.grant.lease, kStart + seconds(1));
   REQUIRE(beat->running == std::vector{AttemptId("long"), AttemptId("short")});
@@ -118,7 +118,8 @@
   AttemptRequest request = held.Request("a", seconds(1));
   request.not_after_us = held.grant.clock_us + 1'000;
   const Instant last = kStart + milliseconds(1);
-  const auto late = held.endpoint.Start(request, last + milliseconds(1));
+  const auto late =
+      held.endpoint.Start(request, last + std::chrono::microseconds(1));
   REQUIRE(late.state == AttemptState::kNeverStarted);
   REQUIRE(late.reason == StartRefusal::kNotAfter);
 
@@ -215,6 +216,7 @@
   held.endpoint.Restart(kStart);
   REQUIRE(held.endpoint.Boot() != held.grant.boot);
   REQUIRE(held.Fence("a") == AttemptState::kUnknown);
+  REQUIRE_FALSE(held.endpoint.Look(AttemptId("a"), kStart));
   REQUIRE(held.Start("b", seconds(1)).reason == StartRefusal::kBoot);
   REQUIRE(held.endpoint.Runs().at(0).outcome == AttemptState::kStopped);
   REQUIRE(held.endpoint.Advance(kStart + seconds(5)).empty());
@@ -245,6 +247,10 @@
   REQUIRE(answers.at(2).body == "ok");
   REQUIRE(answers.at(2).length == 4);
   REQUIRE(answers.at(2).digest == Sha256Hex("ok c"));
+  // A wrong answer is never the right one, even if no other attempt ended.
+  held.endpoint.SetFaults({.wrong_answers = 1});
+  REQUIRE(held.Start("c", seconds(1), kStart + milliseconds(3)).attempt !=
+          AttemptId("c"));
   // The endpoint's own knowledge stays right.
   REQUIRE(held.Fence("a", kStart + milliseconds(3)) == AttemptState::kDone);
 }
--- a/tests/stand_in_programs_test.cc
+++ b/tests/stand_in_programs_test.cc
@@ -148,6 +148,7 @@
   const std::string put =
       R"({"op_id": "1", "puts": [{"key": "a", "value": "1"}]})";
   REQUIRE_FALSE(table.client.Post("/v1/transact", put));
+  REQUIRE_FALSE(table.client.TimedOut());
   REQUIRE(table.client.Post("/v1/read", R"({"keys": ["a"]})")
               ->Json()
               .at("rows")
@@ -190,6 +191,7 @@
   REQUIRE(client.Get("/v1/objects/b")->status == 404);
   objects.Fault({{"lose_answers", 1}});
   REQUIRE_FALSE(client.Put("/v1/objects/c", "x"));
+  REQUIRE_FALSE(client.TimedOut());
   REQUIRE(client.Get("/v1/objects/c")->body == "x");
 }
 
@@ -319,9 +321,11 @@
   Leased leased(endpoint.port);
   endpoint.Fault({{"lose_answers", 1}});
   REQUIRE_FALSE(leased.Start("a1"));
+  REQUIRE_FALSE(leased.client.TimedOut());
   REQUIRE(leased.client.Get("/v1/attempts/a1")->body == "ok x");
   endpoint.Fault({{"truncate", 1}});
   REQUIRE_FALSE(leased.Start("a2"));
+  REQUIRE_FALSE(leased.client.TimedOut());
   endpoint.Fault({{"wrong_answers", 1}});
   REQUIRE(leased.Start("a3")->headers.at("Peridot-Attempt") != "a3");
   endpoint.Fault({{"fail_all", true}});
@@ -352,8 +356,16 @@
 TEST_CASE("a restart closes connections and forgets attempts", "[programs]") {
   StandIn endpoint("stand_in_endpoint");
   Leased leased(endpoint.port);
-  REQUIRE(leased.Start("a1")->status == 200);
+  std::optional<HttpAnswer> answer = HttpAnswer{};
+  std::thread caller(
+      [&] { answer = leased.Start("a1", "x", /*run_ms=*/86'400'000); });
+  while (endpoint.client.Get("/v1/runs")->Json().empty()) {
+    std::this_thread::sleep_for(milliseconds(1));
+  }
   endpoint.Fault({{"restart", true}});
+  caller.join();
+  REQUIRE_FALSE(answer);
+  REQUIRE_FALSE(leased.client.TimedOut());
   const std::string boot = leased.grant.at("boot").get<std::string>();
   HttpClient after(endpoint.port);
   const auto fenced =
--- a/tests/stand_in_stores_test.cc
+++ b/tests/stand_in_stores_test.cc
@@ -64,6 +64,10 @@
   const auto stale =
       store.Transact(Write("4", first.versions, {{"a", "2"}}), kStart).value();
   REQUIRE(stale.outcome == CommitOutcome::kConflict);
+  REQUIRE(store.Transact(Write("5", {}, {}, {"a"}), kStart).has_value());
+  const auto erased =
+      store.Transact(Write("6", first.versions, {{"a", "2"}}), kStart).value();
+  REQUIRE(erased.outcome == CommitOutcome::kConflict);
 }
 
 // A second effect of one operation would double a count.
--- a/tests/support/http_client.h
+++ b/tests/support/http_client.h
@@ -70,10 +70,12 @@
       const Headers& headers = {},
       std::chrono::milliseconds patience = kPatience) {
     this->answer.reset();
+    this->timed_out = false;
     const timeval limit = {patience.count() / 1'000,
                            patience.count() % 1'000 * 1'000};
     evhttp_connection_set_timeout_tv(this->connection, &limit);
     evhttp_request* request = evhttp_request_new(&HttpClient::OnDone, this);
+    evhttp_request_set_error_cb(request, &HttpClient::OnError);
     evkeyvalq* output = evhttp_request_get_output_headers(request);
     evhttp_add_header(output, "Host", "127.0.0.1");
     for (const auto& [name, value] : headers) {
@@ -87,6 +89,9 @@
     return std::exchange(this->answer, std::nullopt);
   }
 
+  // Whether the last call ended because its time had passed.
+  bool TimedOut() const { return this->timed_out; }
+
   std::optional<HttpAnswer> Get(const std::string& path) {
     return this->Call(EVHTTP_REQ_GET, path);
   }
@@ -105,6 +110,11 @@
   }
 
  private:
+  // The callback's argument is that of the request.
+  static void OnError(evhttp_request_error error, void* client) {
+    static_cast<HttpClient*>(client)->timed_out = error == EVREQ_HTTP_TIMEOUT;
+  }
+
   static void OnDone(evhttp_request* request, void* client) {
     auto* const self = static_cast<HttpClient*>(client);
     event_base_loopbreak(self->base);
@@ -126,6 +136,7 @@
   event_base* base;
   evhttp_connection* connection;
   std::optional<HttpAnswer> answer;
+  bool timed_out = false;  // default: false
 };
 
 }  // namespace peridot::testing
