Give the endpoint stand-in one lease per holder

Cause: the design lets many daemons hold a lease on one endpoint, so that an owner can lend slots. Ruled out: keeping the exclusive lease for ownership as well; the slots are the guard against two owners. Change: a lease names its holder; heartbeats carry the absolute end until_us; a lapse stops the attempts of that lease only. The test that expected one holder at a time is replaced by two: a lapse stops only its holder's tasks, and a lapsed lease is not revived. Conclusion: the stand-in matches section 14.6.

--- a/stand_ins/endpoint_model.h
+++ b/stand_ins/endpoint_model.h
@@ -1,4 +1,4 @@
-// Model of an endpoint: the server that executes attempts under an owner lease
+// Model of an endpoint: the server that executes attempts under leases
 // (docs/design.md, 11 and 14.6).
 //
 // Index:
@@ -85,13 +85,15 @@
   LeaseId lease{};            // default: empty
   BootId boot{};              // default: empty
   std::int64_t clock_us = 0;  // default: 0 us; the endpoint's clock
-  SlotCount slots{};          // default: 0
+  SlotCount slots{};          // default: 0; in all
+  SlotCount used{};           // default: 0; by all holders
   bool leaving = false;       // default: false
 };
 
+// The holder is known under a later incarnation.
 struct LeaseRefusal {
   DaemonId holder{};     // default: empty
-  Duration remaining{};  // default: 0; until it lapses
+  Incarnation latest{};  // default: 0
 };
 
 using LeaseAnswer = std::variant<LeaseGrant, LeaseRefusal>;
@@ -100,8 +102,9 @@
   BootId boot{};                     // default: empty
   std::int64_t clock_us = 0;         // default: 0 us; the endpoint's clock
   bool leaving = false;              // default: false
-  std::vector<AttemptId> running{};  // default: none; ordered
-  SlotCount used{};                  // default: 0
+  std::vector<AttemptId> running{};  // default: none; of this lease, ordered
+  SlotCount slots{};                 // default: 0; in all
+  SlotCount used{};                  // default: 0; by all holders
 };
 
 //-----------------------------------------------------------------------------
@@ -113,13 +116,13 @@
   kRunning,
   kDone,
   kFailed,   // ran and ended with a failure
-  kStopped,  // ran and was cancelled or lost its owner lease
+  kStopped,  // ran and was cancelled or lost its lease
   kUnknown,  // sent under another boot id, whose attempts are not known
 };
 
 enum class StartRefusal {
   kNone,      // not refused
-  kLease,     // the lease is not the valid one
+  kLease,     // the lease is not valid
   kNotAfter,  // the endpoint's clock has passed not_after
   kBoot,      // the boot id is not the present one
   kSlots,     // too few free slots
@@ -178,18 +181,17 @@
 // What the endpoint knows of one attempt.
 struct KnownAttempt {
   AttemptAnswer answer;       // as known so far
+  LeaseId lease{};            // default: empty; under which it runs
   SlotCount slots{};          // default: 0
   std::string payload{};      // default: empty
   Instant due{};              // default: epoch; end of the run
   std::size_t run_index = 0;  // default: 0; into `runs`
 };
 
-// The valid owner lease.
+// A valid lease.
 struct HeldLease {
-  LeaseId lease{};            // default: empty
   DaemonId holder{};          // default: empty
   Incarnation incarnation{};  // default: 0
-  Duration duration{};        // default: 0
   Instant lapses{};           // default: epoch; caller's time
 };
 
@@ -200,18 +202,20 @@
  public:
   explicit EndpointModel(EndpointOptions options);
 
-  // Grants the lease if none is valid or the same holder and incarnation ask
-  // again, which renews it under the same id. A later incarnation of the holder
-  // replaces the earlier one at once, whose tasks are stopped.
+  // Grants a new lease with a new id, beside those of other holders and the
+  // earlier ones of this holder. A later incarnation ends the leases of the
+  // earlier ones at once and stops their tasks.
   LeaseAnswer Lease(const LeaseRequest& request, Instant now);
 
-  // Ends the lease and stops its tasks. Returns false if it is not the valid
-  // one.
+  // Ends the lease and stops its tasks. Returns false if it is not valid.
   bool Release(const LeaseId& lease, Instant now);
 
-  // Renews the lease by its duration. Returns nothing if it is not the valid
-  // one.
-  std::optional<HeartbeatAnswer> Heartbeat(const LeaseId& lease, Instant now);
+  // Renews the lease until the endpoint's clock reads until_us; a heartbeat
+  // that arrives late does not shorten it. Returns nothing if the lease is not
+  // valid.
+  std::optional<HeartbeatAnswer> Heartbeat(const LeaseId& lease,
+                                           std::int64_t until_us,
+                                           Instant now);
 
   // Starts the attempt (kRunning; its answer comes from Advance()) or refuses
   // it (kNeverStarted with a reason). A refused attempt never starts later. A
@@ -233,7 +237,7 @@
   // Returns what is known and changes nothing. Nothing: never heard of.
   std::optional<AttemptAnswer> Look(const AttemptId& attempt, Instant now);
 
-  // Ends the tasks and the lease that are due and returns the answers to the
+  // Ends the tasks and the leases that are due and returns the answers to the
   // attempts that ended since the last call, with faults applied.
   std::vector<AttemptAnswer> Advance(Instant now);
 
@@ -262,15 +266,15 @@
   // Stops the process for the length; its clock goes on.
   void Pause(Duration length, Instant now);
   Instant PausedUntil() const { return this->paused_until; }
-  // Starts anew under a new boot id: lease, tasks, fences and connections are
+  // Starts anew under a new boot id: leases, tasks, fences and connections are
   // gone, the record of runs stays. Running tasks are recorded as kStopped and
   // get no answer.
   void Restart(Instant now);
 
  private:
   void ProcessDue(Instant now);
-  void RenewLease(Instant now);
-  void EndLease(Instant at);
+  void EndLease(const LeaseId& lease, Instant at);
+  Instant NextLapse() const;
   void EndTask(const AttemptId& attempt, AttemptState state, Instant at);
   StartRefusal CheckStart(const AttemptRequest& request, Instant now) const;
   AttemptAnswer Begin(const AttemptRequest& request, Instant now);
@@ -283,7 +287,8 @@
   BootId boot;
   std::uint64_t boot_count = 0;   // default: 0
   std::uint64_t lease_count = 0;  // default: 0
-  std::optional<internal::HeldLease> held;
+  std::map<LeaseId, internal::HeldLease> leases;
+  std::map<DaemonId, Incarnation> latest;  // of each holder
   std::unordered_map<AttemptId, internal::KnownAttempt> tasks;
   std::set<std::pair<Instant, AttemptId>> due;  // running tasks by end
   SlotCount used;
