--- a/src/protocol/endpoint_http.cc
+++ b/src/protocol/endpoint_http.cc
@@ -85,6 +85,7 @@
     {AttemptState::kDone, "done"},
     {AttemptState::kFailed, "failed"},
     {AttemptState::kStopped, "stopped"},
+    {AttemptState::kUnknown, "unknown"},
 };
 
 template <typename E, std::size_t N>
@@ -206,13 +207,14 @@
 HttpAnswer FormatLeaseAnswer(const LeaseAnswer& answer) {
   if (const auto* conflict = std::get_if<LeaseConflict>(&answer)) {
     return AnswerJson(409, {{"holder", conflict->holder.value},
-                            {"remaining_ms", ToMs(conflict->remaining)}});
+                            {"latest", conflict->latest.value}});
   }
   const auto& grant = std::get<LeaseGrant>(answer);
   return AnswerJson(200, {{"lease", grant.lease.value},
                           {"boot", grant.boot.value},
                           {"clock_us", grant.clock_us},
                           {"slots", grant.slots.value},
+                          {"used", grant.used.value},
                           {"leaving", grant.leaving}});
 }
 
@@ -227,7 +229,7 @@
   if (status == 409) {
     LeaseConflict conflict;
     conflict.holder = DaemonId(reader.Name("holder"));
-    conflict.remaining = ReadMs(&reader, "remaining_ms");
+    conflict.latest = Incarnation(reader.Number("latest"));
     answer = conflict;
   } else {
     LeaseGrant grant;
@@ -235,6 +237,7 @@
     grant.boot = BootId(reader.Name("boot"));
     grant.clock_us = static_cast<std::int64_t>(reader.Number("clock_us"));
     grant.slots = SlotCount(static_cast<std::int64_t>(reader.Number("slots")));
+    grant.used = SlotCount(static_cast<std::int64_t>(reader.Number("used")));
     grant.leaving = reader.Bool("leaving");
     answer = grant;
   }
@@ -248,18 +251,21 @@
 // [SECTION] Heartbeats
 //-----------------------------------------------------------------------------
 
-HttpCall EncodeHeartbeat(const LeaseId& lease) {
-  return PostJson("/v1/heartbeat", {{"lease", lease.value}});
+HttpCall EncodeHeartbeat(const HeartbeatRequest& request) {
+  return PostJson("/v1/heartbeat", {{"lease", request.lease.value},
+                                    {"until_us", request.until_us}});
 }
 
-Result<LeaseId> ParseHeartbeat(std::string_view body) {
+Result<HeartbeatRequest> ParseHeartbeat(std::string_view body) {
   const Json object = json_internal::Parse(body);
   Reader reader(object, "parse_heartbeat");
-  LeaseId lease(reader.Name("lease"));
+  HeartbeatRequest request;
+  request.lease = LeaseId(reader.Name("lease"));
+  request.until_us = static_cast<std::int64_t>(reader.Number("until_us"));
   if (!reader.Ok()) {
     return reader.MakeFault();
   }
-  return lease;
+  return request;
 }
 
 HttpAnswer FormatHeartbeatAnswer(const HeartbeatAnswer& answer) {
@@ -267,13 +273,12 @@
   for (const AttemptId& attempt : answer.running) {
     running.push_back(attempt.value);
   }
-  const Json usage = {{"millicores", answer.usage.cores.value},
-                      {"bytes", answer.usage.memory.value}};
   return AnswerJson(200, {{"boot", answer.boot.value},
                           {"clock_us", answer.clock_us},
                           {"leaving", answer.leaving},
                           {"running", running},
-                          {"usage", usage}});
+                          {"slots", answer.slots.value},
+                          {"used", answer.used.value}});
 }
 
 Result<HeartbeatAnswer> ParseHeartbeatAnswer(int status,
@@ -291,14 +296,8 @@
   for (std::string& attempt : reader.Strings("running")) {
     answer.running.emplace_back(std::move(attempt));
   }
-  if (reader.Has("usage")) {
-    Reader usage(object["usage"], kStep);
-    answer.usage.cores =
-        MilliCores(static_cast<std::int64_t>(usage.Number("millicores")));
-    answer.usage.memory =
-        Bytes(static_cast<std::int64_t>(usage.Number("bytes")));
-    reader.Adopt(usage);
-  }
+  answer.slots = SlotCount(static_cast<std::int64_t>(reader.Number("slots")));
+  answer.used = SlotCount(static_cast<std::int64_t>(reader.Number("used")));
   if (!reader.Ok()) {
     return reader.MakeFault();
   }
@@ -373,9 +372,13 @@
   return {.method = HttpMethod::kDelete, .path = AttemptUrl(attempt)};
 }
 
-HttpCall EncodeFence(const AttemptId& attempt) {
-  return {.method = HttpMethod::kPost,
-          .path = AttemptUrl(attempt) + std::string(kFenceSuffix)};
+HttpCall EncodeFence(const AttemptId& attempt, const BootId& boot) {
+  HttpCall call{.method = HttpMethod::kPost,
+                .path = AttemptUrl(attempt) + std::string(kFenceSuffix)};
+  if (!boot.value.empty()) {
+    call.headers.push_back({"Peridot-Boot", boot.value});
+  }
+  return call;
 }
 
 Result<AttemptPath> ParseAttemptPath(std::string_view path) {
--- a/src/protocol/endpoint_http.h
+++ b/src/protocol/endpoint_http.h
@@ -1,4 +1,4 @@
-// Endpoints: owner lease, heartbeat, attempts and fences. Section 14.6 of
+// Endpoints: lease, heartbeat, attempts and fences. Section 14.6 of
 // docs/design.md.
 //
 // Index:
@@ -45,13 +45,15 @@
   LeaseId lease;              // default: empty
   BootId boot;                // default: empty
   std::int64_t clock_us = 0;  // default: 0; endpoint's clock
-  SlotCount slots;            // default: 0
+  SlotCount slots;            // default: 0; in all
+  SlotCount used;             // default: 0; by all holders
   bool leaving = false;       // default: false
 };
 
+// The endpoint knows the holder under a later incarnation.
 struct LeaseConflict {
-  DaemonId holder;       // default: empty
-  Duration remaining{};  // default: 0
+  DaemonId holder;     // default: empty
+  Incarnation latest;  // default: 0
 };
 
 using LeaseAnswer = std::variant<LeaseGrant, LeaseConflict>;
@@ -66,22 +68,22 @@
 // [SECTION] Heartbeats
 //-----------------------------------------------------------------------------
 
-// What the holder's tasks use now, as the endpoint measures it.
-struct EndpointUsage {
-  MilliCores cores;  // default: 0
-  Bytes memory;      // default: 0
+struct HeartbeatRequest {
+  LeaseId lease;              // default: empty
+  std::int64_t until_us = 0;  // default: 0; endpoint's clock
 };
 
 struct HeartbeatAnswer {
   BootId boot;                     // default: empty
   std::int64_t clock_us = 0;       // default: 0; endpoint's clock
   bool leaving = false;            // default: false
-  std::vector<AttemptId> running;  // default: none
-  EndpointUsage usage;             // default: 0
+  std::vector<AttemptId> running;  // default: none; of this lease
+  SlotCount slots;                 // default: 0; in all
+  SlotCount used;                  // default: 0; by all holders
 };
 
-HttpCall EncodeHeartbeat(const LeaseId& lease);
-Result<LeaseId> ParseHeartbeat(std::string_view body);
+HttpCall EncodeHeartbeat(const HeartbeatRequest& request);
+Result<HeartbeatRequest> ParseHeartbeat(std::string_view body);
 HttpAnswer FormatHeartbeatAnswer(const HeartbeatAnswer& answer);
 // Any status but 200 is an error: the lease is not held any more.
 Result<HeartbeatAnswer> ParseHeartbeatAnswer(int status, std::string_view body);
@@ -108,7 +110,9 @@
 
 HttpCall EncodeAttemptState(const AttemptId& attempt);  // GET, for the result
 HttpCall EncodeAttemptStop(const AttemptId& attempt);   // DELETE
-HttpCall EncodeFence(const AttemptId& attempt);         // POST .../fence
+// POST .../fence. The boot is the one under which the attempt was sent; empty
+// if it is not known.
+HttpCall EncodeFence(const AttemptId& attempt, const BootId& boot);
 
 // Reads `/v1/attempts/{id}` and `/v1/attempts/{id}/fence`.
 struct AttemptPath {
@@ -136,7 +140,14 @@
 
 const char* NeverStartedReasonName(NeverStartedReason reason);
 
-enum class AttemptState { kNeverStarted, kRunning, kDone, kFailed, kStopped };
+enum class AttemptState {
+  kNeverStarted,
+  kRunning,
+  kDone,
+  kFailed,
+  kStopped,
+  kUnknown,  // the endpoint has started again since the attempt was sent
+};
 
 const char* AttemptStateName(AttemptState state);
 
--- a/src/protocol/envelope.cc
+++ b/src/protocol/envelope.cc
@@ -9,12 +9,18 @@
 namespace peridot {
 namespace {
 
-// joining, live, leaving, gone.
-constexpr std::uint32_t kMaxMemberState = 3;
+// MemberPhase: joining, live, leaving, gone.
+constexpr std::uint32_t kMaxMemberState = 4;
 
 // Permits are counted in signed 64-bit numbers.
 constexpr std::uint64_t kMaxPermits = std::numeric_limits<std::int64_t>::max();
 
+std::size_t MaxBytes(const proto::Envelope& envelope) {
+  return envelope.body_case() == proto::Envelope::kPeerDocument
+             ? kMaxDocumentEnvelopeBytes
+             : kMaxEnvelopeBytes;
+}
+
 // The library writes a line to standard error for some malformed messages.
 // Those lines are not key=value, and a peer could fill the log with them; each
 // refusal is counted by its reason instead.
@@ -27,9 +33,10 @@
   return !name.empty() && name.size() <= kMaxEnvelopeName;
 }
 
-bool IsValid(const proto::ProbeReply& reply) {
-  return reply.updates_size() <= kMaxEnvelopeUpdates &&
-         std::all_of(reply.updates().begin(), reply.updates().end(),
+template <typename Message>
+bool AreUpdatesValid(const Message& message) {
+  return message.updates_size() <= kMaxEnvelopeUpdates &&
+         std::all_of(message.updates().begin(), message.updates().end(),
                      [](const proto::MemberState& update) {
                        return IsName(update.daemon()) &&
                               update.incarnation() > 0 &&
@@ -37,13 +44,31 @@
                      });
 }
 
+bool IsValid(const proto::PermitHeader& header) {
+  return IsName(header.team()) && header.to_incarnation() > 0;
+}
+
 bool IsValid(const proto::PermitDemand& demand) {
-  return IsName(demand.team()) && demand.wanted() <= kMaxPermits;
+  return IsValid(demand.header()) && demand.wanted() <= kMaxPermits &&
+         demand.held() <= kMaxPermits && demand.received() <= kMaxPermits;
 }
 
 bool IsValid(const proto::PermitTransfer& transfer) {
-  return IsName(transfer.team()) && transfer.count() > 0 &&
-         transfer.count() <= kMaxPermits;
+  return IsValid(transfer.header()) && transfer.given() <= kMaxPermits;
+}
+
+bool IsValid(const proto::PermitReport& report) {
+  return IsValid(report.header()) && report.count() <= kMaxPermits &&
+         report.wanted() <= kMaxPermits;
+}
+
+bool IsValid(const proto::PermitRowNotice& notice) {
+  return IsValid(notice.header()) && IsName(notice.key());
+}
+
+bool IsValid(const proto::SlotGrant& grant) {
+  return grant.token() != 0 && IsName(grant.endpoint()) &&
+         IsName(grant.zone()) && IsName(grant.queue());
 }
 
 bool IsValid(const proto::Restriction& restriction) {
@@ -57,11 +82,15 @@
   switch (envelope.body_case()) {
     case proto::Envelope::BODY_NOT_SET:
       return EnvelopeRefusal::kNoBody;
-    case proto::Envelope::kProbeRequest:
     case proto::Envelope::kRestrictionAck:
+    case proto::Envelope::kDocumentRequest:
+    case proto::Envelope::kPeerDocument:
+      break;
+    case proto::Envelope::kProbeRequest:
+      valid = AreUpdatesValid(envelope.probe_request());
       break;
     case proto::Envelope::kProbeReply:
-      valid = IsValid(envelope.probe_reply());
+      valid = AreUpdatesValid(envelope.probe_reply());
       break;
     case proto::Envelope::kPermitDemand:
       valid = IsValid(envelope.permit_demand());
@@ -69,9 +98,24 @@
     case proto::Envelope::kPermitTransfer:
       valid = IsValid(envelope.permit_transfer());
       break;
+    case proto::Envelope::kPermitReport:
+      valid = IsValid(envelope.permit_report());
+      break;
+    case proto::Envelope::kPermitRowNotice:
+      valid = IsValid(envelope.permit_row_notice());
+      break;
     case proto::Envelope::kRestriction:
       valid = IsValid(envelope.restriction());
       break;
+    case proto::Envelope::kSlotDemand:
+      valid = IsName(envelope.slot_demand().queue());
+      break;
+    case proto::Envelope::kSlotGrant:
+      valid = IsValid(envelope.slot_grant());
+      break;
+    case proto::Envelope::kSlotReturn:
+      valid = envelope.slot_return().token() != 0;
+      break;
   }
   if (!valid) {
     return EnvelopeRefusal::kInvalidBody;
@@ -141,16 +185,16 @@
     return MakeError(ErrorCode::kInternal, "encode", receiver.value,
                      "the message cannot be serialized");
   }
-  if (bytes.size() > kMaxEnvelopeBytes) {
+  if (bytes.size() > MaxBytes(envelope)) {
     return MakeError(ErrorCode::kTooLarge, "encode", receiver.value,
-                     "the message exceeds 64 KiB");
+                     "the message exceeds its size limit");
   }
   return bytes;
 }
 
 EnvelopeResult DecodeEnvelope(std::string_view bytes,
                               const EnvelopeExpectation& expected) {
-  if (bytes.size() > kMaxEnvelopeBytes) {
+  if (bytes.size() > kMaxDocumentEnvelopeBytes) {
     return EnvelopeRefusal::kTooLarge;
   }
   SilenceLibrary();
@@ -158,6 +202,9 @@
   if (!envelope.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
     return EnvelopeRefusal::kMalformed;
   }
+  if (bytes.size() > MaxBytes(envelope)) {
+    return EnvelopeRefusal::kTooLarge;
+  }
   if (envelope.protocol_version() != kProtocolVersion) {
     return EnvelopeRefusal::kWrongVersion;
   }
--- a/src/protocol/envelope.h
+++ b/src/protocol/envelope.h
@@ -30,6 +30,8 @@
 
 inline constexpr std::uint32_t kProtocolVersion = 1;
 inline constexpr std::size_t kMaxEnvelopeBytes = 64 << 10;  // 64 KiB
+// A PeerDocument carries the settings, at most 1 MiB.
+inline constexpr std::size_t kMaxDocumentEnvelopeBytes = 2 << 20;  // 2 MiB
 // Longest name of a daemon, team, key or zone in a message.
 inline constexpr std::size_t kMaxEnvelopeName = 256;  // bytes
 // Most state changes that one probe reply carries.
--- a/src/protocol/problem.h
+++ b/src/protocol/problem.h
@@ -14,6 +14,7 @@
 #include <string>
 #include <string_view>
 
+#include "src/coordination/attempt.h"
 #include "src/protocol/http_headers.h"
 #include "src/state/clock.h"
 #include "src/state/error.h"
@@ -46,9 +47,6 @@
   kRevisionConflict,
 };
 
-// Whether the request ran.
-enum class Ran { kNo, kYes, kUnknown };
-
 // Returns every code, in the order of the enum.
 std::span<const RefusalCode> AllRefusalCodes();
 
