Let a restarted endpoint forget the incarnations of its holders

Cause: since leases are per holder, the endpoint kept the latest incarnation of each holder over a restart. A real endpoint forgets it, so the stand-in protected daemons from a fault that they must stand. The programs' tests still expected the exclusive lease. Ruled out: keeping it and noting the difference; the protection is the kind that hides a missing check in the daemon. Change: Restart() clears the incarnations; two tests of holders beside each other and of what a restart forgets; the programs' tests use until_us.

--- a/stand_ins/endpoint_model.cc
+++ b/stand_ins/endpoint_model.cc
@@ -429,6 +429,7 @@
   }
   this->boot =
       BootId(this->options.boot_prefix + std::to_string(++this->boot_count));
+  this->latest.clear();
   this->tasks.clear();
   this->ended.clear();
   this->last_done.reset();
--- a/stand_ins/endpoint_model.h
+++ b/stand_ins/endpoint_model.h
@@ -266,9 +266,9 @@
   // Stops the process for the length; its clock goes on.
   void Pause(Duration length, Instant now);
   Instant PausedUntil() const { return this->paused_until; }
-  // Starts anew under a new boot id: leases, tasks, fences and connections are
-  // gone, the record of runs stays. Running tasks are recorded as kStopped and
-  // get no answer.
+  // Starts anew under a new boot id: leases, known incarnations, tasks, fences
+  // and connections are gone, the record of runs stays. Running tasks are
+  // recorded as kStopped and get no answer.
   void Restart(Instant now);
 
  private:
--- a/tests/stand_in_endpoint_test.cc
+++ b/tests/stand_in_endpoint_test.cc
@@ -235,7 +235,33 @@
   REQUIRE(held.Start("b", seconds(1)).reason == StartRefusal::kBoot);
   REQUIRE(held.endpoint.Runs().at(0).outcome == AttemptState::kStopped);
   REQUIRE(held.endpoint.Advance(kStart + seconds(5)).empty());
-  REQUIRE(std::holds_alternative<LeaseGrant>(held.Ask("d2", 1, kStart)));
+}
+
+// A holder that is told of another's attempts would count them as its own.
+TEST_CASE("holders of an endpoint do not meet each other's leases",
+          "[endpoint]") {
+  Held held;
+  const auto other = std::get<LeaseGrant>(held.Ask("d2", 1, kStart));
+  held.Start("a", seconds(1));
+  AttemptRequest request = held.Request("b", seconds(1));
+  request.lease = other.lease;
+  held.endpoint.Start(request, kStart);
+  held.Ask("d1", 2, kStart);
+  REQUIRE(held.Fence("a") == AttemptState::kStopped);
+  const auto beat = held.endpoint.Heartbeat(other.lease, 0, kStart);
+  REQUIRE(beat->running == std::vector{AttemptId("b")});
+  const auto later = std::get<LeaseGrant>(held.Ask("d2", 1, kStart));
+  REQUIRE(held.endpoint.Heartbeat(later.lease, 0, kStart)->running.empty());
+}
+
+// What a real endpoint forgets must not protect the daemons in tests.
+TEST_CASE("a restart forgets leases and incarnations", "[endpoint]") {
+  Held held;
+  held.Ask("d1", 2, kStart);
+  REQUIRE(std::holds_alternative<LeaseRefusal>(held.Ask("d1", 1, kStart)));
+  held.endpoint.Restart(kStart);
+  REQUIRE_FALSE(held.endpoint.Heartbeat(held.grant.lease, 0, kStart));
+  REQUIRE(std::holds_alternative<LeaseGrant>(held.Ask("d1", 1, kStart)));
 }
 
 TEST_CASE("a failing endpoint ends every task with a failure", "[endpoint]") {
--- a/tests/stand_in_programs_test.cc
+++ b/tests/stand_in_programs_test.cc
@@ -246,6 +246,11 @@
             {"Peridot-Team", "counts"}};
   }
 
+  // A heartbeat that does not renew the lease.
+  std::string HeartbeatBody() const {
+    return json{{"lease", this->grant.at("lease")}, {"until_us", 0}}.dump();
+  }
+
   std::optional<HttpAnswer> Start(const char* id,
                                   const std::string& payload = "x",
                                   int run_ms = 1) {
@@ -311,8 +316,8 @@
   const bool started = stopped->status == 500;
   REQUIRE(stopped->Json().at("state") ==
           (started ? "stopped" : "never_started"));
-  REQUIRE(endpoint.client.Post("/v1/lease", LeaseBody("d2", 1'000))->status ==
-          200);
+  REQUIRE(leased.client.Post("/v1/heartbeat", leased.HeartbeatBody())->status ==
+          409);
 }
 
 TEST_CASE("answers are lost, cut and of another attempt on the wire",
@@ -362,8 +367,14 @@
   while (endpoint.client.Get("/v1/runs")->Json().empty()) {
     std::this_thread::sleep_for(milliseconds(1));
   }
+  const auto beat = HttpClient(endpoint.port)
+                        .Post("/v1/heartbeat", leased.HeartbeatBody())
+                        ->Json();
   endpoint.Fault({{"restart", true}});
   caller.join();
+  REQUIRE(beat.at("boot") == leased.grant.at("boot"));
+  REQUIRE(beat.at("running") == json{"a1"});
+  REQUIRE(beat.at("used") == 1);
   REQUIRE_FALSE(answer);
   REQUIRE_FALSE(leased.client.TimedOut());
   const std::string boot = leased.grant.at("boot").get<std::string>();
