--- /dev/null
+++ b/tests/support/host_fleet.h
@@ -0,0 +1,217 @@
+// Hosts and pools in a fake table, driven by several operators' moves.
+
+#ifndef TESTS_SUPPORT_HOST_FLEET_H_
+#define TESTS_SUPPORT_HOST_FLEET_H_
+
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "src/coordination/host_ownership.h"
+#include "tests/support/fake_table.h"
+
+namespace peridot::testing {
+
+struct HostFleet {
+  FakeTable table;
+  BudgetSettings budget;
+  int hosts = 0;
+  std::int64_t grants_over_budget = 0;
+  std::int64_t hosts_misplaced = 0;  // in no pool, or in two
+
+  // Two pools of `per_pool` hosts, two hosts a rack, two racks a zone.
+  explicit HostFleet(int per_pool, BudgetSettings budget) : budget(budget) {
+    for (int p = 0; p < 2; ++p) {
+      PoolRow pool;
+      pool.pool = PoolId(p == 0 ? "web" : "spare");
+      for (int i = 0; i < per_pool; ++i) {
+        HostRow host;
+        host.host = this->Name(this->hosts++);
+        host.pool = pool.pool;
+        host.rack = RackId(Numbered("r", i / 2));
+        host.zone = ZoneId(Numbered("z", i / 4));
+        pool.members[host.host] = {host.zone, host.rack};
+        this->Write({"init-" + host.host.value, {}, {EncodeHost(host)}, {}});
+      }
+      this->Write({"init-" + pool.pool.value, {}, {EncodePool(pool)}, {}});
+    }
+  }
+
+  static std::string Numbered(const char* prefix, int index) {
+    return std::string(prefix).append(std::to_string(index));
+  }
+  static HostId Name(int index) { return HostId(Numbered("h", index)); }
+  HostRow Host(const HostId& id) const {
+    return DecodeHost(this->table.Read(HostKey(id))).value();
+  }
+  PoolRow Pool(const PoolId& id) const {
+    return DecodePool(this->table.Read(PoolKey(id))).value();
+  }
+  MoveRows Rows(const HostId& id) const {
+    const HostRow host = this->Host(id);
+    return {host, this->Pool(host.pool)};
+  }
+  CommitAnswer Write(const TableTransaction& transaction) {
+    return this->table.Transact(transaction);
+  }
+  // Applies a step and counts what breaks I1 or I2. `naive` skips the checks:
+  // the daemon has checked the rows and writes them back.
+  CommitAnswer Apply(const SendMoveStep& send, bool naive) {
+    const PoolId pool =
+        DecodePool({"", RowVersion(0), send.transaction.puts.back().value})
+            .value()
+            .pool;
+    TableTransaction transaction = send.transaction;
+    if (naive) {
+      transaction.checks.clear();
+    }
+    const CommitAnswer answer = this->Write(transaction);
+    const bool begins =
+        send.step == MoveStep::kGrant || send.step == MoveStep::kDrain;
+    if (answer.outcome == CommitOutcome::kCommitted && begins) {
+      this->CountOverBudget(pool);
+    }
+    this->CountMisplaced();
+    return answer;
+  }
+
+  // Counts from the hosts' own rows, so that a lost update of a pool's row
+  // cannot hide an absence. Only the pool of the step is judged: failures may
+  // take another one over its budget at any time.
+  void CountOverBudget(const PoolId& pool) {
+    PoolRow truth;
+    for (int i = 0; i < this->hosts; ++i) {
+      const HostRow host = this->Host(Name(i));
+      if (host.pool != pool || host.state == HostState::kClaimed) {
+        continue;
+      }
+      truth.members[host.host] = {host.zone, host.rack};
+      if (host.state == HostState::kDown) {
+        truth.unplanned.insert(host.host);
+      } else if (host.state != HostState::kInService) {
+        truth.planned.insert(host.host);
+      }
+    }
+    const bool planned = !truth.planned.empty();
+    this->grants_over_budget +=
+        planned && !FitsBudget(truth, this->budget) ? 1 : 0;
+  }
+  void CountMisplaced() {
+    for (int i = 0; i < this->hosts; ++i) {
+      const HostRow host = this->Host(Name(i));
+      int pools = 0;
+      for (const char* name : {"web", "spare"}) {
+        pools += static_cast<int>(
+            this->Pool(PoolId(name)).members.contains(host.host));
+      }
+      const int expected = host.state == HostState::kClaimed ? 0 : 1;
+      this->hosts_misplaced += pools != expected ? 1 : 0;
+    }
+  }
+  void Fail(int index, const std::string& operation) {
+    const MoveRows rows = this->Rows(Name(index));
+    auto down = PlanHostDown(operation, rows.host, rows.pool, this->budget);
+    if (down.has_value()) {
+      this->Write(down.value());
+    }
+  }
+  void Return(int index, const std::string& operation) {
+    const MoveRows rows = this->Rows(Name(index));
+    auto back = PlanHostReturn(operation, rows.host, rows.pool);
+    if (back.has_value()) {
+      this->Write(back.value());
+    }
+  }
+};
+
+// One daemon that carries out a move, one action at a time.
+struct MoveRunner {
+  HostFleet* fleet;
+  MoveRequest request;
+  HostMove move;
+  Instant now{};
+  std::optional<MoveEnded> ended;
+  std::vector<MoveAction> todo;
+
+  MoveRunner(HostFleet& fleet, MoveRequest request)
+      : fleet(&fleet), request(request), move(request) {}
+
+  void Take(const MoveActions& actions) {
+    this->todo.insert(this->todo.end(), actions.begin(), actions.end());
+  }
+  // Carries out the next action; a step that was planned from older rows is
+  // sent as it was planned.
+  void Step(bool naive) {
+    this->now += std::chrono::seconds(1);
+    if (this->todo.empty()) {
+      this->Take(this->move.OnTick(std::chrono::milliseconds(1), this->now));
+      return;
+    }
+    const MoveAction action = this->todo.front();
+    this->todo.erase(this->todo.begin());
+    if (std::holds_alternative<ReadMoveRows>(action)) {
+      this->Take(this->move.OnRows(this->fleet->Rows(this->request.host),
+                                   this->fleet->budget, this->now));
+    } else if (const auto* send = std::get_if<SendMoveStep>(&action)) {
+      this->Take(
+          this->move.OnAnswer(this->fleet->Apply(*send, naive), this->now));
+    } else if (std::holds_alternative<DrainHost>(action)) {
+      this->move.OnDrained();
+    } else if (const auto* end = std::get_if<MoveEnded>(&action)) {
+      this->ended = *end;
+    }
+  }
+  void RunToEnd(int steps = 100) {
+    for (int i = 0; i < steps && !this->ended; ++i) {
+      this->Step(false);
+    }
+  }
+};
+
+// Random moves, reboots and waves of failures; returns the fleet at the end.
+inline HostFleet RunHostSchedule(std::uint64_t seed, bool naive) {
+  std::mt19937_64 random(seed);
+  const auto pick = [&](int high) {
+    return std::uniform_int_distribution<int>(0, high - 1)(random);
+  };
+  const Survive survive[] = {Survive::kNone, Survive::kHost, Survive::kRack};
+  HostFleet fleet(8, {HostCount(2 + pick(4)), survive[pick(3)]});
+  std::vector<MoveRunner> runners;
+  int moves = 0;
+  for (int event = 0; event < 300; ++event) {
+    const std::string name = HostFleet::Numbered("e", event);
+    if (runners.size() < 6) {
+      const PoolId target(pick(2) == 0 ? "web" : "spare");
+      runners.emplace_back(
+          fleet, MoveRequest{HostFleet::Numbered("m", ++moves),
+                             HostFleet::Name(pick(16)), target, "op"});
+    }
+    if (pick(40) == 0) {  // a wave: a rack, or a few hosts at once
+      const int first = pick(15);
+      for (int i = first; i < first + 1 + pick(3) && i < 16; ++i) {
+        fleet.Fail(i, name + "-" + std::to_string(i));
+      }
+    } else if (pick(10) == 0) {
+      fleet.Return(pick(16), name);
+    }
+    const auto index =
+        static_cast<std::size_t>(pick(static_cast<int>(runners.size())));
+    MoveRunner& runner = runners[index];
+    if (pick(30) == 0) {  // crash; another daemon takes the move over
+      runner = MoveRunner(fleet, runner.request);
+    }
+    runner.Step(naive);
+    if (runner.ended) {
+      std::swap(runner, runners.back());
+      runners.pop_back();
+    }
+  }
+  return fleet;
+}
+
+}  // namespace peridot::testing
+
+#endif  // TESTS_SUPPORT_HOST_FLEET_H_
