--- a/bench/journal_bench.cc
+++ b/bench/journal_bench.cc
@@ -123,7 +123,7 @@
   void Carry(int d, const IntentRecorded& news) {
     TaskAnswer answer;
     answer.task = news.intent.task;
-    answer.outcome = TaskOutcome::kAnswered;
+    answer.outcome = JournalOutcome::kAnswered;
     answer.body.assign(100, 'y');
     this->schedule.After(milliseconds(50), d, [=, this] {
       this->Do(d, this->At(d).RecordAnswer(answer, this->Now()));
--- a/src/coordination/journal.cc
+++ b/src/coordination/journal.cc
@@ -546,7 +546,7 @@
     }
     TaskAnswer cancelled;
     cancelled.task = accepted->task;
-    cancelled.outcome = TaskOutcome::kCancelled;
+    cancelled.outcome = JournalOutcome::kCancelled;
     this->Append(cancelled, false, now);
   }
 }
@@ -865,7 +865,7 @@
                             JournalActions& actions) {
   for (const TableRow& row : found) {
     const Result<SessionId> owned = ParseAdoptedKey(row.key);
-    const Result<SessionId> by = ParseSession(row);
+    const Result<SessionId> by = ParseSessionId(row);
     if (owned.has_error() || by.has_error()) {
       ++this->malformed_rows;
       continue;
@@ -910,7 +910,7 @@
                           const std::vector<TableRow>& found) const {
   const auto claimant = [&](const SessionId& session) {
     const TableRow row = FindRow(found, AdoptedKey(session));
-    const Result<SessionId> by = ParseSession(row);
+    const Result<SessionId> by = ParseSessionId(row);
     return row.version.value > 0 && by.has_value() ? by.value() : SessionId{};
   };
   const bool own = takeover.claim_sent && claimant(dead) == this->config.self;
@@ -964,8 +964,8 @@
   }
   takeover.erases.insert(takeover.erases.end(), last.begin(), last.end());
   const TableRow own = FindRow(found, AdoptedKey(dead));
-  const bool claimed = own.version.value > 0 && ParseSession(own).has_value() &&
-                       ParseSession(own).value() == this->config.self;
+  const bool claimed = own.version.value > 0 && ParseSessionId(own).has_value() &&
+                       ParseSessionId(own).value() == this->config.self;
   if (found.empty()) {
     actions.emplace_back(TakeoverDone{dead, {}});
     this->takeovers.erase(SessionId(dead));
--- a/src/coordination/journal_internal.cc
+++ b/src/coordination/journal_internal.cc
@@ -104,7 +104,7 @@
                       value.at("never_started").get<bool>()};
   }
   return TaskAnswer{task,
-                    static_cast<TaskOutcome>(value.at("outcome").get<int>()),
+                    static_cast<JournalOutcome>(value.at("outcome").get<int>()),
                     DecodeBytes(text("body")), text("object"), text("key_row")};
 }
 
@@ -229,7 +229,7 @@
   });
 }
 
-Result<SessionId> ParseSession(const TableRow& row) {
+Result<SessionId> ParseSessionId(const TableRow& row) {
   return Parse<SessionId>(row, "parse_adopted", SessionFromJson);
 }
 
--- a/src/coordination/journal_internal.h
+++ b/src/coordination/journal_internal.h
@@ -21,6 +21,7 @@
   TaskId task;                   // default: empty
   TeamId team;                   // default: empty
   QueueId queue;                 // default: empty
+  KeyId key;                     // default: empty; checked again at each start
   bool idempotent = false;       // default: false
   std::string key_digest;        // default: empty; no idempotency key
   std::int64_t deadline_ms = 0;  // default: 0; wall time, since the epoch
@@ -41,11 +42,11 @@
   bool never_started = false;  // default: false; true: it never will
 };
 
-enum class TaskOutcome { kAnswered, kFailed, kCancelled, kUnknown };
+enum class JournalOutcome { kAnswered, kFailed, kCancelled, kUnknown };
 
 struct TaskAnswer {
   TaskId task;                                  // default: empty
-  TaskOutcome outcome = TaskOutcome::kUnknown;  // default: kUnknown
+  JournalOutcome outcome = JournalOutcome::kUnknown;  // default: kUnknown
   std::string body;                             // default: empty; any bytes
   std::string body_object;  // default: empty; name in the object store
   std::string key_row;      // default: empty; filled in by the journal
@@ -94,15 +95,12 @@
 // Errors of all: kMalformed.
 Result<std::vector<JournalRecord>> ParseBatch(const TableRow& row);
 Result<JournalHead> ParseHead(const TableRow& row);
-Result<SessionId> ParseSession(const TableRow& row);
+Result<SessionId> ParseSessionId(const TableRow& row);
 Result<KeyOwner> ParseKeyOwner(const TableRow& row);
 Result<SessionFence> ParseSessionFence(const TableRow& row);
 // Reads the session out of the key of an `adopted` row.
 Result<SessionId> ParseAdoptedKey(const std::string& key);
 
-// Returns the row with the key, or one with version 0.
-TableRow FindRow(const std::vector<TableRow>& rows, const std::string& key);
-
 }  // namespace peridot
 
 #endif  // SRC_COORDINATION_JOURNAL_INTERNAL_H_
--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -105,10 +105,18 @@
   if (view.version <= this->registry_version) {
     return actions;
   }
+  const bool is_first = this->registry_version.value == 0;
   this->registry_version = view.version;
   for (const SessionId& session : view.active) {
     this->Apply({session, MemberPhase::kLive}, actions);
   }
+  if (is_first) {
+    // The peers know the sessions that were there before this one. Passing
+    // them on would hold up the changes that the peers do not know.
+    std::erase_if(this->pending, [&](const auto& entry) {
+      return entry.first != this->self.daemon;
+    });
+  }
   for (const auto& [daemon, member] : this->members) {
     const SessionId session{daemon, member.incarnation};
     if (!view.Lists(session)) {
--- /dev/null
+++ b/src/daemon/heir.cc
@@ -0,0 +1,26 @@
+#include "src/daemon/heir.h"
+
+#include <string>
+#include <vector>
+
+#include "src/coordination/endpoint_owner.h"
+
+namespace peridot {
+
+const RegisteredDaemon* HeirOf(const SessionId& session,
+                               const Registry& registry) {
+  if (const RegisteredDaemon* same = registry.Find(session.daemon)) {
+    return same;
+  }
+  std::vector<DaemonId> daemons;
+  for (const RegisteredDaemon& entry : registry.daemons) {
+    daemons.push_back(entry.session.daemon);
+  }
+  const DaemonId* heir =
+      EndpointOwner(EndpointId(session.daemon.value + "." +
+                               std::to_string(session.incarnation.value)),
+                    daemons);
+  return heir == nullptr ? nullptr : registry.Find(*heir);
+}
+
+}  // namespace peridot
--- /dev/null
+++ b/src/daemon/journal_task.h
@@ -0,0 +1,95 @@
+// Durable tasks: records in the table, and the journals of dead sessions.
+//
+// Index:
+//   [SECTION] JournalTask
+//
+// A session that is no longer registered left its journal behind. A later
+// incarnation of the same daemon takes it over; if there is none, the daemon
+// that rendezvous hashing chooses among the registered ones does.
+
+#ifndef SRC_DAEMON_JOURNAL_TASK_H_
+#define SRC_DAEMON_JOURNAL_TASK_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "src/coordination/journal.h"
+#include "src/daemon/dispatch_task.h"
+#include "src/daemon/settings_task.h"
+#include "src/daemon/table_client.h"
+#include "src/daemon/task_api.h"
+#include "src/transport/event_loop.h"
+
+namespace peridot {
+
+//-----------------------------------------------------------------------------
+// [SECTION] JournalTask
+//-----------------------------------------------------------------------------
+
+// Not thread-safe: lives on the loop's thread.
+class JournalTask {
+ public:
+  struct Hooks {
+    // A task of a dead session is queued again.
+    std::function<void(const DurableTask&)> adopt;
+    // A task of a dead session has ended; keep its answer.
+    std::function<void(const DurableTask&, const FinishTask&, std::string)>
+        adopt_ended;
+  };
+
+  JournalTask(EventLoop* loop,
+              TableClient* table,
+              const SettingsTask* settings,
+              DispatchTask* dispatch,
+              Hooks hooks);
+
+  // Call once the session is registered, and after each registry change.
+  void Start();
+  void OnRegistry();
+
+  void Record(const DurableTask& task,
+              std::function<void(RecordOutcome)> callback);
+  void RecordIntent(const peridot::RecordIntent& intent);
+  void RecordAttemptEnd(const peridot::RecordAttemptEnd& end);
+  void RecordEnd(const FinishTask& end, const std::string& answer);
+
+ private:
+  void OnTick();
+  void Carry(const JournalActions& actions);
+  void Do(const ReadJournalRows& action);
+  void Do(const TransactJournal& action);
+  void Do(const TaskAccepted& action);
+  void Do(const TaskDuplicate& action);
+  void Do(const TaskRefused& action);
+  void Do(const IntentRecorded& action);
+  void Do(const AnswerRecorded& action);
+  void Do(const TakeoverDone& action);
+  void Do(const TakeoverLost& action);
+  void Do(const SessionLost& action);
+  void Answer(const TaskId& task, const RecordOutcome& outcome);
+  void TakeOver(const SessionId& dead);
+  void ResolveAttempt(const AttemptToResolve& open, Instant until);
+  void EndAdopted(const AcceptedTask& task,
+                  TaskOutcome outcome,
+                  Ran ran,
+                  const std::string& body);
+  DurableTask ToDurable(const AcceptedTask& task) const;
+
+  EventLoop* loop;
+  TableClient* table;
+  const SettingsTask* settings;
+  DispatchTask* dispatch;
+  Hooks hooks;
+  std::optional<Journal> journal;
+  std::unordered_map<TaskId, std::function<void(RecordOutcome)>> recording;
+  std::set<SessionId> listed;      // sessions of the last registry
+  std::set<SessionId> taken_over;  // takeovers that were begun
+};
+
+}  // namespace peridot
+
+#endif  // SRC_DAEMON_JOURNAL_TASK_H_
--- a/tests/journal_test.cc
+++ b/tests/journal_test.cc
@@ -46,7 +46,7 @@
 TaskAnswer Answer(const std::string& task) {
   TaskAnswer answer;
   answer.task = TaskId(task);
-  answer.outcome = TaskOutcome::kAnswered;
+  answer.outcome = JournalOutcome::kAnswered;
   answer.body = "42";
   return answer;
 }
