--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -7,7 +7,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
-#include <cerrno>
+#include <algorithm>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -74,11 +74,18 @@
              .find_first_of(std::string_view("\r\n\0", 3)) != std::string::npos;
 }
 
+// Whether a program in between could see the end of the body elsewhere: more
+// than one length, or a name such as "Content-Length " that some programs read
+// as Content-Length and others as a different header.
 bool HasAmbiguousLength(evhtp_headers_t* list) {
   const HttpHeaders headers = CopyHeaders(list);
   const int lengths = CountHeaders(headers, "Content-Length");
   const int codings = CountHeaders(headers, "Transfer-Encoding");
-  return lengths + codings > 1;
+  const bool spaced =
+      std::any_of(headers.begin(), headers.end(), [](const HttpHeader& header) {
+        return header.name.find_first_of(" \t") != std::string::npos;
+      });
+  return lengths + codings > 1 || spaced;
 }
 
 }  // namespace
@@ -157,7 +164,6 @@
                           void* core);
   static evhtp_res OnRequestEnd(evhtp_request_t* request, void* core);
   static evhtp_res OnConnectionEnd(evhtp_connection_t* connection, void* core);
-  static void OnEvent(evhtp_connection_t* connection, short what, void* core);
   static void OnRequest(evhtp_request_t* request, void* core);
 
   Connection* Find(evhtp_connection_t* connection);
@@ -294,8 +300,6 @@
                             ToHook(&OnRequestEnd), core);
   evhtp_connection_set_hook(connection, evhtp_hook_on_connection_fini,
                             ToHook(&OnConnectionEnd), core);
-  evhtp_connection_set_hook(connection, evhtp_hook_on_event, ToHook(&OnEvent),
-                            core);
   return EVHTP_RES_OK;
 }
 
@@ -374,12 +378,6 @@
   return EVHTP_RES_OK;
 }
 
-void HttpServer::Core::OnEvent(evhtp_connection_t*, short, void*) {
-  // libevhtp ignores an end of file when errno happens to be EAGAIN from an
-  // earlier call, and then keeps the connection for ever.
-  errno = 0;
-}
-
 void HttpServer::Core::OnRequest(evhtp_request_t* request, void* core) {
   Self(core)->BeginExchange(request);
 }
