Let durable tasks outlive their daemon

Cause: asynchronous tasks and tasks with an idempotency key were refused. Ruled out: a lookup in the table per request for a task of another daemon; the heir of a session follows from the registry by rendezvous hashing.

--- a/src/coordination/dispatcher.h
+++ b/src/coordination/dispatcher.h
@@ -126,6 +126,14 @@
   TaskId task;
   AttemptId attempt;
   EndpointId endpoint;
+  BootId boot;  // the attempt may be sent under this boot only
+};
+
+// An attempt with a recorded intent has ended and the task goes on.
+struct RecordAttemptEnd {
+  TaskId task;
+  AttemptId attempt;
+  bool never_started = false;
 };
 
 // Fence the attempt over a new connection after the delay.
@@ -170,6 +178,7 @@
 
 using DispatchAction = std::variant<StartAttempt,
                                     RecordIntent,
+                                    RecordAttemptEnd,
                                     FenceAttempt,
                                     StopAttempt,
                                     FinishTask,
@@ -320,7 +329,7 @@
   FenceReply JudgeFence(const AttemptId& attempt,
                         FenceReply reply,
                         Instant now) const;
-  void Retry(Task* task, Instant now);
+  void Retry(Task* task, const AttemptId& ended, Instant now);
   void Enqueue(Task* task);
   void Dequeue(Task* task);
   void Finish(Task* task, StartBlock block);
--- a/src/coordination/dispatcher_internal.h
+++ b/src/coordination/dispatcher_internal.h
@@ -210,8 +210,8 @@
   task->execution.OnStart(attempt, grant.endpoint);
   if (task->spec.journaled && !task->spec.idempotent) {
     task->intent_pending = true;
-    this->actions.push_back(
-        RecordIntent{task->spec.id, attempt, grant.endpoint});
+    this->actions.push_back(RecordIntent{task->spec.id, attempt, grant.endpoint,
+                                         lease.Report()->boot});
     return true;
   }
   this->SendAttempt(task, attempt, now);
@@ -272,6 +272,13 @@
   // Time has passed since the first check, so every check runs again.
   task.last_block = committed ? this->CheckStart(task.spec, flight.grant, now)
                               : StartBlock::kSettingsStale;
+  // Another daemon may have fenced the attempt under the recorded boot, which
+  // a later boot of the endpoint does not know.
+  const auto lease = this->leases.find(flight.endpoint);
+  if (task.last_block == StartBlock::kNone &&
+      lease->second.Report()->boot != flight.boot) {
+    task.last_block = StartBlock::kEndpointLease;
+  }
   if (task.last_block == StartBlock::kNone && !task.execution.IsCancelled()) {
     this->SendAttempt(&task, attempt, now);
     return;
@@ -403,7 +410,7 @@
       this->FenceLater(task, attempt, this->config.fence_interval);
       return;
     case TaskStep::kRetry:
-      this->Retry(task, now);
+      this->Retry(task, attempt, now);
       return;
     case TaskStep::kFinish:
       this->Finish(task, task->last_block);
@@ -542,7 +549,9 @@
 // A task that ran and failed needs the team's budget; one that never started
 // only waits, since it has cost an endpoint nothing.
 template <SettingsView Settings, PermitPool Permits>
-void Dispatcher<Settings, Permits>::Retry(Task* task, Instant now) {
+void Dispatcher<Settings, Permits>::Retry(Task* task,
+                                          const AttemptId& ended,
+                                          Instant now) {
   const QueueSettings* queue =
       this->settings->FindQueue(task->spec.queue.value);
   const bool ran = task->execution.WhetherRan() != Ran::kNo;
@@ -552,6 +561,9 @@
     return;
   }
   task->delayed = true;
+  if (task->spec.journaled && !task->spec.idempotent) {
+    this->actions.push_back(RecordAttemptEnd{task->spec.id, ended, !ran});
+  }
   this->delayed.emplace(now + this->retries.Delay(task->attempts - 1),
                         task->spec.id);
 }
--- a/src/coordination/journal.cc
+++ b/src/coordination/journal.cc
@@ -964,7 +964,8 @@
   }
   takeover.erases.insert(takeover.erases.end(), last.begin(), last.end());
   const TableRow own = FindRow(found, AdoptedKey(dead));
-  const bool claimed = own.version.value > 0 && ParseSessionId(own).has_value() &&
+  const bool claimed = own.version.value > 0 &&
+                       ParseSessionId(own).has_value() &&
                        ParseSessionId(own).value() == this->config.self;
   if (found.empty()) {
     actions.emplace_back(TakeoverDone{dead, {}});
--- a/src/coordination/journal_internal.cc
+++ b/src/coordination/journal_internal.cc
@@ -48,6 +48,7 @@
           {"task", task.task.value},
           {"team", task.team.value},
           {"queue", task.queue.value},
+          {"key_id", task.key.value},
           {"idempotent", task.idempotent},
           {"key", task.key_digest},
           {"deadline_ms", task.deadline_ms},
@@ -89,6 +90,7 @@
     return AcceptedTask{task,
                         TeamId(text("team")),
                         QueueId(text("queue")),
+                        KeyId(text("key_id")),
                         value.at("idempotent").get<bool>(),
                         text("key"),
                         value.at("deadline_ms").get<std::int64_t>(),
@@ -263,13 +265,4 @@
                    Incarnation(std::stoull(digits))};
 }
 
-TableRow FindRow(const std::vector<TableRow>& rows, const std::string& key) {
-  for (const TableRow& row : rows) {
-    if (row.key == key) {
-      return row;
-    }
-  }
-  return TableRow{key, {}, {}};
-}
-
 }  // namespace peridot
--- a/src/coordination/journal_internal.h
+++ b/src/coordination/journal_internal.h
@@ -45,9 +45,9 @@
 enum class JournalOutcome { kAnswered, kFailed, kCancelled, kUnknown };
 
 struct TaskAnswer {
-  TaskId task;                                  // default: empty
+  TaskId task;                                        // default: empty
   JournalOutcome outcome = JournalOutcome::kUnknown;  // default: kUnknown
-  std::string body;                             // default: empty; any bytes
+  std::string body;         // default: empty; any bytes
   std::string body_object;  // default: empty; name in the object store
   std::string key_row;      // default: empty; filled in by the journal
 };
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -8,6 +8,7 @@
 #include "src/daemon/admin_api.h"
 #include "src/daemon/dispatch_task.h"
 #include "src/daemon/endpoint_client.h"
+#include "src/daemon/journal_task.h"
 #include "src/daemon/membership_client.h"
 #include "src/daemon/membership_task.h"
 #include "src/daemon/peer_link.h"
@@ -88,6 +89,7 @@
   std::unique_ptr<PermitTask> permits;
   std::unique_ptr<DispatchTask> dispatch;
   std::unique_ptr<MembershipTask> membership;
+  std::unique_ptr<JournalTask> journal;
   std::unique_ptr<TaskApi> tasks;
   std::unique_ptr<AdminApi> admin;
   bool registered = false;
@@ -173,7 +175,21 @@
               },
           .record_intent =
               [this](const RecordIntent& intent) {
-                this->dispatch->OnIntentRecorded(intent.task, false);
+                this->journal->RecordIntent(intent);
+              },
+          .record_attempt_end =
+              [this](const RecordAttemptEnd& end) {
+                this->journal->RecordAttemptEnd(end);
+              }});
+  this->journal = std::make_unique<JournalTask>(
+      events, this->table.get(), this->settings.get(), this->dispatch.get(),
+      JournalTask::Hooks{
+          .adopt =
+              [this](const DurableTask& task) { this->tasks->Adopt(task); },
+          .adopt_ended =
+              [this](const DurableTask& task, const FinishTask& end,
+                     std::string answer) {
+                this->tasks->AdoptEnded(task, end, std::move(answer));
               }});
   this->membership = std::make_unique<MembershipTask>(
       events, &this->peers, this->settings.get(),
@@ -184,7 +200,17 @@
                                 }});
   this->tasks = std::make_unique<TaskApi>(
       events, this->server.get(), this->http.get(), this->dispatch.get(),
-      this->settings.get(), &this->metrics, TaskApi::Hooks{});
+      this->settings.get(), &this->metrics,
+      TaskApi::Hooks{
+          .record =
+              [this](const DurableTask& task,
+                     std::function<void(RecordOutcome)> callback) {
+                this->journal->Record(task, std::move(callback));
+              },
+          .record_end =
+              [this](const FinishTask& end, const std::string& answer) {
+                this->journal->RecordEnd(end, answer);
+              }});
   this->admin = std::make_unique<AdminApi>(
       events, this->server.get(), this->settings.get(), this->permits.get(),
       this->dispatch.get(), &this->config);
@@ -237,12 +263,14 @@
   this->permits->Start();
   this->dispatch->Start();
   this->membership->Start();
+  this->journal->Start();
 }
 
 void Daemon::Core::OnRegistry() {
   this->permits->OnRegistry();
   this->dispatch->OnRegistry();
   this->membership->OnRegistry();
+  this->journal->OnRegistry();
 }
 
 void Daemon::Core::UpdateGauges() {
--- a/src/daemon/dispatch_task.cc
+++ b/src/daemon/dispatch_task.cc
@@ -112,9 +112,9 @@
 
 void DispatchTask::Resolve(const EndpointId& endpoint,
                            const AttemptId& attempt,
+                           const BootId& boot,
                            EndpointClient::FenceCallback callback) {
-  this->endpoint_client->Fence(endpoint, attempt, BootId(),
-                               std::move(callback));
+  this->endpoint_client->Fence(endpoint, attempt, boot, std::move(callback));
 }
 
 void DispatchTask::Shutdown() {
@@ -590,6 +590,10 @@
   this->hooks.record_intent(action);
 }
 
+void DispatchTask::Do(const RecordAttemptEnd& action) {
+  this->hooks.record_attempt_end(action);
+}
+
 void DispatchTask::Do(const FenceAttempt& action) {
   this->loop->After(action.delay, [this, action] {
     this->endpoint_client->Fence(
--- a/src/daemon/dispatch_task.h
+++ b/src/daemon/dispatch_task.h
@@ -64,6 +64,7 @@
     std::function<void(const FinishTask&, std::string body)> on_finished;
     // Record the intent, then call OnIntentRecorded().
     std::function<void(const RecordIntent&)> record_intent;
+    std::function<void(const RecordAttemptEnd&)> record_attempt_end;
   };
 
   // One entry of the platform's list, with what this daemon knows of it.
@@ -101,6 +102,7 @@
   // Asks the endpoint what became of an attempt of an earlier daemon.
   void Resolve(const EndpointId& endpoint,
                const AttemptId& attempt,
+               const BootId& boot,
                EndpointClient::FenceCallback callback);
 
   // Refuses new tasks; those admitted go on.
@@ -148,6 +150,7 @@
   void CarryActions();
   void Do(const StartAttempt& action);
   void Do(const RecordIntent& action);
+  void Do(const RecordAttemptEnd& action);
   void Do(const FenceAttempt& action);
   void Do(const StopAttempt& action);
   void Do(const FinishTask& action);
--- a/src/daemon/table_client.cc
+++ b/src/daemon/table_client.cc
@@ -37,7 +37,7 @@
                    });
 }
 
-void TableClient::Transact(TableTransaction transaction,
+void TableClient::Transact(const TableTransaction& transaction,
                            CommitCallback callback) {
   auto call = EncodeTransact(transaction);
   if (!call) {
@@ -57,13 +57,4 @@
       });
 }
 
-TableRow FindRow(const std::vector<TableRow>& rows, const std::string& key) {
-  for (const TableRow& row : rows) {
-    if (row.key == key) {
-      return row;
-    }
-  }
-  return TableRow{.key = key};
-}
-
 }  // namespace peridot
--- a/src/daemon/table_client.h
+++ b/src/daemon/table_client.h
@@ -38,16 +38,13 @@
   // Anything but a clear answer is kUnknown, except a request that was surely
   // never sent or was refused by the table before it was tried: kConflict with
   // no rows would be wrong for these, so they are kUnknown too.
-  void Transact(TableTransaction transaction, CommitCallback callback);
+  void Transact(const TableTransaction& transaction, CommitCallback callback);
 
  private:
   HttpClient* http;
   HttpPeer peer;
 };
 
-// Returns the row with the key, or one of version 0 if it is not there.
-TableRow FindRow(const std::vector<TableRow>& rows, const std::string& key);
-
 }  // namespace peridot
 
 #endif  // SRC_DAEMON_TABLE_CLIENT_H_
--- a/src/daemon/task_api.cc
+++ b/src/daemon/task_api.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 
+#include "src/daemon/heir.h"
 #include "src/protocol/socket_address.h"
 #include "src/transport/log.h"
 
@@ -77,18 +78,21 @@
       metrics(metrics),
       hooks(std::move(hooks)),
       config(config) {
-  server->Route(HttpMethod::kPost, "/v1/queues/",
-                [this](HttpServerRequest request, HttpResponder responder) {
-                  this->HandleSubmit(std::move(request), responder);
-                });
-  server->Route(HttpMethod::kGet, "/v1/tasks/",
-                [this](HttpServerRequest request, HttpResponder responder) {
-                  this->HandleGet(request, responder);
-                });
-  server->Route(HttpMethod::kDelete, "/v1/tasks/",
-                [this](HttpServerRequest request, HttpResponder responder) {
-                  this->HandleDelete(request, responder);
-                });
+  server->Route(
+      HttpMethod::kPost, "/v1/queues/",
+      [this](HttpServerRequest request, const HttpResponder& responder) {
+        this->HandleSubmit(std::move(request), responder);
+      });
+  server->Route(
+      HttpMethod::kGet, "/v1/tasks/",
+      [this](const HttpServerRequest& request, const HttpResponder& responder) {
+        this->HandleGet(request, responder);
+      });
+  server->Route(
+      HttpMethod::kDelete, "/v1/tasks/",
+      [this](const HttpServerRequest& request, const HttpResponder& responder) {
+        this->HandleDelete(request, responder);
+      });
   this->Expire();
 }
 
@@ -205,18 +209,31 @@
   }
 }
 
+TaskApi::Task& TaskApi::InsertAdopted(const DurableTask& task) {
+  Task& adopted = this->tasks[task.spec.id];
+  adopted.spec = task.spec;
+  adopted.team = task.team;
+  adopted.payload = task.payload;
+  adopted.durable = true;
+  adopted.accepted = this->loop->Now();
+  ++this->open;
+  return adopted;
+}
+
 void TaskApi::Adopt(const DurableTask& task) {
-  const auto [found, added] = this->tasks.try_emplace(task.spec.id);
-  if (!added) {
-    return;
+  if (!this->tasks.contains(task.spec.id)) {
+    this->InsertAdopted(task);
+    this->Start(task.spec.id);
+  }
+}
+
+void TaskApi::AdoptEnded(const DurableTask& task,
+                         const FinishTask& end,
+                         std::string answer) {
+  if (!this->tasks.contains(task.spec.id)) {
+    this->InsertAdopted(task);
+    this->OnFinished(end, std::move(answer));
   }
-  found->second.spec = task.spec;
-  found->second.team = task.team;
-  found->second.payload = task.payload;
-  found->second.durable = true;
-  found->second.accepted = this->loop->Now();
-  ++this->open;
-  this->Start(task.spec.id);
 }
 
 //-----------------------------------------------------------------------------
@@ -348,15 +365,16 @@
 void TaskApi::PassOn(const HttpServerRequest& request,
                      const SessionId& session,
                      const HttpResponder& responder) {
+  // The session's journal may have been taken over by another daemon.
   const RegisteredDaemon* owner =
-      this->settings->KnownRegistry().Find(session.daemon);
+      HeirOf(session, this->settings->KnownRegistry());
   const bool forwarded =
       FindHeader(request.headers, kForwardedHeader).has_value();
   const auto address = owner == nullptr
                            ? Result<SocketAddress>(MakeError(
                                  ErrorCode::kNotFound, "find daemon", "", ""))
                            : SocketAddress::Parse(owner->http_address);
-  if (forwarded || !address || owner->session != session) {
+  if (forwarded || !address || owner->session == this->settings->Session()) {
     return this->Refuse(responder, RefusalCode::kUnknownTask);
   }
   HttpRequest passed;
@@ -381,7 +399,7 @@
             answer.headers.push_back({name, std::string(*value)});
           }
         }
-        responder.Send(std::move(answer));
+        responder.Send(answer);
       });
 }
 
--- a/src/daemon/task_api.h
+++ b/src/daemon/task_api.h
@@ -90,8 +90,12 @@
   const std::string* Payload(const TaskId& task) const;
   void OnFinished(const FinishTask& end, std::string body);
 
-  // Takes over a task of a fenced session. It is durable and nobody waits.
+  // Takes over a task of a dead session. It is durable and nobody waits.
   void Adopt(const DurableTask& task);
+  // Keeps the answer of a task of a dead session.
+  void AdoptEnded(const DurableTask& task,
+                  const FinishTask& end,
+                  std::string answer);
 
   // Tasks that have not ended.
   std::size_t OpenTasks() const { return this->open; }
@@ -129,6 +133,7 @@
   void Refuse(const HttpResponder& responder, StartBlock block);
   // Returns the task if the caller's key belongs to its team. Otherwise the
   // request has been answered or passed on.
+  Task& InsertAdopted(const DurableTask& task);
   Task* FindForCaller(const HttpServerRequest& request,
                       const HttpResponder& responder);
   void PassOn(const HttpServerRequest& request,
--- a/src/state/table_types.h
+++ b/src/state/table_types.h
@@ -27,6 +27,9 @@
   std::string value;   // default: empty
 };
 
+// Returns the row with the key, or one of version 0 if it is not there.
+TableRow FindRow(const std::vector<TableRow>& rows, const std::string& key);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Transactions
 //-----------------------------------------------------------------------------
--- a/tests/support/journal_world.h
+++ b/tests/support/journal_world.h
@@ -477,8 +477,8 @@
     }
     TaskAnswer answer;
     answer.task = task.task;
-    answer.outcome =
-        state == State::kDone ? JournalOutcome::kAnswered : JournalOutcome::kUnknown;
+    answer.outcome = state == State::kDone ? JournalOutcome::kAnswered
+                                           : JournalOutcome::kUnknown;
     this->result.unknown += state == State::kUnknown ? 1 : 0;
     this->submitted[task.task].answered |= state == State::kDone;
     this->Do(d, daemon.log->RecordAnswer(answer, this->Now()));
--- a/tests/support/task_world.h
+++ b/tests/support/task_world.h
@@ -417,6 +417,7 @@
   void Do(const RecordIntent& action) {
     this->dispatcher.OnIntentRecorded(action.task, true, this->schedule.Now());
   }
+  void Do(const RecordAttemptEnd&) {}
   void Do(const ReturnSlot&) {}
 
   void Reply(const StartAttempt& action, AttemptReply reply) {
