--- a/src/coordination/endpoint_lease.h
+++ b/src/coordination/endpoint_lease.h
@@ -61,7 +61,7 @@
 
 struct LeaseTick {
   LeaseStep request = LeaseStep::kNone;  // default: kNone
-  bool replace_connection = false;  // default: false; close before sending
+  bool replace_connection = false;       // default: false; close before sending
 };
 
 // Why no attempt may start on the endpoint now.
--- a/tests/endpoint_lease_test.cc
+++ b/tests/endpoint_lease_test.cc
@@ -86,8 +86,7 @@
           "[endpoint_lease]") {
   EndpointLease lease;
   REQUIRE(lease.OnTick(kStart).request == LeaseStep::kAcquire);
-  REQUIRE(lease.OnTick(kStart + milliseconds(900)).request ==
-          LeaseStep::kNone);
+  REQUIRE(lease.OnTick(kStart + milliseconds(900)).request == LeaseStep::kNone);
   const LeaseTick tick = lease.OnTick(kStart + seconds(1));
   REQUIRE(tick.replace_connection);
   REQUIRE(tick.request == LeaseStep::kAcquire);
