Report the revision that the table gave a change

Cause: after a commit the settings lease took the revision to be that of the base plus one. Row versions rise with every commit of the table, so writes to other rows leave gaps: an operator was told a revision that does not exist. A read then brought the true revision, whose predecessor this daemon had never held, and the change waited for the longest lease instead of the base's.

Ruled out: a lost update; each PUT of the two operators was answered 200 or 409 and the daemons' logs showed one sequence of revisions, 22, 25, 28, 31.

Change: the revision is read from the answer to the commit. A write found by reading back reports the revision read, which carries it. The wait is that of the base's lease and of what was known at the sending.

Two new cases of [settings_lease] fix the revision and the instant.

Conclusion: the reported revision is one that every daemon reaches.

--- a/src/coordination/settings_lease.cc
+++ b/src/coordination/settings_lease.cc
@@ -142,7 +142,7 @@
   }
   if (!this->write->resolved && this->write->sends == 0) {
     if (now - this->write->begun > this->options.max_write_wait) {
-      this->Resolve(WriteState::kNotSent, now, actions);
+      this->Resolve(WriteState::kNotSent, actions);
     }
     return;
   }
@@ -489,7 +489,7 @@
 void SettingsLease::SendPreparedWrite(Instant now, SettingsActions& actions) {
   settings_lease_internal::Write& next = *this->write;
   if (next.base != this->known || this->held != this->known) {
-    this->Resolve(WriteState::kConflict, now, actions);
+    this->Resolve(WriteState::kConflict, actions);
     return;
   }
   TableTransaction& transaction = next.transaction;
@@ -504,7 +504,8 @@
     transaction.puts.push_back({SettingsKey(), std::move(next.text)});
   }
   transaction.puts.push_back({OperationKey(self), next.operation_id});
-  next.lease = this->lease;
+  next.lease = this->held.value > 0 ? this->lease : this->options.max_lease;
+  next.older_lapsed_at = this->older_lapsed_at;
   next.last_sent = now;
   next.sends = 1;
   actions.emplace_back(SendWrite{transaction});
@@ -523,14 +524,15 @@
     if (registry_version) {
       this->LearnRegistry(RegistryVersion(registry_version->value), now);
     }
-    this->Resolve(WriteState::kCommitted, now, actions);
+    const auto revision = VersionOf(answer.versions, SettingsKey());
+    this->Commit(Revision(revision ? revision->value : 0), now, actions);
     this->StartRead(now, actions);
     return actions;
   }
   // After a repeat, a conflict may be that of the repeat with the first try,
   // if the table forgot the operation id. Row "operation/<daemon>" decides.
   if (answer.outcome == CommitOutcome::kConflict && this->write->sends == 1) {
-    this->Resolve(WriteState::kConflict, now, actions);
+    this->Resolve(WriteState::kConflict, actions);
   }
   this->StartRead(now, actions);
   return actions;
@@ -543,7 +545,9 @@
     return;
   }
   if (read.last_operation == this->write->operation_id) {
-    this->Resolve(WriteState::kCommitted, now, actions);
+    // The row may have changed again since; the later revision carries this
+    // write too.
+    this->Commit(read.revision, now, actions);
     return;
   }
   // While the checked rows are unchanged, a request on its way can still
@@ -558,30 +562,32 @@
       (registry && registry->value < read.registry.version.value) ||
       (session && *session < read.session_version);
   if (moved) {
-    this->Resolve(WriteState::kConflict, now, actions);
+    this->Resolve(WriteState::kConflict, actions);
   }
 }
 
-void SettingsLease::Resolve(WriteState state,
-                            Instant now,
-                            SettingsActions& actions) {
+// Any number of other rows' writes may lie between two versions of the settings
+// row, so only the table knows the revision that a write got.
+void SettingsLease::Commit(Revision written,
+                           Instant now,
+                           SettingsActions& actions) {
+  settings_lease_internal::Write& done = *this->write;
+  // Every other proof was made under the base, whose lease is known, or lapses
+  // by the instant that was known at the sending.
+  done.in_force_at =
+      std::max(done.older_lapsed_at, now + UpperBound(done.lease));
+  if (done.changes_settings) {
+    done.revision = written;
+    this->LearnRevision(written, now);
+  }
+  this->Resolve(WriteState::kCommitted, actions);
+}
+
+void SettingsLease::Resolve(WriteState state, SettingsActions& actions) {
   settings_lease_internal::Write& done = *this->write;
   done.resolved = true;
   done.committed = state == WriteState::kCommitted;
   done.not_sent = state == WriteState::kNotSent;
-  if (done.committed) {
-    const auto base = CheckedVersion(done.transaction, SettingsKey());
-    if (done.changes_settings) {
-      // Row versions rise by one with each write.
-      done.revision = Revision(base->value + 1);
-      this->LearnRevision(done.revision, now);
-      done.in_force_at = this->older_lapsed_at;
-    } else {
-      // The fenced session's proofs were made before the fence committed.
-      done.in_force_at =
-          std::max(this->older_lapsed_at, now + UpperBound(done.lease));
-    }
-  }
   actions.emplace_back(WriteChanged{done.operation_id, state, done.revision});
 }
 
--- a/src/coordination/settings_lease.h
+++ b/src/coordination/settings_lease.h
@@ -334,7 +334,8 @@
   void ResolveFromRead(const StoreRead& read,
                        Instant now,
                        SettingsActions& actions);
-  void Resolve(WriteState state, Instant now, SettingsActions& actions);
+  void Commit(Revision written, Instant now, SettingsActions& actions);
+  void Resolve(WriteState state, SettingsActions& actions);
   std::uint64_t NextId();
   bool HasUnresolvedWrite() const;
   bool IsFenced(const StoreRead& read) const;
--- a/src/coordination/settings_lease_internal.h
+++ b/src/coordination/settings_lease_internal.h
@@ -49,9 +49,10 @@
   std::string operation_id;
   TableTransaction transaction;
   bool changes_settings = true;
-  Duration lease{};  // of the revision held when the write was sent
-  Revision base;     // known when the write was begun
-  std::string text;  // moved into the transaction when it is sent
+  Duration lease{};           // of the revision held when the write was sent
+  Revision base;              // known when the write was begun
+  Instant older_lapsed_at{};  // of the revisions before the base
+  std::string text;           // moved into the transaction when it is sent
   Instant begun{};
   int sends = 0;  // 0: waits for the answer to a read
   Instant last_sent{};
--- a/tests/settings_lease_test.cc
+++ b/tests/settings_lease_test.cc
@@ -101,8 +101,9 @@
   }
 };
 
-CommitAnswer Committed() {
-  return {CommitOutcome::kCommitted, {}, {}};
+CommitAnswer Committed(std::uint64_t revision = 6) {
+  return {
+      CommitOutcome::kCommitted, {}, {{SettingsKey(), RowVersion(revision)}}};
 }
 
 TEST_CASE("a proof counts from the sending of the read", "[settings_lease]") {
@@ -280,6 +281,36 @@
           WriteState::kInForce);
 }
 
+TEST_CASE("a change has the revision that the table gave it",
+          "[settings_lease]") {
+  // Failure: the operator is told a revision that does not exist, and the
+  // change is in force only after the longest lease, because writes to other
+  // rows lie between the two revisions.
+  Fixture f;
+  f.ReadSentAt(milliseconds(0), 5, milliseconds(0));
+  REQUIRE(f.Write("op", seconds(6)).has_value());
+  const SettingsActions done =
+      f.lease.OnWriteAnswer("op", Committed(9), At(milliseconds(6100)));
+  REQUIRE(Find<WriteChanged>(done)->revision == Revision(9));
+  REQUIRE(f.lease.Known() == Revision(9));
+  REQUIRE(f.lease.StateOfWrite("op", At(milliseconds(7615))) ==
+          WriteState::kCommitted);
+  REQUIRE(f.lease.StateOfWrite("op", At(milliseconds(7616))) ==
+          WriteState::kInForce);
+}
+
+TEST_CASE("a change found by reading back has a revision that carries it",
+          "[settings_lease]") {
+  // Failure: after a lost answer the operator is told a revision that does not
+  // exist.
+  Fixture f;
+  f.ReadSentAt(milliseconds(0), 5, milliseconds(0));
+  REQUIRE(f.Write("op", seconds(6)).has_value());
+  f.last_operation = "op";
+  const SettingsActions done = f.ReadSentAt(seconds(7), 9, seconds(7));
+  REQUIRE(Find<WriteChanged>(done)->revision == Revision(9));
+}
+
 TEST_CASE("a shorter lease does not shorten the wait for longer proofs",
           "[settings_lease]") {
   // Failure: the change after the one that shortened the lease is reported in
