Fence attempts that an endpoint does not list as running

Cause: an attempt on a connection that went silent waited for its answer until the task's deadline, because the heartbeats were answered over another connection. Such attempts held their permits and slots, so a team with a small limit stood still. An idempotent attempt could also be sent on an idle connection that was silent already.

Ruled out: the heartbeat's own silence check, which closes all connections of an endpoint; it needs a heartbeat on a silent connection.

An attempt that two heartbeats in a row, sent after it, do not list has ended or never arrived: its request is cancelled and the endpoint is asked by a fence. A start also names its team now, which the endpoint's record of runs left empty; the whole-process tests count a team's runs by it.

Conclusion: no attempt waits on a silent connection for longer than two heartbeats.

--- a/src/coordination/dispatcher.h
+++ b/src/coordination/dispatcher.h
@@ -116,6 +116,7 @@
   EndpointId endpoint;
   LeaseId lease;
   BootId boot;
+  TeamId team;                    // whose permit the attempt uses
   std::int64_t not_after_us = 0;  // endpoint's clock
   Duration run_time{};            // declared
   bool idempotent = false;
--- a/src/coordination/dispatcher_internal.h
+++ b/src/coordination/dispatcher_internal.h
@@ -295,7 +295,7 @@
   flight.boot = lease.Report()->boot;
   this->actions.push_back(
       StartAttempt{task->spec.id, attempt, flight.endpoint,
-                   lease.Report()->lease, flight.boot,
+                   lease.Report()->lease, flight.boot, flight.permit_team,
                    lease.NotAfterUs(std::min(this->settings->ProofExpiry(),
                                              task->spec.deadline)),
                    queue->run_time, task->spec.idempotent});
--- a/src/daemon/dispatch_task.cc
+++ b/src/daemon/dispatch_task.cc
@@ -566,7 +566,7 @@
   // The heartbeat finds a silent connection long before this time-out.
   constexpr Duration kLongestRun = std::chrono::hours(24);
   this->endpoint_client->Start(
-      action, TeamId(), *payload, kLongestRun,
+      action, *payload, kLongestRun,
       [this, task = action.task, attempt = action.attempt](AttemptReply reply,
                                                            std::string body) {
         if (reply == AttemptReply::kDone) {
--- a/src/daemon/endpoint_client.cc
+++ b/src/daemon/endpoint_client.cc
@@ -1,5 +1,6 @@
 #include "src/daemon/endpoint_client.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -138,7 +139,8 @@
   }
   this->http->Send(
       *peer, MakeRequest(EncodeHeartbeat({lease, until_us}), kControlTimeout),
-      [lease, callback = std::move(callback)](const HttpOutcome& outcome) {
+      [this, endpoint, lease, number = this->next_number++,
+       callback = std::move(callback)](const HttpOutcome& outcome) {
         if (!outcome.Answered()) {
           return callback(LeaseResult::kFailed, {});
         }
@@ -146,6 +148,7 @@
         if (!beat) {
           return callback(LeaseResult::kRefused, {});
         }
+        this->DropUnheard(endpoint, number, beat.value().running);
         callback(LeaseResult::kReport, ReportOf(lease, beat.value()));
       });
 }
@@ -163,7 +166,6 @@
 //-----------------------------------------------------------------------------
 
 void EndpointClient::Start(const StartAttempt& attempt,
-                           const TeamId& team,
                            const std::string& payload,
                            Duration timeout,
                            ReplyCallback callback) {
@@ -179,17 +181,21 @@
                                  .run = attempt.run_time,
                                  .idempotent = attempt.idempotent,
                                  .task = attempt.task,
-                                 .team = team,
+                                 .team = attempt.team,
                                  .body = payload}),
                   timeout);
   if (!attempt.idempotent) {
     request.live_connection =
         LiveConnectionRequirement{kProvenLive, kProbePath};
   }
-  this->http->Send(
+  OpenAttempt& sent = this->open[attempt.attempt];
+  sent.endpoint = attempt.endpoint;
+  sent.number = this->next_number++;
+  sent.request = this->http->Send(
       *peer, std::move(request),
       [this, id = attempt.attempt,
        callback = std::move(callback)](HttpOutcome outcome) {
+        this->open.erase(id);
         if (!outcome.Answered()) {
           const bool sent = outcome.delivery == Delivery::kMayHaveReached;
           return callback(
@@ -204,6 +210,28 @@
       });
 }
 
+// One heartbeat may overtake an attempt or its answer on another connection;
+// the next is sent half a second later.
+void EndpointClient::DropUnheard(const EndpointId& endpoint,
+                                 std::uint64_t before,
+                                 const std::vector<AttemptId>& running) {
+  std::vector<HttpClient::RequestId> unheard;
+  for (auto& [attempt, sent] : this->open) {
+    if (sent.endpoint != endpoint || sent.number > before) {
+      continue;
+    }
+    const bool listed =
+        std::find(running.begin(), running.end(), attempt) != running.end();
+    if (!listed && sent.missed) {
+      unheard.push_back(sent.request);
+    }
+    sent.missed = !listed;
+  }
+  for (const HttpClient::RequestId request : unheard) {
+    this->http->Cancel(request);
+  }
+}
+
 void EndpointClient::Fence(const EndpointId& endpoint,
                            const AttemptId& attempt,
                            const BootId& boot,
--- a/src/daemon/endpoint_client.h
+++ b/src/daemon/endpoint_client.h
@@ -7,8 +7,11 @@
 #ifndef SRC_DAEMON_ENDPOINT_CLIENT_H_
 #define SRC_DAEMON_ENDPOINT_CLIENT_H_
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
+#include <vector>
 
 #include "src/coordination/attempt.h"
 #include "src/coordination/dispatcher.h"
@@ -55,9 +58,10 @@
 
   // Sends the attempt over a connection that answered a moment ago, or a new
   // one. An answer that does not carry this attempt's id, length and digest is
-  // dropped, its connection is closed, and the reply is kNoAnswer.
+  // dropped, its connection is closed, and the reply is kNoAnswer. So it is
+  // when two heartbeats in a row, sent after the attempt, do not list it as
+  // running: it has ended, or never arrived, on a connection that went silent.
   void Start(const StartAttempt& attempt,
-             const TeamId& team,
              const std::string& payload,
              Duration timeout,
              ReplyCallback callback);
@@ -78,8 +82,21 @@
   void FetchResult(const EndpointId& endpoint,
                    const AttemptId& attempt,
                    FenceCallback callback);
+  void DropUnheard(const EndpointId& endpoint,
+                   std::uint64_t before,
+                   const std::vector<AttemptId>& running);
+
+  // An attempt whose answer has not come.
+  struct OpenAttempt {
+    EndpointId endpoint;
+    std::uint64_t number = 0;  // order of sending among attempts and heartbeats
+    HttpClient::RequestId request = 0;
+    bool missed = false;  // the last heartbeat's answer did not list it
+  };
 
   HttpClient* http;
+  std::uint64_t next_number = 1;
+  std::map<AttemptId, OpenAttempt> open;
 };
 
 }  // namespace peridot
