Test failures of whole daemons under load

Cause: faults that need several processes, real connections and load were not covered by any test.

Ruled out: the check that a new revision is the base plus one; the table's row versions rise with every commit, so the case requires a later revision that each daemon reaches, and one winner for each.

Not run under the sanitizer presets.

--- /dev/null
+++ b/tests/whole_process_test.cc
@@ -0,0 +1,489 @@
+// Failures of whole processes under load: real daemons and stand-ins on the
+// loopback address. Verify() compares every caller's answer with the endpoints'
+// own record of runs.
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "tests/support/cluster.h"
+
+namespace peridot::testing {
+namespace {
+
+constexpr std::int64_t kSecondUs = 1'000'000;
+
+//-----------------------------------------------------------------------------
+// [SECTION] Verdict
+//-----------------------------------------------------------------------------
+
+// What a case allows beside answers.
+struct Allowed {
+  std::set<std::string> cut;         // daemons whose requests may be cut
+  std::set<std::string> once;        // codes of refusals of kOnceTeam
+  std::set<std::string> repeatable;  // codes of refusals of kRepeatableTeam
+};
+
+// Returns the most runs of a team at one instant from `since` on.
+int MostAtOnce(const std::vector<Run>& runs,
+               const std::string& team,
+               std::int64_t since_us) {
+  std::vector<std::pair<std::int64_t, int>> changes;  // ends before starts
+  for (const Run& run : runs) {
+    if (run.team != team || run.ended_us <= since_us)
+      continue;
+    changes.emplace_back(std::max(run.started_us, since_us), 1);
+    changes.emplace_back(run.ended_us, -1);
+  }
+  std::sort(changes.begin(), changes.end());
+  int now = 0;
+  int most = 0;
+  for (const auto& [at, change] : changes) {
+    now += change;
+    most = std::max(most, now);
+  }
+  return most;
+}
+
+// Compares the answers with the runs. Each count of deviations must be 0.
+void Verify(const Cluster& cluster,
+            const std::vector<Call>& calls,
+            const Allowed& allowed = {}) {
+  REQUIRE(Await([&] { return cluster.IsIdle(); }));
+  const std::vector<Run> runs = cluster.Runs();
+  std::map<std::string, int> runs_of;
+  std::map<std::string, int> done_of;
+  for (const Run& run : runs) {
+    ++runs_of[run.task];
+    done_of[run.task] += run.outcome == "done" ? 1 : 0;
+  }
+  std::map<std::string, int> faults;
+  for (const Run& run : runs) {
+    if (run.team != kRepeatableTeam && runs_of[run.task] > 1)
+      ++faults["a task of " + run.team + " ran twice"];
+  }
+  for (const Call& call : calls) {
+    const bool again = call.team == kRepeatableTeam;
+    if (call.status == 0) {
+      if (!allowed.cut.contains(call.daemon))
+        ++faults["no answer of " + call.daemon];
+    } else if (call.status == 200) {
+      if (call.body != "ok " + call.payload)
+        ++faults["an answer of another request: " + call.body];
+      if (done_of[call.task] == 0)
+        ++faults["an answer without a run"];
+    } else {
+      if (!(again ? allowed.repeatable : allowed.once).contains(call.code))
+        ++faults[call.team + " refused: " + call.code + ", ran " + call.ran];
+      if (call.ran == "no" && runs_of.contains(call.task))
+        ++faults["a run after the refusal " + call.code];
+      if (call.ran == "yes" && !runs_of.contains(call.task))
+        ++faults["no run, but told that it ran: " + call.code];
+      if (call.ran.empty())
+        ++faults["a refusal without an outcome: " + call.body];
+    }
+  }
+  for (const auto& [fault, count] : faults) {
+    UNSCOPED_INFO(fault << ": " << count << " times");
+  }
+  CHECK(faults.empty());
+  CHECK(MostAtOnce(runs, kOnceTeam, 0) <= cluster.Limit());
+  CHECK(MostAtOnce(runs, kRepeatableTeam, 0) <= 6);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Steps
+//-----------------------------------------------------------------------------
+
+// Lets callers go on until the instant has passed.
+bool LoadUntil(Load& load, std::int64_t until_us) {
+  bool answered = true;
+  while (answered && NowUs() < until_us) {
+    answered = load.AwaitAnswers();
+  }
+  return answered;
+}
+
+template <typename Matches>
+std::int64_t LastStart(const Cluster& cluster, const Matches& matches) {
+  std::int64_t last = 0;
+  for (const Run& run : cluster.Runs()) {
+    if (matches(run))
+      last = std::max(last, run.started_us);
+  }
+  return last;
+}
+
+// Repeats the change until it is reported in force; returns that instant.
+std::int64_t AwaitInForce(
+    const std::function<std::optional<HttpAnswer>()>& put) {
+  REQUIRE(Await([&] {
+    const auto answer = put();
+    return answer && answer->status == 200 &&
+           answer->Json()["in_force"] == true;
+  }));
+  return NowUs();
+}
+
+bool IsListed(const Cluster& cluster,
+              const std::string& by,
+              const std::string& daemon) {
+  const auto status = cluster.Status(by);
+  const auto listed = status.value("daemons", nlohmann::json::array());
+  return std::any_of(listed.begin(), listed.end(), [&](const auto& entry) {
+    return entry.at("daemon") == daemon;
+  });
+}
+
+void ReturnToRotation(Cluster& cluster, Load& load, const std::string& daemon) {
+  cluster.StartDaemon(daemon);
+  REQUIRE(Await([&] { return cluster.IsReady(daemon); }));
+  load.Add(daemon);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Daemons
+//-----------------------------------------------------------------------------
+
+TEST_CASE("undisturbed daemons answer every request", "[whole_process]") {
+  // Guards against a harness that passes because nothing runs.
+  Cluster cluster;
+  Load load(cluster);
+  REQUIRE(load.AwaitAnswers());
+  Verify(cluster, load.Stop());
+}
+
+TEST_CASE("the others go on when a daemon is killed", "[whole_process]") {
+  // Guards I4, I7 and I8: its permits and attempts are used twice, or the
+  // others wait for its slots forever.
+  Cluster cluster({.daemons = 4});
+  Load load(cluster);
+  REQUIRE(load.AwaitAnswers());
+  cluster.Daemon("d2").Signal(SIGKILL);
+  load.Remove("d2");
+  REQUIRE(load.AwaitAnswers());
+  REQUIRE(Await([&] { return !IsListed(cluster, "d1", "d2"); }));
+  REQUIRE(load.AwaitAnswers());
+  ReturnToRotation(cluster, load, "d2");
+  REQUIRE(load.AwaitAnswers());
+  Verify(cluster, load.Stop(), {.cut = {"d2"}});
+}
+
+TEST_CASE("a daemon paused past its leases starts nothing on waking",
+          "[whole_process]") {
+  // Guards I3 to I5 and I8: a daemon acts on a proof and on leases that have
+  // lapsed while it was paused.
+  Cluster cluster({.daemons = 4});
+  Load load(cluster);
+  REQUIRE(load.AwaitAnswers());
+  cluster.Daemon("d2").Signal(SIGSTOP);
+  const std::int64_t paused = NowUs();
+  load.Remove("d2");
+  REQUIRE(Await([&] { return !IsListed(cluster, "d1", "d2"); }));
+  REQUIRE(LoadUntil(load, paused + 3 * kSecondUs));
+  const std::int64_t continued = NowUs();
+  cluster.Daemon("d2").Signal(SIGCONT);
+  REQUIRE(cluster.Daemon("d2").Wait() == 10);  // its session was fenced
+  REQUIRE(load.AwaitAnswers());
+  const auto of_paused = [](const Run& run) {
+    return run.task.starts_with("d2.1.");
+  };
+  CHECK(LastStart(cluster, of_paused) < continued);
+  ReturnToRotation(cluster, load, "d2");
+  REQUIRE(load.AwaitAnswers());
+  Verify(cluster, load.Stop(), {.cut = {"d2"}});
+}
+
+TEST_CASE("a daemon told to stop cuts no request", "[whole_process]") {
+  // Guards I10.
+  Cluster cluster;
+  Load load(cluster);
+  REQUIRE(load.AwaitAnswers());
+  cluster.Daemon("d2").Signal(SIGTERM);
+  // The balancer takes a daemon out of rotation once it is not ready.
+  REQUIRE(Await([&] { return !cluster.IsReady("d2"); }));
+  load.Remove("d2");
+  CHECK(cluster.Daemon("d2").Wait() == 0);
+  REQUIRE(load.AwaitAnswers());
+  Verify(cluster, load.Stop());
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Table
+//-----------------------------------------------------------------------------
+
+TEST_CASE("work goes on while the table is down", "[whole_process]") {
+  // Guards against daemons that lapse with the table although all of them
+  // still hear each other.
+  Cluster cluster;
+  Load load(cluster);
+  REQUIRE(load.AwaitAnswers());
+  cluster.FaultTable({{"down", true}});
+  REQUIRE(LoadUntil(load, NowUs() + 4 * kSecondUs));
+  cluster.FaultTable({{"down", false}});
+  REQUIRE(load.AwaitAnswers());
+  const std::int64_t out = AwaitInForce(
+      [&] { return cluster.Admin("d3", EVHTTP_REQ_PUT, "zones/z2", "out"); });
+  REQUIRE(load.AwaitAnswers());
+  CHECK(LastStart(cluster, [](const Run& run) { return run.zone == "z2"; }) <=
+        out);
+  Verify(cluster, load.Stop());
+}
+
+TEST_CASE("lost answers of the table double no change", "[whole_process]") {
+  // Guards I11 and I5: a change whose answer was lost is reported as refused,
+  // or is in force without a report.
+  Cluster cluster;
+  Load load(cluster);
+  REQUIRE(load.AwaitAnswers());
+  cluster.FaultTable({{"lose_answers", 50}});
+  const std::int64_t out = AwaitInForce(
+      [&] { return cluster.Admin("d1", EVHTTP_REQ_PUT, "zones/z2", "out"); });
+  REQUIRE(load.AwaitAnswers());
+  CHECK(LastStart(cluster, [](const Run& run) { return run.zone == "z2"; }) <=
+        out);
+  cluster.FaultTable({{"lose_answers", 0}});
+  REQUIRE(load.AwaitAnswers());
+  Verify(cluster, load.Stop());
+}
+
+TEST_CASE("work goes on with a slow table", "[whole_process]") {
+  // Guards against proofs that count from the answer instead of the sending.
+  Cluster cluster;
+  Load load(cluster);
+  REQUIRE(load.AwaitAnswers());
+  cluster.FaultTable({{"latency_ms", 700}});
+  REQUIRE(LoadUntil(load, NowUs() + 3 * kSecondUs));
+  const std::int64_t out = AwaitInForce(
+      [&] { return cluster.Admin("d2", EVHTTP_REQ_PUT, "zones/z1", "out"); });
+  REQUIRE(load.AwaitAnswers());
+  CHECK(LastStart(cluster, [](const Run& run) { return run.zone == "z1"; }) <=
+        out);
+  cluster.FaultTable({{"latency_ms", 0}});
+  REQUIRE(load.AwaitAnswers());
+  Verify(cluster, load.Stop());
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Endpoints
+//-----------------------------------------------------------------------------
+
+TEST_CASE("open connections of endpoints go silent", "[whole_process]") {
+  // Guards I6 and I8: an attempt without an answer is sent again, or its
+  // answer is lost although a new connection could fetch it.
+  Cluster cluster;
+  Load load(cluster);
+  REQUIRE(load.AwaitAnswers());
+  for (const Cluster::Host& host : cluster.Hosts()) {
+    Cluster::Fault(host.port, {{"silent", true}});
+    REQUIRE(load.AwaitAnswers());
+  }
+  Verify(cluster, load.Stop());
+}
+
+TEST_CASE("an endpoint is restarted", "[whole_process]") {
+  // Guards I7 and I8: an attempt that the restart has forgotten is taken for
+  // one that never started.
+  Cluster cluster;
+  Load load(cluster);
+  for (const Cluster::Host& host : cluster.Hosts()) {
+    REQUIRE(load.AwaitAnswers());
+    Cluster::Fault(host.port, {{"restart", true}});
+  }
+  REQUIRE(load.AwaitAnswers());
+  Verify(cluster, load.Stop(), {.once = {"outcome_unknown", "task_failed"}});
+}
+
+TEST_CASE("an endpoint fails everything", "[whole_process]") {
+  // Guards against an endpoint that draws all work because it ends it fast,
+  // and against a second run of a task that failed.
+  Cluster cluster;
+  Load load(cluster);
+  REQUIRE(load.AwaitAnswers());
+  Cluster::Fault(cluster.Hosts().front().port, {{"fail_all", true}});
+  REQUIRE(load.AwaitAnswers());
+  REQUIRE(load.AwaitAnswers());
+  Cluster::Fault(cluster.Hosts().front().port, {{"fail_all", false}});
+  REQUIRE(load.AwaitAnswers());
+  Verify(cluster, load.Stop(), {.once = {"task_failed"}});
+}
+
+TEST_CASE("answers of endpoints are wrong, cut or lost", "[whole_process]") {
+  // Guards I6: a caller gets another request's answer or a part of its own.
+  Cluster cluster;
+  Load load(cluster);
+  REQUIRE(load.AwaitAnswers());
+  for (const char* fault : {"wrong_answers", "truncate", "lose_answers"}) {
+    for (const Cluster::Host& host : cluster.Hosts()) {
+      Cluster::Fault(host.port, {{fault, 10}});
+    }
+    REQUIRE(load.AwaitAnswers());
+  }
+  REQUIRE(load.AwaitAnswers());
+  Verify(cluster, load.Stop());
+}
+
+TEST_CASE("a leaving endpoint gets no new work", "[whole_process]") {
+  // Guards I9, for the list and for the endpoint's own word.
+  constexpr std::int64_t kLeavingBound = 5 * kSecondUs;
+  Cluster cluster;
+  Load load(cluster);
+  REQUIRE(load.AwaitAnswers());
+  const Cluster::Host listed = cluster.Hosts().front();
+  const Cluster::Host itself = cluster.Hosts().back();
+  cluster.ListHost(listed, "leaving");
+  Cluster::Fault(itself.port, {{"leaving", true}});
+  const std::int64_t bound = NowUs() + kLeavingBound;
+  REQUIRE(LoadUntil(load, bound + kSecondUs));
+  for (const auto& host : {listed, itself}) {
+    CHECK(LastStart(cluster, [&](const Run& run) {
+            return run.host == host.name;
+          }) <= bound);
+  }
+  Verify(cluster, load.Stop());
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Operators
+//-----------------------------------------------------------------------------
+
+// Time from an operator's request until nothing more starts against it.
+constexpr std::int64_t kInForceBound = 3 * kSecondUs;
+
+TEST_CASE("nothing starts in a zone that was taken out", "[whole_process]") {
+  // Guards I5.
+  Cluster cluster;
+  Load load(cluster);
+  REQUIRE(load.AwaitAnswers());
+  const std::int64_t asked = NowUs();
+  const std::int64_t in_force = AwaitInForce(
+      [&] { return cluster.Admin("d1", EVHTTP_REQ_PUT, "zones/z2", "out"); });
+  REQUIRE(LoadUntil(load, asked + kInForceBound + kSecondUs));
+  const std::int64_t last =
+      LastStart(cluster, [](const Run& run) { return run.zone == "z2"; });
+  CHECK(last <= in_force);
+  CHECK(last <= asked + kInForceBound);
+  AwaitInForce(
+      [&] { return cluster.Admin("d2", EVHTTP_REQ_PUT, "zones/z2", "in"); });
+  REQUIRE(load.AwaitAnswers());
+  CHECK(LastStart(cluster, [](const Run& run) { return run.zone == "z2"; }) >
+        last);
+  Verify(cluster, load.Stop());
+}
+
+TEST_CASE("nothing starts under a withdrawn key", "[whole_process]") {
+  // Guards I3.
+  Cluster cluster;
+  Load load(cluster);
+  REQUIRE(load.AwaitAnswers());
+  const std::int64_t asked = NowUs();
+  const std::string path = "keys/" + cluster.KeyId(kRepeatableTeam);
+  const auto answer = cluster.Admin("d2", EVHTTP_REQ_DELETE, path);
+  REQUIRE((answer && answer->Json().value("in_force", false)));
+  const std::int64_t in_force = NowUs();
+  while (NowUs() < asked + kInForceBound + kSecondUs) {
+    REQUIRE(load.AwaitAnswers({kOnceTeam}));
+  }
+  const std::int64_t last = LastStart(
+      cluster, [](const Run& run) { return run.team == kRepeatableTeam; });
+  CHECK(last <= in_force);
+  CHECK(last <= asked + kInForceBound);
+  Verify(cluster, load.Stop(), {.repeatable = {"key_unknown"}});
+}
+
+TEST_CASE("of two operators at once one wins each revision",
+          "[whole_process]") {
+  // Guards I11: a change is overwritten by another that has not seen it, or a
+  // daemon goes back to an earlier revision.
+  Cluster cluster;
+  Load load(cluster);
+  REQUIRE(load.AwaitAnswers());
+  struct Change {
+    int status = 0;
+    std::uint64_t base = 0;
+    std::uint64_t revision = 0;
+    int deadline_ms = 0;
+  };
+  const auto operate = [&](const std::string& daemon, int first_deadline,
+                           std::vector<Change>* changes) {
+    for (int i = 0; i < 5; ++i) {
+      const auto now = cluster.Admin(daemon, EVHTTP_REQ_GET, "settings");
+      if (!now)
+        continue;
+      Change change;
+      change.base = std::stoull(now->headers.at("Peridot-Revision"));
+      change.deadline_ms = first_deadline + i;
+      const auto answer = cluster.PutSettings(
+          daemon,
+          "deadline_ms: " + std::to_string(change.deadline_ms) + "\n" +
+              cluster.SettingsText(cluster.Limit()),
+          change.base);
+      change.status = answer ? answer->status : 0;
+      if (change.status == 200)
+        change.revision = answer->Json().at("revision");
+      changes->push_back(change);
+    }
+  };
+  std::vector<Change> first;
+  std::vector<Change> second;
+  std::thread other([&] { operate("d2", 50'000, &second); });
+  operate("d1", 40'000, &first);
+  other.join();
+  std::map<std::uint64_t, Change> winners;
+  std::vector<Change> all = first;
+  all.insert(all.end(), second.begin(), second.end());
+  REQUIRE(all.size() == 10);
+  for (const Change& change : all) {
+    INFO("status " << change.status << " base " << change.base);
+    CHECK((change.status == 200 || change.status == 409));
+    if (change.status != 200)
+      continue;
+    CHECK(change.revision > change.base);
+    CHECK(winners.emplace(change.revision, change).second);
+  }
+  REQUIRE(!winners.empty());
+  const Change last = winners.rbegin()->second;
+  for (const std::string& daemon : cluster.DaemonNames()) {
+    REQUIRE(Await([&] {
+      return cluster.Status(daemon).value("revision", std::uint64_t{0}) ==
+             last.revision;
+    }));
+    const auto settings = cluster.Admin(daemon, EVHTTP_REQ_GET, "settings");
+    REQUIRE(settings);
+    CHECK(settings->body.find(std::to_string(last.deadline_ms)) !=
+          std::string::npos);
+  }
+  REQUIRE(load.AwaitAnswers());
+  Verify(cluster, load.Stop());
+}
+
+TEST_CASE("a lowered limit holds once it is in force", "[whole_process]") {
+  // Guards I4.
+  constexpr int kLowered = 2;
+  Cluster cluster;
+  Load load(cluster);
+  REQUIRE(load.AwaitAnswers());
+  const std::int64_t in_force = AwaitInForce([&] {
+    const auto settings = cluster.Admin("d1", EVHTTP_REQ_GET, "settings");
+    return cluster.PutSettings(
+        "d1", cluster.SettingsText(kLowered),
+        std::stoull(settings->headers.at("Peridot-Revision")));
+  });
+  REQUIRE(load.AwaitAnswers());
+  REQUIRE(load.AwaitAnswers());
+  // Section 8 of the design page: what is in use above the limit is stopped.
+  Verify(cluster, load.Stop(), {.once = {"task_failed"}});
+  CHECK(MostAtOnce(cluster.Runs(), kOnceTeam, in_force) <= kLowered);
+}
+
+}  // namespace
+}  // namespace peridot::testing
