Add the maintenance planner with its bounds, bench and tests

Cause: nothing rolled a wave through the hosts under the pools' budgets. The restart test found that a plan whose last steps were lost reported the wave as done ("CountState(input, State::kDone) == 6", 3 == 6); `done` now follows from the rows. No daemon calls the planner.

--- /dev/null
+++ b/bench/rollout_bench.cc
@@ -0,0 +1,628 @@
+// Time and moves of one maintenance wave while hosts, racks and zones fail.
+//
+// Each host takes a drawn time to drain and to restart. The lower bounds are
+// those of docs/decisions/0008-maintenance.md; they are computed here from the
+// drawn times and the failures, apart from the planner. Beside the planner the
+// naive version: one host at a time per pool, whatever fails.
+//
+// bench_rollout [--seed N]
+
+#include <algorithm>
+#include <boost/program_options.hpp>
+#include <chrono>
+#include <cmath>
+#include <cstdint>
+#include <cstdio>
+#include <iostream>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "src/coordination/maintenance_planner.h"
+#include "tests/support/result_line.h"
+
+namespace peridot {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::minutes;
+using std::chrono::seconds;
+using testing::PrintResult;
+using State = MaintenanceState;
+
+constexpr double kTimeRatioTarget = 1.15;
+constexpr double kMovesRatioTarget = 1.10;
+constexpr double kPlannerMsTarget = 1'000;
+constexpr double kDaysTarget = 21;
+constexpr int kRackSize = 4;
+constexpr int kLeastPercent = 80;   // a drain or restart takes 80% to 120% of
+constexpr int kSpreadPercent = 41;  // its mean
+
+struct Size {
+  std::string name;              // default: empty; as in "4_zones"
+  int zones = 0;                 // default: 0
+  int pools = 0;                 // default: 0; with the spare pool
+  int hosts = 0;                 // default: 0
+  minutes drain{0};              // default: 0; mean
+  minutes down{0};               // default: 0; mean
+  seconds tick{0};               // default: 0; between two plans
+  int least_room = 1;            // default: 1; hosts beside the headroom
+  double host_failures_day = 0;  // default: 0
+  double rack_failures_day = 0;  // default: 0
+  double zone_failures_day = 0;  // default: 0
+  minutes repair{0};             // default: 0
+};
+
+struct Failure {
+  Duration at{};
+  std::vector<std::size_t> hosts;
+};
+
+// What the planner cannot see: times of each host and failures to come.
+struct World {
+  MaintenanceInput input;
+  std::vector<Duration> drain;
+  std::vector<Duration> down;
+  std::vector<Failure> failures;  // by time
+};
+
+PoolId PoolName(int pool) {
+  return PoolId(pool == 0 ? "spare" : "pool" + std::to_string(pool));
+}
+
+using Sizes = std::map<std::pair<ZoneId, RackId>, int>;
+
+// Hosts of the pool that the largest failure takes.
+int HeadroomOf(SurvivedFailure survive, const Sizes& racks) {
+  std::map<ZoneId, int> zones;
+  int rack = 0;
+  int zone = 0;
+  for (const auto& [place, hosts] : racks) {
+    rack = std::max(rack, hosts);
+    zone = std::max(zone, zones[place.first] += hosts);
+  }
+  switch (survive) {
+    case SurvivedFailure::kNone:
+      return 0;
+    case SurvivedFailure::kHost:
+      return 1;
+    case SurvivedFailure::kRack:
+      return rack;
+    case SurvivedFailure::kZone:
+      return zone;
+  }
+  return 0;
+}
+
+std::map<PoolId, Sizes> RacksByPool(const MaintenanceInput& input) {
+  std::map<PoolId, Sizes> racks;
+  for (const MaintenanceHost& host : input.hosts) {
+    ++racks[host.home][{host.zone, host.rack}];
+  }
+  return racks;
+}
+
+// Pool 1 has no room of its own and needs a loan. The others admit least_room
+// to least_room + 2 hosts beside their headroom.
+void AddPools(const Size& size, World* world) {
+  const auto racks = RacksByPool(world->input);
+  const SurvivedFailure survive[] = {
+      SurvivedFailure::kNone, SurvivedFailure::kZone, SurvivedFailure::kRack,
+      SurvivedFailure::kHost, SurvivedFailure::kZone};
+  for (int p = 0; p < size.pools; ++p) {
+    const SurvivedFailure kind = survive[p == 0 ? 0 : 1 + (p - 1) % 4];
+    const int room = p == 0 ? 4 : p == 1 ? 0 : size.least_room + p % 3;
+    world->input.pools.push_back(
+        {.id = PoolName(p),
+         .max_unavailable =
+             HostCount(HeadroomOf(kind, racks.at(PoolName(p))) + room),
+         .survive = kind});
+  }
+}
+
+// A time in whole ticks, since the plan is made once per tick.
+Duration Draw(minutes mean, seconds tick, std::mt19937_64* random) {
+  const auto percent =
+      kLeastPercent + static_cast<std::int64_t>((*random)() % kSpreadPercent);
+  const Duration exact = duration_cast<Duration>(mean) / 100 * percent;
+  return (exact + tick / 2) / tick * duration_cast<Duration>(tick);
+}
+
+// Failures of one kind, at random times until `end`.
+void AddFailures(double per_day,
+                 SurvivedFailure kind,
+                 Duration end,
+                 std::mt19937_64* random,
+                 World* world) {
+  if (per_day <= 0) {
+    return;
+  }
+  std::exponential_distribution<double> gap(per_day);  // days
+  const auto day = std::chrono::duration<double, std::ratio<86'400>>(1);
+  const std::vector<MaintenanceHost>& hosts = world->input.hosts;
+  Duration at{};
+  while ((at += duration_cast<Duration>(day * gap(*random))) < end) {
+    const MaintenanceHost& center = hosts[(*random)() % hosts.size()];
+    Failure failure{.at = at, .hosts = {}};
+    for (std::size_t i = 0; i < hosts.size(); ++i) {
+      const bool same_zone = hosts[i].zone == center.zone;
+      const bool hit = kind == SurvivedFailure::kZone ? same_zone
+                       : kind == SurvivedFailure::kRack
+                           ? same_zone && hosts[i].rack == center.rack
+                           : hosts[i].id == center.id;
+      if (hit) {
+        failure.hosts.push_back(i);
+      }
+    }
+    world->failures.push_back(std::move(failure));
+  }
+}
+
+World MakeWorld(const Size& size, std::uint64_t seed) {
+  std::mt19937_64 random(seed);
+  World world;
+  std::map<std::pair<int, int>, int> placed;  // hosts by (zone, pool)
+  for (int i = 0; i < size.hosts; ++i) {
+    const int zone = i % size.zones;
+    const int pool = i / size.zones % size.pools;
+    const int rack = placed[{zone, pool}]++ / kRackSize;
+    world.input.hosts.push_back(
+        {.id = HostId("h" + std::to_string(i)),
+         .zone = ZoneId("z" + std::to_string(zone)),
+         .rack = RackId(PoolName(pool).value + "-" + std::to_string(rack)),
+         .pool = PoolName(pool),
+         .home = PoolName(pool),
+         .failed_for = std::nullopt});
+    world.drain.push_back(Draw(size.drain, size.tick, &random));
+    world.down.push_back(Draw(size.down, size.tick, &random));
+  }
+  AddPools(size, &world);
+  const Duration end = std::chrono::hours(24 * 60);
+  AddFailures(size.host_failures_day, SurvivedFailure::kHost, end, &random,
+              &world);
+  AddFailures(size.rack_failures_day, SurvivedFailure::kRack, end, &random,
+              &world);
+  AddFailures(size.zone_failures_day, SurvivedFailure::kZone, end, &random,
+              &world);
+  std::sort(world.failures.begin(), world.failures.end(),
+            [](const Failure& a, const Failure& b) { return a.at < b.at; });
+  return world;
+}
+
+// Room of a pool: max_unavailable and loans less absence and headroom.
+struct Room {
+  int absent = 0;
+  int limit = 0;   // max_unavailable and serving loans
+  int within = 0;  // limit less headroom
+};
+
+std::map<PoolId, Room> RoomsOf(const MaintenanceInput& input) {
+  std::map<PoolId, Sizes> racks;
+  std::map<PoolId, Room> rooms;
+  for (const MaintenanceHost& host : input.hosts) {
+    const bool serves = host.state != State::kDraining &&
+                        host.state != State::kDown && !host.failed_for;
+    Room& room = rooms[host.pool];
+    if (host.home == host.pool) {
+      room.absent += serves ? 0 : 1;
+    } else {
+      room.limit += serves ? 1 : 0;
+    }
+    if (serves || host.home == host.pool) {
+      ++racks[host.pool][{host.zone, host.rack}];
+    }
+  }
+  for (const MaintenancePool& pool : input.pools) {
+    Room& room = rooms[pool.id];
+    room.limit += static_cast<int>(pool.max_unavailable.value);
+    room.within = room.limit - HeadroomOf(pool.survive, racks[pool.id]);
+  }
+  return rooms;
+}
+
+// Whether all failed hosts of a pool are in one domain that it survives.
+std::map<PoolId, bool> CoveredFailures(const MaintenanceInput& input) {
+  std::map<PoolId, SurvivedFailure> survive;
+  for (const MaintenancePool& pool : input.pools) {
+    survive[pool.id] = pool.survive;
+  }
+  std::map<PoolId, std::set<std::string>> domains;
+  for (const MaintenanceHost& host : input.hosts) {
+    if (!host.failed_for) {
+      continue;
+    }
+    const SurvivedFailure kind = survive[host.pool];
+    domains[host.pool].insert(kind == SurvivedFailure::kZone ? host.zone.value
+                              : kind == SurvivedFailure::kRack
+                                  ? host.zone.value + "/" + host.rack.value
+                                  : host.id.value);
+  }
+  std::map<PoolId, bool> covered;
+  for (const MaintenancePool& pool : input.pools) {
+    covered[pool.id] =
+        domains[pool.id].empty() || (domains[pool.id].size() == 1 &&
+                                     pool.survive != SurvivedFailure::kNone);
+  }
+  return covered;
+}
+
+struct Outcome {
+  double hours = 0;  // until all hosts are done
+  std::int64_t moves = 0;
+  int violations = 0;
+  double planner_ms = 0;  // longest step
+  bool ended = false;
+  std::map<PoolId, std::vector<int>> unplanned;  // failed hosts, by tick
+};
+
+// A budget is violated if a drain starts without room, or if it is exceeded
+// while the only failures are of one domain that the pool is set to survive.
+int CountViolations(const MaintenancePlan& plan,
+                    const MaintenanceInput& before,
+                    const MaintenanceInput& after) {
+  const auto covered = CoveredFailures(before);
+  const auto rooms_before = RoomsOf(before);
+  const auto rooms = RoomsOf(after);
+  int violations = 0;
+  for (const MaintenancePool& pool : before.pools) {
+    const Room& room = rooms_before.at(pool.id);
+    violations += covered.at(pool.id) && room.absent > room.limit ? 1 : 0;
+  }
+  std::map<HostId, PoolId> pools;
+  for (const MaintenanceHost& host : after.hosts) {
+    pools[host.id] = host.pool;
+  }
+  for (const MaintenanceStep& step : plan.steps) {
+    if (step.to == State::kDraining) {
+      const Room& room = rooms.at(pools.at(step.host));
+      violations += room.absent > room.within ? 1 : 0;
+    }
+  }
+  return violations;
+}
+
+// One host at a time per pool, in the order of the input.
+MaintenancePlan NaivePlan(const MaintenanceInput& input) {
+  MaintenancePlan plan;
+  plan.done = true;
+  std::set<PoolId> busy;
+  const auto step = [&](const MaintenanceHost& host, State to) {
+    plan.steps.push_back({host.id, host.state, to});
+  };
+  for (const MaintenanceHost& host : input.hosts) {
+    plan.done = plan.done && host.state == State::kDone;
+    if (host.state == State::kDown && host.back) {
+      step(host, State::kDone);
+    } else if (host.state == State::kDraining || host.state == State::kDown) {
+      busy.insert(host.pool);
+      if (host.drained) {
+        step(host, State::kDown);
+      }
+    }
+  }
+  for (const MaintenanceHost& host : input.hosts) {
+    if (host.state == State::kPending && !host.failed_for &&
+        busy.insert(host.pool).second) {
+      step(host, State::kDraining);
+    }
+  }
+  return plan;
+}
+
+class Simulation {
+ public:
+  Simulation(const Size& size, const World& world)
+      : size(size),
+        world(world),
+        input(world.input),
+        since(world.input.hosts.size()),
+        repaired(world.input.hosts.size()) {
+    for (std::size_t i = 0; i < this->input.hosts.size(); ++i) {
+      this->index[this->input.hosts[i].id] = i;
+    }
+  }
+
+  template <typename Planner>
+  Outcome Run(const Planner& planner) {
+    Outcome outcome;
+    const Duration limit = std::chrono::hours(24 * 60);
+    for (; this->now < limit && !outcome.ended; this->now += this->size.tick) {
+      const bool any_failed = this->Observe();
+      this->Record(&outcome);
+      const auto start = std::chrono::steady_clock::now();
+      const MaintenancePlan plan = planner(this->input);
+      const std::chrono::duration<double, std::milli> took =
+          std::chrono::steady_clock::now() - start;
+      outcome.planner_ms = std::max(outcome.planner_ms, took.count());
+      const MaintenanceInput before = this->input;
+      this->Apply(plan);
+      // Absence grows by a step or by a failure only.
+      if (any_failed || !plan.steps.empty()) {
+        outcome.violations += CountViolations(plan, before, this->input);
+      }
+      outcome.moves += static_cast<std::int64_t>(plan.moves.size());
+      outcome.ended = plan.done;
+    }
+    outcome.hours =
+        std::chrono::duration<double, std::ratio<3'600>>(this->now).count();
+    return outcome;
+  }
+
+ private:
+  // Lets failures, repairs and completions up to now take effect.
+  // Returns whether any host failed.
+  bool Observe() {
+    const std::size_t first = this->next_failure;
+    for (; this->next_failure < this->world.failures.size() &&
+           this->world.failures[this->next_failure].at <= this->now;
+         ++this->next_failure) {
+      for (const std::size_t i :
+           this->world.failures[this->next_failure].hosts) {
+        this->input.hosts[i].failed_for = Duration(0);
+        this->repaired[i] = this->now + this->size.repair;
+      }
+    }
+    for (std::size_t i = 0; i < this->input.hosts.size(); ++i) {
+      MaintenanceHost& host = this->input.hosts[i];
+      if (host.failed_for) {
+        const Duration age =
+            this->now - (this->repaired[i] - this->size.repair);
+        host.failed_for =
+            age < this->size.repair ? std::optional(age) : std::nullopt;
+      }
+      const Duration spent = this->now - this->since[i];
+      host.drained =
+          host.state == State::kDraining && spent >= this->world.drain[i];
+      // A host that failed comes back with its repair.
+      host.back = host.state == State::kDown && !host.failed_for &&
+                  spent >= this->world.down[i];
+    }
+    return this->next_failure > first;
+  }
+
+  void Record(Outcome* outcome) const {
+    std::map<PoolId, int> failed;
+    for (const MaintenanceHost& host : this->input.hosts) {
+      const bool planned =
+          host.state == State::kDraining || host.state == State::kDown;
+      failed[host.home] += host.failed_for && !planned ? 1 : 0;
+    }
+    for (const auto& [pool, hosts] : failed) {
+      outcome->unplanned[pool].push_back(hosts);
+    }
+  }
+
+  void Apply(const MaintenancePlan& plan) {
+    for (const MaintenanceStep& step : plan.steps) {
+      const std::size_t i = this->index.at(step.host);
+      this->input.hosts[i].state = step.to;
+      this->since[i] = this->now;
+    }
+    for (const MaintenanceMove& move : plan.moves) {
+      this->input.hosts[this->index.at(move.host)].pool = move.to;
+    }
+  }
+
+  const Size& size;
+  const World& world;
+  MaintenanceInput input;
+  std::map<HostId, std::size_t> index;
+  std::vector<Duration> since;     // of the current state
+  std::vector<Duration> repaired;  // instant of the repair
+  std::size_t next_failure = 0;
+  Duration now{};
+};
+
+// Fewest loans after which the pool has the wanted room, by trying counts:
+// with n loans spread as evenly as possible no zone or rack need exceed the
+// water level over the existing ones.
+int LeastLoans(const MaintenancePool& pool,
+               const Sizes& racks,
+               int zones,
+               int wanted) {
+  const auto allowed = static_cast<int>(pool.max_unavailable.value);
+  const int headroom = HeadroomOf(pool.survive, racks);
+  if (allowed - headroom >= wanted) {
+    return 0;
+  }
+  // Guests come from other racks, so only zones get fuller by a loan.
+  if (pool.survive != SurvivedFailure::kZone) {
+    return wanted - (allowed - headroom);
+  }
+  std::map<ZoneId, int> by_zone;
+  for (const auto& [place, hosts] : racks) {
+    by_zone[place.first] += hosts;
+  }
+  int free = headroom * zones;  // places below the largest zone
+  for (const auto& [zone, hosts] : by_zone) {
+    free -= hosts;
+  }
+  int loans = 1;
+  while (allowed + loans - headroom -
+             std::max(0, (loans - free + zones - 1) / zones) <
+         wanted) {
+    ++loans;
+  }
+  return loans;
+}
+
+struct Bound {
+  double hours = 0;
+  std::int64_t moves = 0;
+};
+
+int RoomOf(const MaintenancePool& pool, const Sizes& racks) {
+  return static_cast<int>(pool.max_unavailable.value) -
+         HeadroomOf(pool.survive, racks);
+}
+
+int CountHosts(const Sizes& racks) {
+  int count = 0;
+  for (const auto& [place, hosts] : racks) {
+    count += hosts;
+  }
+  return count;
+}
+
+// For each pool the least time in which its room, less its failed hosts, adds
+// up to the work of its hosts. A pool without room of its own gets the room
+// with which it needs no more rounds than the slowest of the others.
+Bound LowerBound(const Size& size, const World& world, const Outcome& outcome) {
+  const auto racks = RacksByPool(world.input);
+  std::map<PoolId, Duration> work;
+  for (std::size_t i = 0; i < world.input.hosts.size(); ++i) {
+    work[world.input.hosts[i].home] += world.drain[i] + world.down[i];
+  }
+  double rounds = 0;
+  for (const MaintenancePool& pool : world.input.pools) {
+    const Sizes& places = racks.at(pool.id);
+    const int room = RoomOf(pool, places);
+    if (room >= 1 && pool.id != PoolId("spare")) {
+      rounds = std::max(
+          rounds, std::ceil(static_cast<double>(CountHosts(places)) / room));
+    }
+  }
+  Bound bound;
+  for (const MaintenancePool& pool : world.input.pools) {
+    const Sizes& places = racks.at(pool.id);
+    int room = RoomOf(pool, places);
+    if (room < 1) {
+      room =
+          std::max(1, static_cast<int>(std::ceil(CountHosts(places) / rounds)));
+      bound.moves +=
+          std::int64_t{2} * LeastLoans(pool, places, size.zones, room);
+    }
+    Duration left = work[pool.id];
+    Duration time{};
+    for (const int failed : outcome.unplanned.at(pool.id)) {
+      if (left <= Duration(0)) {
+        break;
+      }
+      left -= std::max(0, room - failed) * duration_cast<Duration>(size.tick);
+      time += size.tick;
+    }
+    bound.hours = std::max(
+        bound.hours,
+        std::chrono::duration<double, std::ratio<3'600>>(time).count());
+  }
+  return bound;
+}
+
+void Run(const Size& size, std::uint64_t seed) {
+  const World world = MakeWorld(size, seed);
+  MaintenanceConfig config;
+  config.expected_drain = size.drain;
+  config.expected_down = size.down;
+  const MaintenancePlanner planner(config);
+  const Outcome outcome =
+      Simulation(size, world).Run([&](const MaintenanceInput& input) {
+        return planner.OnState(input);
+      });
+  const Outcome naive = Simulation(size, world).Run(NaivePlan);
+  const Bound bound = LowerBound(size, world, outcome);
+  const auto moves =
+      static_cast<double>(std::max<std::int64_t>(1, bound.moves));
+  std::printf(
+      "info bench=rollout size=%s seed=%llu hosts=%d hours=%.1f bound=%.1f "
+      "naive_hours=%.1f moves=%lld least_moves=%lld ended=%s\n",
+      size.name.c_str(), static_cast<unsigned long long>(seed), size.hosts,
+      outcome.hours, bound.hours, naive.hours,
+      static_cast<long long>(outcome.moves),
+      static_cast<long long>(bound.moves), outcome.ended ? "yes" : "no");
+  const std::string suffix = "_" + size.name;
+  PrintResult({.bench = "rollout",
+               .metric = "time_ratio" + suffix,
+               .unit = "ratio",
+               .value = outcome.ended ? outcome.hours / bound.hours : INFINITY,
+               .naive = naive.hours / bound.hours,
+               .target = kTimeRatioTarget});
+  PrintResult({.bench = "rollout",
+               .metric = "moves_ratio" + suffix,
+               .unit = "ratio",
+               .value = static_cast<double>(outcome.moves) / moves,
+               .naive = static_cast<double>(naive.moves) / moves,
+               .target = kMovesRatioTarget});
+  PrintResult({.bench = "rollout",
+               .metric = "violations" + suffix,
+               .unit = "count",
+               .value = static_cast<double>(outcome.violations),
+               .naive = static_cast<double>(naive.violations),
+               .target = 0});
+  if (size.hosts >= 10'000) {
+    PrintResult({.bench = "rollout",
+                 .metric = "planner_ms" + suffix,
+                 .unit = "ms",
+                 .value = outcome.planner_ms,
+                 .naive = naive.planner_ms,
+                 .target = kPlannerMsTarget});
+    PrintResult({.bench = "rollout",
+                 .metric = "wave_days" + suffix,
+                 .unit = "days",
+                 .value = outcome.hours / 24,
+                 .naive = naive.hours / 24,
+                 .target = kDaysTarget});
+  }
+}
+
+}  // namespace
+}  // namespace peridot
+
+int main(int argc, char** argv) {
+  namespace options = boost::program_options;
+  std::uint64_t seed = 1;
+  options::options_description description("bench_rollout");
+  description.add_options()("seed", options::value(&seed), "random seed");
+  options::variables_map values;
+  try {
+    options::store(options::parse_command_line(argc, argv, description),
+                   values);
+    options::notify(values);
+  } catch (const options::error& error) {
+    std::cerr << error.what() << '\n';
+    return 2;
+  }
+  using peridot::Size;
+  using std::chrono::minutes;
+  using std::chrono::seconds;
+  // Failures of the small fleets are far more frequent than stated, so that
+  // several meet each wave; those of the large fleet are the stated ones.
+  const Size small{.name = "4_zones",
+                   .zones = 4,
+                   .pools = 5,
+                   .hosts = 200,
+                   .drain = minutes(20),
+                   .down = minutes(10),
+                   .tick = seconds(30),
+                   .least_room = 2,
+                   .host_failures_day = 12,
+                   .rack_failures_day = 2,
+                   .zone_failures_day = 0.5,
+                   .repair = minutes(60)};
+  Size three = small;
+  three.name = "3_zones";
+  three.zones = 3;
+  three.hosts = 150;
+  const Size large{.name = "10000_hosts",
+                   .zones = 11,
+                   .pools = 55,
+                   .hosts = 10'000,
+                   .drain = minutes(90),
+                   .down = minutes(20),
+                   .tick = minutes(5),
+                   .least_room = 2,
+                   .host_failures_day = 190,
+                   .rack_failures_day = 1.0 / 7,
+                   .zone_failures_day = 1.0 / 60,
+                   .repair = minutes(120)};
+  // With room for one host only, every failure in a pool stops its wave.
+  Size tight = large;
+  tight.name = "10000_hosts_room_1";
+  tight.least_room = 1;
+  std::printf("seed=%llu\n", static_cast<unsigned long long>(seed));
+  for (const Size& size : {small, three, large, tight}) {
+    peridot::Run(size, seed);
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/coordination/maintenance_planner.cc
@@ -0,0 +1,468 @@
+#include "src/coordination/maintenance_planner.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <string>
+#include <tuple>
+#include <utility>
+
+namespace peridot {
+namespace {
+
+constexpr std::array<const char*, 4> kStateWords = {"pending", "draining",
+                                                    "down", "done"};
+
+// Hosts of one pool by failure domain.
+using DomainSizes = std::map<std::pair<ZoneId, RackId>, int>;
+
+// A host during planning. Its state is the one that it has after the plan.
+struct Member {
+  const MaintenanceHost* row = nullptr;
+  MaintenanceState state = MaintenanceState::kPending;
+  bool zone_out = false;
+
+  bool IsPlanned() const {
+    return this->state == MaintenanceState::kDraining ||
+           this->state == MaintenanceState::kDown;
+  }
+  bool Serves() const {
+    return !this->IsPlanned() && !this->row->failed_for && !this->zone_out;
+  }
+};
+
+std::pair<ZoneId, RackId> DomainOf(const MaintenanceHost& host,
+                                   SurvivedFailure failure) {
+  return {host.zone, failure == SurvivedFailure::kZone ? RackId() : host.rack};
+}
+
+// Size of the largest failure among the given hosts.
+int HeadroomOf(SurvivedFailure failure, const DomainSizes& sizes) {
+  if (failure == SurvivedFailure::kNone || sizes.empty()) {
+    return 0;
+  }
+  if (failure == SurvivedFailure::kHost) {
+    return 1;
+  }
+  int largest = 0;
+  for (const auto& [domain, hosts] : sizes) {
+    largest = std::max(largest, hosts);
+  }
+  return largest;
+}
+
+// One pool during planning.
+struct PoolWork {
+  const MaintenancePool* settings = nullptr;
+  std::vector<Member> members;  // at home, ordered by zone, rack and id
+  std::vector<const MaintenanceHost*> guests;  // lent to this pool
+
+  DomainSizes SizesAtHome() const {
+    DomainSizes sizes;
+    for (const Member& member : this->members) {
+      ++sizes[DomainOf(*member.row, this->settings->survive)];
+    }
+    return sizes;
+  }
+  bool IsFinished() const {
+    return std::all_of(this->members.begin(), this->members.end(),
+                       [](const Member& member) {
+                         return member.state == MaintenanceState::kDone;
+                       });
+  }
+};
+
+struct Budget {
+  int allowed = 0;   // absent hosts that leave the headroom; may be negative
+  int absent = 0;    // planned and unplanned
+  int zone_out = 0;  // of these, absent only because their zone is out
+};
+
+class Planning {
+ public:
+  Planning(const MaintenanceInput& input, const MaintenanceConfig& config)
+      : input(input), config(config) {
+    std::map<PoolId, std::size_t> index;
+    for (const MaintenancePool& pool : input.pools) {
+      index.emplace(pool.id, this->pools.size());
+      this->pools.push_back({&pool, {}, {}});
+    }
+    for (const MaintenanceHost& host : input.hosts) {
+      const auto pool = index.find(host.pool);
+      if (pool == index.end()) {
+        continue;
+      }
+      PoolWork& work = this->pools[pool->second];
+      if (host.home == host.pool) {
+        work.members.push_back(
+            {&host, host.state, input.zones_out.contains(host.zone)});
+      } else {
+        work.guests.push_back(&host);
+      }
+    }
+    for (PoolWork& pool : this->pools) {
+      std::sort(pool.members.begin(), pool.members.end(),
+                [](const Member& a, const Member& b) {
+                  return std::tie(a.row->zone, a.row->rack, a.row->id) <
+                         std::tie(b.row->zone, b.row->rack, b.row->id);
+                });
+    }
+  }
+
+  MaintenancePlan Make() {
+    const int storm = this->CountStorm();
+    this->plan.storm = storm > 0;
+    this->plan.done = true;
+    this->plan.estimated_end = Duration(0);
+    const bool hold =
+        this->input.paused ||
+        (this->plan.storm && this->input.priority != WavePriority::kUrgent);
+    for (PoolWork& pool : this->pools) {
+      this->Advance(&pool);
+      this->Revoke(&pool);
+    }
+    for (PoolWork& pool : this->pools) {
+      this->ReturnGuests(pool);
+      if (!hold) {
+        this->Borrow(pool);
+        this->Start(&pool);
+      }
+    }
+    if (this->input.paused) {
+      this->Wait(WaitReason::kPaused, PoolId(), 0);
+    }
+    if (this->plan.storm) {
+      this->Wait(WaitReason::kStorm, PoolId(), storm);
+    }
+    for (const PoolWork& pool : this->pools) {
+      this->Report(pool);
+    }
+    this->ListNext();
+    // The wave has ended only when the rows say so, not the plan.
+    this->plan.done =
+        this->plan.done && this->plan.steps.empty() && this->plan.moves.empty();
+    return std::move(this->plan);
+  }
+
+ private:
+  // Hosts that failed recently, or 0 if they are too few for a storm.
+  int CountStorm() const {
+    int recent = 0;
+    for (const MaintenanceHost& host : this->input.hosts) {
+      recent += host.failed_for && *host.failed_for < this->config.storm_window
+                    ? 1
+                    : 0;
+    }
+    const auto part = static_cast<std::int64_t>(this->input.hosts.size()) /
+                      this->config.storm_part;
+    return recent >= std::max(this->config.storm_hosts.value, part) ? recent
+                                                                    : 0;
+  }
+
+  Budget BudgetOf(const PoolWork& pool) const {
+    DomainSizes sizes = pool.SizesAtHome();
+    int lent = 0;
+    for (const MaintenanceHost* guest : pool.guests) {
+      if (!guest->failed_for && !this->input.zones_out.contains(guest->zone)) {
+        ++sizes[DomainOf(*guest, pool.settings->survive)];
+        ++lent;
+      }
+    }
+    Budget budget;
+    budget.allowed = static_cast<int>(pool.settings->max_unavailable.value) +
+                     lent - HeadroomOf(pool.settings->survive, sizes);
+    for (const Member& member : pool.members) {
+      const bool absent = member.IsPlanned() || member.row->failed_for;
+      budget.absent += absent || member.zone_out ? 1 : 0;
+      budget.zone_out += !absent && member.zone_out ? 1 : 0;
+    }
+    return budget;
+  }
+
+  void Step(Member* member, MaintenanceState to) {
+    this->plan.steps.push_back({member->row->id, member->state, to});
+    member->state = to;
+  }
+
+  // Records what hosts have completed.
+  void Advance(PoolWork* pool) {
+    for (Member& member : pool->members) {
+      if (member.state == MaintenanceState::kDown && member.row->back) {
+        this->Step(&member, MaintenanceState::kDone);
+      }
+    }
+  }
+
+  // Returns draining hosts to service where failures came after their grant,
+  // and lets the others go down when they are drained. The host that was
+  // granted last is returned first.
+  void Revoke(PoolWork* pool) {
+    const Budget budget = this->BudgetOf(*pool);
+    int excess = budget.absent - budget.allowed;
+    int excess_in_zone_out = excess - budget.zone_out;
+    for (auto member = pool->members.rbegin(); member != pool->members.rend();
+         ++member) {
+      if (member->state != MaintenanceState::kDraining ||
+          member->row->failed_for) {
+        continue;
+      }
+      // A host of a zone that is out does not serve when it is returned.
+      if (member->zone_out ? excess_in_zone_out > 0 : excess > 0) {
+        this->Step(&*member, MaintenanceState::kPending);
+        --excess_in_zone_out;
+        excess -= member->zone_out ? 0 : 1;
+      }
+    }
+    for (Member& member : pool->members) {
+      if (member.state == MaintenanceState::kDraining && member.row->drained) {
+        this->Step(&member, MaintenanceState::kDown);
+      }
+    }
+  }
+
+  // Starts drains while the budget holds with one more absent host.
+  void Start(PoolWork* pool) {
+    Budget budget = this->BudgetOf(*pool);
+    for (Member& member : pool->members) {
+      if (member.state != MaintenanceState::kPending ||
+          member.row->failed_for || this->taken.contains(member.row->id)) {
+        continue;
+      }
+      // A host of a zone that is out is absent already. It is started only if
+      // the budget will hold when the zone returns without it.
+      const int absent =
+          member.zone_out ? budget.absent - budget.zone_out : budget.absent;
+      if (absent + 1 > budget.allowed) {
+        continue;
+      }
+      this->Step(&member, MaintenanceState::kDraining);
+      budget.absent += member.zone_out ? 0 : 1;
+      budget.zone_out -= member.zone_out ? 1 : 0;
+    }
+  }
+
+  // Hosts that the pool can have absent beside its headroom without loans.
+  static int OwnRoom(const PoolWork& pool) {
+    return static_cast<int>(pool.settings->max_unavailable.value) -
+           HeadroomOf(pool.settings->survive, pool.SizesAtHome());
+  }
+
+  // The room with which a borrowing pool takes no longer than the slowest pool
+  // that has room of its own. It depends on the pools' sizes only, so it stays
+  // the same throughout the wave.
+  int WantedRoom(const PoolWork& pool) const {
+    int rounds = 0;
+    for (const PoolWork& other : this->pools) {
+      const int room = OwnRoom(other);
+      if (room >= 1 && other.settings->id != this->config.spare) {
+        const int hosts = static_cast<int>(other.members.size());
+        rounds = std::max(rounds, (hosts + room - 1) / room);
+      }
+    }
+    const int hosts = static_cast<int>(pool.members.size());
+    return rounds == 0 ? 1 : std::max(1, (hosts + rounds - 1) / rounds);
+  }
+
+  // Lends the pool the hosts that it needs. The most useful host is the one in
+  // the domain where the pool has fewest hosts.
+  void Borrow(const PoolWork& pool) {
+    if (pool.settings->id == this->config.spare || pool.IsFinished() ||
+        OwnRoom(pool) >= 1) {
+      return;
+    }
+    const SurvivedFailure failure = pool.settings->survive;
+    DomainSizes sizes = pool.SizesAtHome();
+    int lent = 0;
+    for (const MaintenanceHost* guest : pool.guests) {
+      if (!guest->failed_for ||
+          *guest->failed_for < this->config.guest_patience) {
+        ++sizes[DomainOf(*guest, failure)];
+        ++lent;
+      }
+    }
+    const auto room = [&] {
+      return static_cast<int>(pool.settings->max_unavailable.value) + lent -
+             HeadroomOf(failure, sizes);
+    };
+    const int wanted = this->WantedRoom(pool);
+    int best_room = std::max(0, room());
+    std::size_t useful = 0;  // loans after which the room was largest
+    std::vector<const MaintenanceHost*> chosen;
+    std::vector<const MaintenanceHost*> lenders = this->Lenders();
+    const auto keep = static_cast<std::size_t>(this->config.spare_keep.value);
+    while (best_room < wanted && lenders.size() > keep) {
+      const auto best = std::min_element(
+          lenders.begin(), lenders.end(),
+          [&](const MaintenanceHost* a, const MaintenanceHost* b) {
+            const auto key = [&](const MaintenanceHost* host) {
+              const auto found = sizes.find(DomainOf(*host, failure));
+              return std::pair(found == sizes.end() ? 0 : found->second,
+                               host->state != MaintenanceState::kDone);
+            };
+            return key(a) < key(b);
+          });
+      ++sizes[DomainOf(**best, failure)];
+      ++lent;
+      chosen.push_back(*best);
+      lenders.erase(best);
+      if (room() > best_room) {
+        best_room = room();
+        useful = chosen.size();
+      }
+    }
+    // Loans that give no room would be moves without a use.
+    chosen.resize(useful);
+    for (const MaintenanceHost* host : chosen) {
+      this->taken.insert(host->id);
+      this->plan.moves.push_back({host->id, host->pool, pool.settings->id});
+    }
+    if (best_room < 1 || useful > 0) {
+      this->Wait(WaitReason::kLoan, pool.settings->id,
+                 static_cast<int>(useful));
+    }
+  }
+
+  // Hosts of the spare pool that can be lent now.
+  std::vector<const MaintenanceHost*> Lenders() const {
+    std::vector<const MaintenanceHost*> lenders;
+    for (const PoolWork& pool : this->pools) {
+      if (pool.settings->id != this->config.spare) {
+        continue;
+      }
+      for (const Member& member : pool.members) {
+        if (member.Serves() && !this->taken.contains(member.row->id)) {
+          lenders.push_back(member.row);
+        }
+      }
+    }
+    return lenders;
+  }
+
+  // Returns hosts that were lent to a pool that is finished, and those that
+  // stay failed.
+  void ReturnGuests(const PoolWork& pool) {
+    const bool finished = pool.IsFinished();
+    for (const MaintenanceHost* guest : pool.guests) {
+      const bool lost = guest->failed_for &&
+                        *guest->failed_for >= this->config.guest_patience;
+      if (finished || lost) {
+        this->plan.moves.push_back({guest->id, guest->pool, guest->home});
+      }
+      this->plan.done = false;
+    }
+  }
+
+  void Wait(WaitReason reason, const PoolId& pool, int hosts) {
+    this->plan.waits.push_back({reason, pool, HostCount(hosts)});
+  }
+
+  void Report(const PoolWork& pool) {
+    const Budget budget = this->BudgetOf(pool);
+    std::map<WaitReason, int> waits;
+    Duration work{};
+    for (const Member& member : pool.members) {
+      const auto reason =
+          member.state == MaintenanceState::kDraining ? WaitReason::kDrain
+          : member.state == MaintenanceState::kDown   ? WaitReason::kRestart
+          : member.row->failed_for                    ? WaitReason::kFailed
+                                                      : WaitReason::kBudget;
+      if (member.state == MaintenanceState::kDone) {
+        continue;
+      }
+      ++waits[reason];
+      work += member.state == MaintenanceState::kDown
+                  ? this->config.expected_down
+                  : this->config.expected_drain + this->config.expected_down;
+    }
+    for (const auto& [reason, hosts] : waits) {
+      this->Wait(reason, pool.settings->id, hosts);
+    }
+    if (waits.empty()) {
+      return;
+    }
+    this->plan.done = false;
+    if (budget.allowed < 1 || !this->plan.estimated_end) {
+      this->plan.estimated_end.reset();
+      return;
+    }
+    // The last host of a pool takes its whole time, whatever the room is.
+    const Duration end = std::max(
+        work / budget.allowed,
+        waits.size() == 1 && waits.contains(WaitReason::kRestart)
+            ? this->config.expected_down
+            : this->config.expected_drain + this->config.expected_down);
+    this->plan.estimated_end = std::max(*this->plan.estimated_end, end);
+  }
+
+  // Lists the next hosts, one pool after the other in turn.
+  void ListNext() {
+    std::vector<std::tuple<int, std::size_t, HostId>> order;
+    for (std::size_t p = 0; p < this->pools.size(); ++p) {
+      int rank = 0;
+      for (const Member& member : this->pools[p].members) {
+        if (member.state == MaintenanceState::kPending &&
+            !member.row->failed_for &&
+            rank < static_cast<int>(this->config.next_hosts)) {
+          order.emplace_back(rank++, p, member.row->id);
+        }
+      }
+    }
+    std::sort(order.begin(), order.end());
+    for (std::size_t i = 0; i < std::min(order.size(), this->config.next_hosts);
+         ++i) {
+      this->plan.next.push_back(std::get<HostId>(order[i]));
+    }
+  }
+
+  const MaintenanceInput& input;
+  const MaintenanceConfig& config;
+  std::vector<PoolWork> pools;  // in the order of the input
+  std::set<HostId> taken;       // lent by this plan
+  MaintenancePlan plan;
+};
+
+}  // namespace
+
+const char* MaintenanceStateName(MaintenanceState state) {
+  return kStateWords[static_cast<std::size_t>(state)];
+}
+
+Result<MaintenanceState> ParseMaintenanceState(std::string_view word) {
+  for (std::size_t i = 0; i < kStateWords.size(); ++i) {
+    if (word == kStateWords[i]) {
+      return static_cast<MaintenanceState>(i);
+    }
+  }
+  return MakeError(ErrorCode::kMalformed, "read_row", "",
+                   "unknown maintenance state \"" + std::string(word) + "\"");
+}
+
+const char* WaitReasonName(WaitReason reason) {
+  switch (reason) {
+    case WaitReason::kPaused:
+      return "paused";
+    case WaitReason::kStorm:
+      return "storm";
+    case WaitReason::kBudget:
+      return "budget";
+    case WaitReason::kLoan:
+      return "loan";
+    case WaitReason::kFailed:
+      return "failed";
+    case WaitReason::kDrain:
+      return "drain";
+    case WaitReason::kRestart:
+      return "restart";
+  }
+  return "unknown";
+}
+
+MaintenancePlanner::MaintenancePlanner(MaintenanceConfig config)
+    : config(std::move(config)) {}
+
+MaintenancePlan MaintenancePlanner::OnState(
+    const MaintenanceInput& input) const {
+  return Planning(input, this->config).Make();
+}
+
+}  // namespace peridot
