Reclaim the permits of sessions that ended unseen

Cause: a session that was superseded counted as ended as soon as any daemon read the registry. The proof of the settings lease shows that its authority ends only once a settled daemon knows of its end. A session that ended while no other daemon ran was never reported, and its permits were lost for good. Ruled out: counting a session as ended because one read of the registry misses it; it may have registered after that read. Change: PermitTask reports ended sessions once this daemon is settled; members of permit rows that a later read of the registry does not list count as ended.

--- a/src/daemon/permit_task.cc
+++ b/src/daemon/permit_task.cc
@@ -66,11 +66,48 @@
     if (listed.contains(session)) {
       continue;
     }
+    this->ended_sessions.insert(session);
+  }
+  this->known_sessions = std::move(listed);
+  this->ReportEndedSessions();
+}
+
+// An ended session may still extend its proof by the statements of daemons
+// that do not know of its end. It needs the statement of every settled daemon,
+// so its time runs from the instant at which a settled one knows. A session
+// that is not settled itself must not start the count.
+void PermitTask::ReportEndedSessions() {
+  if (this->ended_sessions.empty() || !this->settings->IsSettled()) {
+    return;
+  }
+  for (const SessionId& session : std::exchange(this->ended_sessions, {})) {
+    this->reported_sessions.insert(session);
     for (auto& [team, ledger] : this->ledgers) {
       this->Carry(team, ledger.OnSessionFenced(session, this->loop->Now()));
     }
   }
-  this->known_sessions = std::move(listed);
+}
+
+// A session that ended before this daemon started is known only from the rows
+// that still name it as a holder. A session that registered after the last read
+// of the registry looks the same, so a read that was sent after the row was
+// seen has to miss it too.
+void PermitTask::FindForgottenMembers() {
+  const Instant now = this->loop->Now();
+  for (const auto& [team, ledger] : this->ledgers) {
+    for (const PermitMember& member : ledger.Members()) {
+      if (this->known_sessions.contains(member.session) ||
+          this->reported_sessions.contains(member.session)) {
+        this->unlisted.erase(member.session);
+        continue;
+      }
+      const Instant seen =
+          this->unlisted.emplace(member.session, now).first->second;
+      if (this->settings->RegistryReadSent() > seen) {
+        this->ended_sessions.insert(member.session);
+      }
+    }
+  }
 }
 
 bool PermitTask::TryAcquire(const TeamId& team) {
@@ -118,6 +155,8 @@
 }
 
 void PermitTask::OnTick() {
+  this->FindForgottenMembers();
+  this->ReportEndedSessions();
   for (auto& [team, ledger] : this->ledgers) {
     ledger.OnSessionRow(this->settings->SessionVersion());
     const std::int64_t before = this->Free(team);
--- a/src/daemon/permit_task.h
+++ b/src/daemon/permit_task.h
@@ -61,6 +61,8 @@
 
  private:
   void OnTick();
+  void ReportEndedSessions();
+  void FindForgottenMembers();
   void OnPeerMessage(const SessionId& from, const proto::Envelope& envelope);
   void Carry(const TeamId& team, const PermitActions& actions);
   void Do(const TeamId& team, const ReadPermitRow& action);
@@ -78,6 +80,9 @@
   std::map<TeamId, PermitLedger> ledgers;
   std::map<TeamId, std::int64_t> waiting;
   std::set<SessionId> known_sessions;
+  std::set<SessionId> ended_sessions;     // not yet reported to the ledgers
+  std::set<SessionId> reported_sessions;  // that have ended
+  std::map<SessionId, Instant> unlisted;  // members of rows, when first seen
 };
 
 }  // namespace peridot
--- a/src/daemon/settings_task.cc
+++ b/src/daemon/settings_task.cc
@@ -261,16 +261,18 @@
   const DaemonId& self = this->config->daemon;
   this->table->Read(
       {SettingsKey(), RegistryKey(), SessionKey(self), OperationKey(self)}, {},
-      [this, id = action.read_id](Result<std::vector<TableRow>> rows) {
+      [this, id = action.read_id,
+       sent = this->loop->Now()](const Result<std::vector<TableRow>>& rows) {
         if (!rows) {
           this->lease->OnReadFailed(id);
           return;
         }
-        this->OnRows(id, rows.value());
+        this->OnRows(id, sent, rows.value());
       });
 }
 
 void SettingsTask::OnRows(std::uint64_t read_id,
+                          Instant sent,
                           const std::vector<TableRow>& rows) {
   const DaemonId& self = this->config->daemon;
   const TableRow settings = FindRow(rows, SettingsKey());
@@ -294,6 +296,9 @@
   read.session_version = session_row.value().version;
   read.last_operation = FindRow(rows, OperationKey(self)).value;
   const bool newer = listed.value().version > this->registry.version;
+  if (listed.value().version >= this->registry.version) {
+    this->registry_read_sent = std::max(this->registry_read_sent, sent);
+  }
   if (read.incarnation == this->session.incarnation && !read.fenced) {
     this->session_version = session_row.value().version;
   }
--- a/src/daemon/settings_task.h
+++ b/src/daemon/settings_task.h
@@ -92,8 +92,15 @@
   }
   const Registry& KnownRegistry() const { return this->registry; }
   const SessionId& Session() const { return this->session; }
+  // The sending of the latest own read that KnownRegistry() reflects.
+  Instant RegistryReadSent() const { return this->registry_read_sent; }
   RowVersion SessionVersion() const { return this->session_version; }
   bool IsRegistered() const { return this->lease.has_value(); }
+  // Whether this session may make control writes. Daemons that extend their
+  // proofs by statements need the statement of every settled one.
+  bool IsSettled() const {
+    return this->lease && this->lease->IsSettled(this->loop->Now());
+  }
   bool HasStopped() const { return this->lease && this->lease->HasStopped(); }
   std::optional<std::uint64_t> RestrictedLimit(const TeamId& team) const;
 
@@ -150,7 +157,9 @@
   void Do(const StopSession& action);
   void FetchSettings(Revision revision, const std::string& digest);
   void Adopt(Revision revision, const std::string& document);
-  void OnRows(std::uint64_t read_id, const std::vector<TableRow>& rows);
+  void OnRows(std::uint64_t read_id,
+              Instant sent,
+              const std::vector<TableRow>& rows);
   void Begin(ControlWrite write, Duration limit, ChangeCallback callback);
   void ExpireWaiting();
   void Resolve(const std::string& operation_id, ChangeAnswer answer);
@@ -172,6 +181,7 @@
   std::string peer_document;
   std::unordered_map<KeyId, TeamId> key_teams;
   Registry registry;
+  Instant registry_read_sent{};
   SessionId session;
   RowVersion session_version;
   std::vector<Waiting> waiting;
