--- a/src/coordination/permit_ledger.h
+++ b/src/coordination/permit_ledger.h
@@ -230,9 +230,7 @@
   PermitActions OnTick(Instant now);
 
   // The sessions that the row names, as far as it is known.
-  const std::vector<PermitMember>& Members() const {
-    return this->row.members;
-  }
+  const std::vector<PermitMember>& Members() const { return this->row.members; }
   PermitCount Held() const { return this->held; }
   PermitCount InUse() const { return this->in_use; }
   PermitEpoch Epoch() const { return this->epoch; }
