Report lowered limits in force once the permits fit

Cause: PUT /v1/admin/settings reported in_force when the proofs of older settings had lapsed.

Ruled out: late starts under old settings; the proofs of the old revision had lapsed, and the runs above the limit were under permits of the old row.

Change: the answer waits until each team's permit row is open at the revision, at most for the 10 s of the change; after that it says in_force false. A team that never had a task has no row and is not waited for unless its limit is lowered.

--- a/src/daemon/admin_api.cc
+++ b/src/daemon/admin_api.cc
@@ -16,6 +16,7 @@
 // Longer than the longest settings lease with its drift, so that the usual
 // answer is "in force".
 constexpr Duration kChangeLimit = std::chrono::seconds(10);
+constexpr Duration kLimitCheck = std::chrono::milliseconds(20);
 
 HttpAnswer JsonAnswer(const json& body) {
   return {200, {{"Content-Type", "application/json"}}, body.dump()};
@@ -162,10 +163,52 @@
   if (!tree) {
     return responder.Send(BadRequest(tree.error().message));
   }
-  this->settings->Change(tree.value().Document(), base, kChangeLimit,
-                         [this, base, responder](const ChangeAnswer& answer) {
-                           this->AnswerChange(answer, base, responder);
-                         });
+  std::vector<TeamId> teams;
+  for (const TeamSettings& team : tree.value().Teams()) {
+    // A team that never had a task has no permit row: nobody holds a permit.
+    const bool has_row = this->permits->IsLimitInForce(team.id, Revision());
+    if (has_row || team.limit.value < this->LimitOf(team.id)) {
+      teams.push_back(team.id);
+    }
+  }
+  const Instant until = this->loop->Now() + kChangeLimit;
+  this->settings->Change(
+      tree.value().Document(), base, kChangeLimit,
+      [this, teams, base, until, responder](const ChangeAnswer& answer) {
+        this->AwaitLimits(teams, answer, base, until, responder);
+      });
+}
+
+std::int64_t AdminApi::LimitOf(const TeamId& team) const {
+  const SettingsTree* tree = this->settings->Tree();
+  const TeamSettings* found =
+      tree == nullptr ? nullptr : tree->FindTeam(team.value);
+  return found == nullptr ? 0 : found->limit.value;
+}
+
+// The settings are in force when every proof of older ones has lapsed. Permits
+// above a lowered limit can be in use for longer: they are returned through the
+// table.
+void AdminApi::AwaitLimits(const std::vector<TeamId>& teams,
+                           const ChangeAnswer& answer,
+                           Revision base,
+                           Instant until,
+                           const HttpResponder& responder) {
+  const bool limits_in_force =
+      std::all_of(teams.begin(), teams.end(), [&](const TeamId& team) {
+        return this->permits->IsLimitInForce(team, answer.revision);
+      });
+  if (answer.result != ChangeResult::kInForce || limits_in_force) {
+    return this->AnswerChange(answer, base, responder);
+  }
+  if (this->loop->Now() >= until) {
+    ChangeAnswer committed = answer;
+    committed.result = ChangeResult::kCommitted;
+    return this->AnswerChange(committed, base, responder);
+  }
+  this->loop->After(kLimitCheck, [=, this] {
+    this->AwaitLimits(teams, answer, base, until, responder);
+  });
 }
 
 void AdminApi::Change(const Edit& edit,
--- a/src/daemon/admin_api.h
+++ b/src/daemon/admin_api.h
@@ -9,8 +9,10 @@
 #ifndef SRC_DAEMON_ADMIN_API_H_
 #define SRC_DAEMON_ADMIN_API_H_
 
+#include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "src/daemon/daemon_config.h"
 #include "src/daemon/dispatch_task.h"
@@ -62,6 +64,14 @@
   void Change(const Edit& edit,
               std::function<void(const ChangeAnswer&)> done,
               const HttpResponder& responder);
+  // The team's limit in the adopted settings; 0 if they have no such team.
+  std::int64_t LimitOf(const TeamId& team) const;
+  // Answers a change that is in force once its teams' limits are, too.
+  void AwaitLimits(const std::vector<TeamId>& teams,
+                   const ChangeAnswer& answer,
+                   Revision base,
+                   Instant until,
+                   const HttpResponder& responder);
   void AnswerChange(const ChangeAnswer& answer,
                     Revision base,
                     const HttpResponder& responder);
--- a/src/daemon/permit_task.cc
+++ b/src/daemon/permit_task.cc
@@ -117,6 +117,11 @@
   return found == this->ledgers.end() ? PermitCount(0) : found->second.InUse();
 }
 
+bool PermitTask::IsLimitInForce(const TeamId& team, Revision revision) const {
+  const auto found = this->limits_in_force.find(team);
+  return found != this->limits_in_force.end() && found->second >= revision;
+}
+
 void PermitTask::OnTick() {
   for (auto& [team, ledger] : this->ledgers) {
     ledger.OnSessionRow(this->settings->SessionVersion());
@@ -192,6 +197,7 @@
 }
 
 void PermitTask::Do(const TeamId& team, const LimitInForce& action) {
+  this->limits_in_force[team] = action.revision;
   LogEvent(LogLevel::kInfo, "limit_in_force",
            {{"team", team.value},
             {"limit", std::to_string(action.limit.value)},
--- a/src/daemon/permit_task.h
+++ b/src/daemon/permit_task.h
@@ -59,6 +59,10 @@
   PermitCount Held(const TeamId& team) const;
   PermitCount InUse(const TeamId& team) const;
 
+  // Returns whether the team's permits fit the limit of this revision or of a
+  // later one, on all daemons.
+  bool IsLimitInForce(const TeamId& team, Revision revision) const;
+
  private:
   void OnTick();
   void OnPeerMessage(const SessionId& from, const proto::Envelope& envelope);
@@ -77,6 +81,7 @@
   Hooks hooks;
   std::map<TeamId, PermitLedger> ledgers;
   std::map<TeamId, std::int64_t> waiting;
+  std::map<TeamId, Revision> limits_in_force;
   std::set<SessionId> known_sessions;
 };
 
