Stop extending endpoint leases when the proof has lapsed

Cause: a daemon that was fenced but still reached its endpoints renewed its leases for ever, so its tasks ran on while other daemons used its permits. Found by review of the permit ledger's assumptions, not by a test run. Ruled out: letting the endpoint decide; it does not know of the fence. Change: RenewUntilUs() is capped by the end of the daemon's authority.

--- a/src/coordination/endpoint_lease.cc
+++ b/src/coordination/endpoint_lease.cc
@@ -88,9 +88,14 @@
   return this->report->clock_us + ToMicroseconds(safe);
 }
 
-std::int64_t EndpointLease::RenewUntilUs(Instant now) const {
-  const Duration since = ShortenForDrift(now - this->clock_read_by);
-  return this->report->clock_us + ToMicroseconds(this->config.lease + since);
+std::int64_t EndpointLease::RenewUntilUs(Instant now,
+                                         Instant authority_end) const {
+  const Duration since = std::min(now, authority_end) - this->clock_read_by;
+  const Duration safe = since > Duration::zero() ? ShortenForDrift(since)
+                                                 : LengthenForDrift(since);
+  const std::int64_t until =
+      this->report->clock_us + ToMicroseconds(this->config.lease + safe);
+  return std::max<std::int64_t>(until, 0);
 }
 
 bool EndpointLease::IsSurelyStopped(const LeaseId& lease, Instant now) const {
--- a/src/coordination/endpoint_lease.h
+++ b/src/coordination/endpoint_lease.h
@@ -107,8 +107,11 @@
 
   // Returns the absolute end of a renewal that is sent now. An absolute end
   // keeps a delayed heartbeat from extending the lease past what the holder
-  // assumes. Precondition: a report arrived.
-  std::int64_t RenewUntilUs(Instant now) const;
+  // assumes. authority_end is the latest instant until which this daemon knew
+  // that it may act: past it a renewal extends nothing, so that the permits of
+  // a fenced daemon that still reaches its endpoints are free after a known
+  // time. Precondition: a report arrived.
+  std::int64_t RenewUntilUs(Instant now, Instant authority_end) const;
 
   // Returns whether the endpoint has certainly stopped every attempt that was
   // started under the lease, although it cannot be asked.
--- a/src/daemon/dispatch_task.cc
+++ b/src/daemon/dispatch_task.cc
@@ -234,6 +234,8 @@
 void DispatchTask::TickLease(const EndpointId& id) {
   const Instant now = this->loop->Now();
   EndpointLease& lease = this->dispatcher->LeaseOf(id);
+  this->authority_end =
+      std::max(this->authority_end, this->settings->ProofExpiry());
   const LeaseTick tick = lease.OnTick(now);
   if (tick.replace_connection) {
     LogEvent(LogLevel::kWarning, "connection_replaced",
@@ -249,8 +251,9 @@
                                    EndpointLeaseConfig{}.lease, on_answer);
   }
   if (tick.request == LeaseStep::kHeartbeat) {
-    this->endpoint_client->Heartbeat(id, lease.Report()->lease,
-                                     lease.RenewUntilUs(now), on_answer);
+    this->endpoint_client->Heartbeat(
+        id, lease.Report()->lease, lease.RenewUntilUs(now, this->authority_end),
+        on_answer);
   }
 }
 
--- a/src/daemon/dispatch_task.h
+++ b/src/daemon/dispatch_task.h
@@ -176,6 +176,7 @@
   std::map<QueueId, std::int64_t> demand;  // of this daemon, within its permits
   std::map<QueueId, SentDemand> sent_demand;
   std::unordered_map<TaskId, std::string> answers;  // of tasks just done
+  Instant authority_end{};  // latest expiry of this daemon's proofs
   bool pump_scheduled = false;
   bool carrying = false;
 };
--- a/tests/endpoint_lease_test.cc
+++ b/tests/endpoint_lease_test.cc
@@ -100,7 +100,7 @@
   const Instant renewal = kStart + seconds(1);
   REQUIRE(lease.OnTick(renewal).request == LeaseStep::kHeartbeat);
   const double until_us =
-      static_cast<double>(lease.RenewUntilUs(renewal) - 1'000'000);
+      static_cast<double>(lease.RenewUntilUs(renewal, renewal) - 1'000'000);
   const double slowest_clock = until_us / 0.99;
   Instant stopped = renewal;
   while (!lease.IsSurelyStopped(LeaseId("l1"), stopped)) {
@@ -110,5 +110,20 @@
           slowest_clock - 1'000);
 }
 
+TEST_CASE("a renewal extends nothing past the daemon's authority",
+          "[endpoint_lease]") {
+  // Guards against a fenced daemon that still reaches its endpoints: its tasks
+  // would go on while others use its permits.
+  EndpointLease lease;
+  lease.OnReport(Report(1'000'000), kStart, kStart);
+  const Instant end = kStart + milliseconds(500);
+  const std::int64_t last = lease.RenewUntilUs(end, end);
+  REQUIRE(lease.RenewUntilUs(end + seconds(5), end) == last);
+  REQUIRE(last <= 1'000'000 + 2'500'000);
+  EndpointLease fresh;
+  fresh.OnReport(Report(0), kStart, kStart);
+  REQUIRE(fresh.RenewUntilUs(kStart, Instant{}) == 0);
+}
+
 }  // namespace
 }  // namespace peridot
--- a/tests/support/task_world.h
+++ b/tests/support/task_world.h
@@ -253,7 +253,7 @@
     }
     const bool acquire = tick.request == LeaseStep::kAcquire;
     const LeaseId id = acquire ? LeaseId() : lease.Report()->lease;
-    const std::int64_t until = acquire ? 0 : lease.RenewUntilUs(now);
+    const std::int64_t until = acquire ? 0 : lease.RenewUntilUs(now, now);
     this->Ask(
         e,
         [this, e, acquire, id, until] {
