Disable each guard and require a test that notices

Cause: nothing showed that the tests of a guard fail without it.

Change: scripts/mutate disables the guards of tests/mutations/guards.sh one at a time in a scratch copy under build/, builds only peridot_guard_tests there and runs the tests named for the guard. Guards that survived have tests now: a start past its deadline, on a lapsed lease or without a recent answer (dispatcher_test.cc); a lower revision, and a session that its own row shows as ended (settings_lease_test.cc).

Ruled out: building peridot_tests for each guard, which compiles the daemon and the transport each time.

--- a/tests/dispatcher_test.cc
+++ b/tests/dispatcher_test.cc
@@ -188,6 +188,30 @@
   REQUIRE(f.dispatcher.LastBlock(TaskId("t1")) == expected);
 }
 
+TEST_CASE("nothing starts past its deadline, on a lapsed lease or unproven",
+          "[dispatcher]") {
+  // Guards against a grant that arrives late: no tick has run since the task,
+  // the lease or the last answer became too old.
+  Fixture f;
+  f.dispatcher.OnSubmit(Fixture::Spec("t1"), kStart);
+  SECTION("deadline") {
+    f.Report("boot1", kStart + seconds(10));
+    f.Grant(kStart + seconds(10));
+    REQUIRE(f.Take<StartAttempt>().empty());
+  }
+  SECTION("lapsed lease") {
+    f.Grant(kStart + EndpointLeaseConfig{}.lease);
+    REQUIRE(f.Take<StartAttempt>().empty());
+    REQUIRE(f.dispatcher.LastBlock(TaskId("t1")) == StartBlock::kEndpointLease);
+  }
+  SECTION("no recent answer") {
+    f.Grant(kStart + EndpointLeaseConfig{}.proven_live + milliseconds(1));
+    REQUIRE(f.Take<StartAttempt>().empty());
+    REQUIRE(f.dispatcher.LastBlock(TaskId("t1")) ==
+            StartBlock::kEndpointNotProven);
+  }
+}
+
 TEST_CASE("a start carries the endpoint's deadline of this daemon's proof",
           "[dispatcher]") {
   // Guards against a pause between the check and the send.
--- /dev/null
+++ b/tests/mutations/guards.sh
@@ -0,0 +1,93 @@
+# The guards that scripts/mutate disables: name, file, tests, perl expression.
+
+readonly dispatcher=src/coordination/dispatcher_internal.h
+readonly start="[dispatcher],[matrix]"
+
+# Dispatcher::CheckStart
+guard start_deadline "${dispatcher}" "${start}" \
+  's/(CheckStart\(const TaskSpec& spec,.*?)now >= spec\.deadline/$1false/s'
+guard start_proof "${dispatcher}" "${start}" \
+  's/now >= this->settings->ProofExpiry\(\)/false/'
+guard start_key "${dispatcher}" "${start}" \
+  's/(CheckStart\(const TaskSpec& spec,.*?)caller != StartBlock::kNone/$1false/s'
+guard start_zone "${dispatcher}" "${start}" \
+  's/!this->settings->IsZoneIn\(grant\.zone\.value\)/false/'
+guard start_lease "${dispatcher}" "${start}" \
+  's/(case LeaseRefusal::kNoLease:\s*)return StartBlock::kEndpointLease/$1return StartBlock::kNone/'
+guard start_leaving "${dispatcher}" "${start}" \
+  's/return StartBlock::kEndpointLeaving/return StartBlock::kNone/'
+guard start_proven_live "${dispatcher}" "${start}" \
+  's/return StartBlock::kEndpointNotProven/return StartBlock::kNone/'
+guard start_permit "${dispatcher}" "${start}" \
+  's/!this->permits->TryAcquire\(team\)/!this->permits->TryAcquire(team) \&\& false/'
+guard start_checks_after_intent "${dispatcher}" "${start}" \
+  's/committed \? this->CheckStart\(task\.spec, flight\.grant, now\)/committed ? (static_cast<void>(flight), StartBlock::kNone)/'
+guard start_caps_not_after "${dispatcher}" "${start}" \
+  's/lease\.NotAfterUs\(std::min\(this->settings->ProofExpiry\(\),\s*task->spec\.deadline\)\)/lease.NotAfterUs(task->spec.deadline)/'
+
+# EndpointLease
+readonly lease=src/coordination/endpoint_lease.cc
+guard lease_valid_until "${lease}" "[endpoint_lease]" \
+  's/!this->held \|\| now >= this->valid_until/!this->held/'
+guard lease_leaving "${lease}" "[endpoint_lease]" \
+  's/if \(this->IsLeaving\(\)\)/if (false)/'
+guard lease_proven_live "${lease}" "[endpoint_lease]" \
+  's/!idempotent && now - this->last_answer/!idempotent \&\& false \&\& now - this->last_answer/'
+guard not_after_drift "${lease}" "[endpoint_lease]" \
+  's/ShortenForDrift\(left\) : LengthenForDrift\(left\)/left : left/'
+guard not_after_reading "${lease}" "[endpoint_lease]" \
+  's/expiry - this->clock_read_by/expiry - this->clock_read_by + this->config.lease/'
+
+# CheckAttemptAnswer
+readonly answer=src/protocol/endpoint_http.cc
+guard answer_attempt_id "${answer}" "[endpoint_http]" \
+  's/FindHeader\(headers, "Peridot-Attempt"\) != asked\.value/asked.value.empty()/'
+guard answer_length "${answer}" "[endpoint_http]" \
+  's/if \(length != body\.size\(\)\)/if (!length)/'
+guard answer_digest "${answer}" "[endpoint_http]" \
+  's/digest\.empty\(\) \|\| FindHeader\(headers, "Peridot-Digest"\) != digest/digest.empty()/'
+
+# TaskExecution
+readonly attempt=src/coordination/attempt.cc
+guard no_retry_after_unknown "${attempt}" "${start}" \
+  's/(::AfterUnknown.*?bool again = )this->idempotent && /$1/s'
+guard no_retry_after_failure "${attempt}" "${start}" \
+  's/(::AfterFailure.*?bool again = )this->idempotent && /$1/s'
+guard fence_after_no_answer "${attempt}" "${start}" \
+  's/(case AttemptReply::kNoAnswer:\s*)return TaskStep::kFence/$1return this->AfterNeverStarted(now)/'
+
+# PermitLedger
+guard permit_transfer_epoch src/coordination/permit_ledger.cc "[permits]" \
+  's/gift\.header\.epoch != this->epoch \|\| //'
+
+# SettingsLease
+readonly settings=src/coordination/settings_lease.cc
+guard revision_monotony "${settings}" "[settings_lease]" \
+  's/if \(revision <= this->known\)/if (revision == this->known)/'
+guard adopted_revision_monotony "${settings}" "[settings_lease]" \
+  's/revision <= this->held \|\| revision != this->known/revision == this->held/'
+guard proof_of_known_revision "${settings}" "[settings_lease]" \
+  's/(::OfferProof.*?)if \(revision != this->known\)/$1if (false)/s'
+guard proof_age_of_peer "${settings}" "[settings_lease]" \
+  's/sent - UpperBound\(reply\.proof_age\)/sent/'
+guard proof_counts_from_sending "${settings}" "[settings_lease]" \
+  's/this->OfferProof\(read\.revision, sent\)/this->OfferProof(read.revision, now)/'
+guard registry_fence "${settings}" "[settings_lease]" \
+  's/(::IsFenced.*?)return true;/$1return false;/s'
+guard registry_lists_session "${settings}" "[settings_lease]" \
+  's/ &&\s*!read\.registry\.Lists\(session\)/ \&\& false/'
+
+# Envelope
+readonly envelope=src/protocol/envelope.cc
+guard envelope_size "${envelope}" "[envelope]" \
+  's/(::ParseFromArray|ParseFromArray)(.*?)if \(bytes\.size\(\) > MaxBytes\(envelope\)\)/$1$2if (false)/s'
+guard envelope_version "${envelope}" "[envelope]" \
+  's/envelope\.protocol_version\(\) != kProtocolVersion/false/'
+guard envelope_receiver "${envelope}" "[envelope]" \
+  's/envelope\.receiver\(\) != expected\.receiver\.value/false/'
+guard envelope_sender "${envelope}" "[envelope]" \
+  's/if \(!registered\) \{\s*return EnvelopeRefusal::kUnknownSender;\s*\}/if (!registered) { return std::nullopt; }/'
+guard envelope_incarnation "${envelope}" "[envelope]" \
+  's/envelope\.incarnation\(\) < registered->value/false/'
+guard envelope_body "${envelope}" "[envelope]" \
+  's/if \(!valid\)/if (!valid \&\& envelope.protocol_version() == 0)/'
--- a/tests/settings_lease_test.cc
+++ b/tests/settings_lease_test.cc
@@ -182,6 +182,48 @@
   REQUIRE(f.lease.MayAct(At(milliseconds(14))));
 }
 
+TEST_CASE("a lower revision changes nothing", "[settings_lease]") {
+  // Failure: a late message or a late document brings back an earlier revision,
+  // or a proof of one extends the right to act.
+  Fixture f;
+  f.ReadSentAt(milliseconds(0), 5, milliseconds(0));
+  f.ReadSentAt(seconds(1), 6, seconds(1));
+  const auto expiry = f.lease.ProofExpiry();
+  REQUIRE(expiry.has_value());
+  FreshnessReply late =
+      f.Reply(f.lease.NoteProbeSent(kPeer, At(milliseconds(1100))), 5);
+  late.has_proof = true;
+  f.lease.OnProbeReply(kPeer, late, At(milliseconds(1200)));
+  REQUIRE(f.lease.Known() == Revision(6));
+  REQUIRE(f.lease.ProofExpiry() == expiry);
+  f.lease.OnAdopted(Revision(5), kLease);
+  REQUIRE(f.lease.ProofExpiry() == expiry);
+}
+
+TEST_CASE("a session that its own row shows as ended stops at once",
+          "[settings_lease]") {
+  // Failure: a daemon acts on after another one has fenced it or started in its
+  // place, because the registry that it read lists it still.
+  Fixture f;
+  f.ReadSentAt(milliseconds(0), 5, milliseconds(0));
+  const SettingsActions started = f.lease.OnTick(At(seconds(1)));
+  StoreRead read;
+  read.read_id = Find<SendRead>(started)->read_id;
+  read.revision = Revision(5);
+  read.text = "text5";
+  read.registry = f.registry;
+  read.incarnation = kSelf.incarnation;
+  SECTION("fenced") {
+    read.fenced = true;
+  }
+  SECTION("superseded") {
+    read.incarnation = Incarnation(2);
+  }
+  const SettingsActions actions = f.lease.OnRead(read, At(seconds(1)));
+  REQUIRE(Find<StopSession>(actions) != nullptr);
+  REQUIRE(f.lease.HasStopped());
+}
+
 TEST_CASE("rule 3 needs the statement of every registered daemon",
           "[settings_lease]") {
   Fixture f;
