--- a/bench/proxy_bench.cc
+++ b/bench/proxy_bench.cc
@@ -253,8 +253,13 @@
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t size = sizeof(address);
-  bind(probe, reinterpret_cast<sockaddr*>(&address), size);
-  getsockname(probe, reinterpret_cast<sockaddr*>(&address), &size);
+  const bool bound =
+      bind(probe, reinterpret_cast<sockaddr*>(&address), size) == 0 &&
+      getsockname(probe, reinterpret_cast<sockaddr*>(&address), &size) == 0;
+  if (!bound) {
+    std::fprintf(stderr, "no free port on the loopback address\n");
+    std::exit(1);
+  }
   close(probe);
   return ntohs(address.sin_port);
 }
@@ -281,9 +286,8 @@
 
 std::uint16_t StartStandIn(Fleet* fleet,
                            const std::string& name,
-                           std::vector<std::string> arguments) {
-  auto process =
-      Process::Start(ProgramPath(name), std::move(arguments)).value();
+                           const std::vector<std::string>& arguments) {
+  auto process = Process::Start(ProgramPath(name), arguments).value();
   const std::uint16_t port = process->ReadPort().value();
   fleet->processes.push_back(std::move(process));
   return port;
