Remove an unused field and share the stores' program

Cause: clang, which builds the fuzz targets, refuses an unused private field; the programs of the two stores had the same main function and fault handler. Ruled out: switching the warning off for clang. Change: PermitLedger::reported is gone; RunStoreProgram() and SetStoreFaults() serve both stores.

--- a/src/coordination/permit_ledger.h
+++ b/src/coordination/permit_ledger.h
@@ -311,7 +311,6 @@
   bool must_read = false;       // default: false; no proposal until read
   PermitEpoch epoch;            // default: 0
   bool open = false;            // default: false; false while counting
-  bool reported = false;        // default: false; in this epoch
   bool fenced = false;          // default: false; own session
   PermitCount held;             // default: 0; free and in use
   PermitCount in_use;           // default: 0; above held after adoption
--- a/stand_ins/stand_in_objects_main.cc
+++ b/stand_ins/stand_in_objects_main.cc
@@ -33,7 +33,8 @@
 
   void Handle(HttpServer& server, const HttpRequest& request) {
     if (request.Is("POST", "/v1/fault"))
-      return server.Reply(request.id, this->SetFaults(request.body));
+      return server.Reply(request.id,
+                          SetStoreFaults(&this->store, request.body));
     StoreOperation operation = this->OperationFor(request);
     if (!operation) {
       return server.Reply(request.id,
@@ -98,32 +99,12 @@
     return WriteReply(outcome.value());
   }
 
-  HttpReply SetFaults(const std::string& body) {
-    const auto faults = PatchFaults(this->store.Faults(), body);
-    if (!faults)
-      return ErrorReply(faults.error());
-    this->store.SetFaults(faults.value());
-    return JsonReply(200, json::object());
-  }
-
   ShellLoop& loop;
   ObjectStore store;
 };
 
 int Main(int argc, char** argv) {
-  boost::program_options::options_description options("stand_in_objects");
-  AddPortOption(options);
-  const CommandLine line = ParseCommandLine(argc, argv, options);
-  if (line.exit_code)
-    return *line.exit_code;
-  const auto loop = ShellLoop::Create();
-  if (!loop)
-    return ReportFailure(loop.error());
-  ObjectShell shell(*loop.value());
-  return Serve(*loop.value(), {.port = PortOf(line), .max_body = kMaxBody},
-               [&shell](HttpServer& server, const HttpRequest& request) {
-                 shell.Handle(server, request);
-               });
+  return RunStoreProgram<ObjectShell>("stand_in_objects", kMaxBody, argc, argv);
 }
 
 }  // namespace
--- a/stand_ins/stand_in_table_main.cc
+++ b/stand_ins/stand_in_table_main.cc
@@ -78,7 +78,8 @@
     if (request.Is("POST", "/v1/read"))
       return this->Read(server, request);
     if (request.Is("POST", "/v1/fault"))
-      return server.Reply(request.id, this->SetFaults(request.body));
+      return server.Reply(request.id,
+                          SetStoreFaults(&this->store, request.body));
     server.Reply(request.id, ErrorReply(404, "there is no such resource"));
   }
 
@@ -133,32 +134,12 @@
     return JsonReply(200, {{"rows", std::move(list)}});
   }
 
-  HttpReply SetFaults(const std::string& body) {
-    const auto faults = PatchFaults(this->store.Faults(), body);
-    if (!faults)
-      return ErrorReply(faults.error());
-    this->store.SetFaults(faults.value());
-    return JsonReply(200, json::object());
-  }
-
   ShellLoop& loop;
   TableStore store;
 };
 
 int Main(int argc, char** argv) {
-  boost::program_options::options_description options("stand_in_table");
-  AddPortOption(options);
-  const CommandLine line = ParseCommandLine(argc, argv, options);
-  if (line.exit_code)
-    return *line.exit_code;
-  const auto loop = ShellLoop::Create();
-  if (!loop)
-    return ReportFailure(loop.error());
-  TableShell shell(*loop.value());
-  return Serve(*loop.value(), {.port = PortOf(line), .max_body = kMaxBody},
-               [&shell](HttpServer& server, const HttpRequest& request) {
-                 shell.Handle(server, request);
-               });
+  return RunStoreProgram<TableShell>("stand_in_table", kMaxBody, argc, argv);
 }
 
 }  // namespace
