Put a statement of two lines in braces

Cause: clang-tidy asks for braces after the statement grew. Ruled out: shortening the name. Change: the two stores' fault handlers. Conclusion: none.

--- a/stand_ins/stand_in_objects_main.cc
+++ b/stand_ins/stand_in_objects_main.cc
@@ -32,9 +32,10 @@
   explicit ObjectShell(ShellLoop& loop) : loop(loop) {}
 
   void Handle(HttpServer& server, const HttpRequest& request) {
-    if (request.Is("POST", "/v1/fault"))
+    if (request.Is("POST", "/v1/fault")) {
       return server.Reply(request.id,
                           SetStoreFaults(&this->store, request.body));
+    }
     StoreOperation operation = this->OperationFor(request);
     if (!operation) {
       return server.Reply(request.id,
--- a/stand_ins/stand_in_table_main.cc
+++ b/stand_ins/stand_in_table_main.cc
@@ -77,9 +77,10 @@
       return this->Transact(server, request);
     if (request.Is("POST", "/v1/read"))
       return this->Read(server, request);
-    if (request.Is("POST", "/v1/fault"))
+    if (request.Is("POST", "/v1/fault")) {
       return server.Reply(request.id,
                           SetStoreFaults(&this->store, request.body));
+    }
     server.Reply(request.id, ErrorReply(404, "there is no such resource"));
   }
 
