Name a local variable in the style of the linter

Cause: clang-tidy takes a static local pointer for a variable. Ruled out: an exception for static locals. Change: kSha256 is sha256. Measured: scripts/lint src/protocol/digest.cc is clean. Conclusion: none.

--- a/src/protocol/digest.cc
+++ b/src/protocol/digest.cc
@@ -9,8 +9,8 @@
   unsigned char digest[EVP_MAX_MD_SIZE];
   unsigned int size = 0;
   // EVP_sha256() would look the algorithm up again at each call.
-  static const EVP_MD* const kSha256 = EVP_MD_fetch(nullptr, "SHA256", nullptr);
-  if (EVP_Digest(bytes.data(), bytes.size(), digest, &size, kSha256, nullptr) !=
+  static const EVP_MD* const sha256 = EVP_MD_fetch(nullptr, "SHA256", nullptr);
+  if (EVP_Digest(bytes.data(), bytes.size(), digest, &size, sha256, nullptr) !=
       1) {
     return "";
   }
