Use plain names for two time limits

Cause: guest_patience and kProcessPatience are figures of speech. Ruled out: none. Change: guest_replace_after and kProcessTimeout. Measured: planner and process tests pass, scripts/lint is clean. Conclusion: names only.

--- a/src/coordination/maintenance_planner.cc
+++ b/src/coordination/maintenance_planner.cc
@@ -275,7 +275,7 @@
     int lent = 0;
     for (const MaintenanceHost* guest : pool.guests) {
       if (!guest->failed_for ||
-          *guest->failed_for < this->config.guest_patience) {
+          *guest->failed_for < this->config.guest_replace_after) {
         ++sizes[DomainOf(*guest, failure)];
         ++lent;
       }
@@ -344,7 +344,7 @@
     const bool finished = pool.IsFinished();
     for (const MaintenanceHost* guest : pool.guests) {
       const bool lost = guest->failed_for &&
-                        *guest->failed_for >= this->config.guest_patience;
+                        *guest->failed_for >= this->config.guest_replace_after;
       if (finished || lost) {
         this->plan.moves.push_back({guest->id, guest->pool, guest->home});
       }
--- a/src/coordination/maintenance_planner.h
+++ b/src/coordination/maintenance_planner.h
@@ -55,7 +55,7 @@
   HostCount spare_keep;  // default: 0 hosts
   // A failed guest is replaced after this time. Most failures are repaired in
   // hours, and a replacement costs two more moves.
-  Duration guest_patience = std::chrono::hours(4);  // default: 4 h
+  Duration guest_replace_after = std::chrono::hours(4);  // default: 4 h
   // Failures this recent count as one storm. Longer than a rack needs to show
   // all of its hosts as failed.
   Duration storm_window = std::chrono::minutes(10);  // default: 10 min
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -82,7 +82,7 @@
 // Waits until the condition holds. A test that waits in vain has failed.
 template <typename Condition>
 bool Await(const Condition& condition) {
-  const auto end = std::chrono::steady_clock::now() + kProcessPatience;
+  const auto end = std::chrono::steady_clock::now() + kProcessTimeout;
   while (!condition()) {
     if (std::chrono::steady_clock::now() > end)
       return false;
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -44,7 +44,7 @@
 
 // Longer than any step takes on a busy machine. A test that waits so long has
 // failed; none passes because of it.
-inline constexpr std::chrono::seconds kProcessPatience{60};
+inline constexpr std::chrono::seconds kProcessTimeout{60};
 
 //-----------------------------------------------------------------------------
 // [SECTION] Paths
@@ -124,7 +124,7 @@
   // Returns the exit code, or 128 + signal as a shell does. Nothing: it runs
   // still when the time has passed.
   std::optional<int> Wait(
-      std::chrono::milliseconds patience = kProcessPatience) {
+      std::chrono::milliseconds patience = kProcessTimeout) {
     const auto end = std::chrono::steady_clock::now() + patience;
     while (!this->status) {
       int raw = 0;
@@ -144,7 +144,7 @@
   // it. Nothing: the output ended or the time has passed.
   std::optional<std::string> WaitForLine(
       std::string_view prefix,
-      std::chrono::milliseconds patience = kProcessPatience) {
+      std::chrono::milliseconds patience = kProcessTimeout) {
     std::unique_lock lock(this->mutex);
     std::optional<std::string> found;
     const auto found_or_ended = [&] {
