Never free a fenced session's permits before its tasks stop

Cause: found in the read-through: the wait before a fenced session's permits are used again followed owner_lease_ms, which may be 500 ms, while endpoint leases always last 2 s. Its tasks could run beside those of others (I4). Ruled out: passing the setting to the leases; a raised length may be used only once it is in force everywhere. Conclusion: owner_lease_ms can lengthen the wait only.

--- a/src/daemon/permit_task.cc
+++ b/src/daemon/permit_task.cc
@@ -9,6 +9,12 @@
 
 namespace peridot {
 
+LeaseBounds LeaseBoundsOf(const FleetSettings& fleet) {
+  return {
+      .settings_lease = fleet.settings_lease,
+      .owner_lease = std::max(fleet.owner_lease, EndpointLeaseConfig{}.lease)};
+}
+
 PermitTask::PermitTask(EventLoop* loop,
                        TableClient* table,
                        PeerLink* peers,
@@ -39,8 +45,7 @@
   if (tree == nullptr || !this->settings->IsRegistered()) {
     return;
   }
-  const LeaseBounds bounds{.settings_lease = tree->Fleet().settings_lease,
-                           .owner_lease = tree->Fleet().owner_lease};
+  const LeaseBounds bounds = LeaseBoundsOf(tree->Fleet());
   for (const TeamSettings& team : tree->Teams()) {
     const auto [found, added] = this->ledgers.try_emplace(
         team.id, PermitLedgerConfig{.team = team.id,
--- a/src/daemon/permit_task.h
+++ b/src/daemon/permit_task.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 
+#include "src/coordination/endpoint_lease.h"
 #include "src/coordination/permit_ledger.h"
 #include "src/daemon/peer_link.h"
 #include "src/daemon/settings_task.h"
@@ -24,6 +25,11 @@
 // [SECTION] PermitTask
 //-----------------------------------------------------------------------------
 
+// Returns how long a fenced session's permits may still be in use. Endpoint
+// leases last as long as EndpointLeaseConfig says, whatever the setting says,
+// so a shorter owner_lease_ms must not free the permits earlier. Thread-safe.
+LeaseBounds LeaseBoundsOf(const FleetSettings& fleet);
+
 // Satisfies PermitPool. Not thread-safe: lives on the loop's thread.
 class PermitTask {
  public:
--- /dev/null
+++ b/tests/permit_task_test.cc
@@ -0,0 +1,23 @@
+// Tests of the wiring of permits.
+
+#include "src/daemon/permit_task.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+
+namespace peridot {
+namespace {
+
+TEST_CASE("a short owner lease does not free permits before the tasks stop",
+          "[permits]") {
+  // Guards I4: the tasks of a fenced session run until its endpoint leases
+  // lapse, while others use its permits.
+  FleetSettings fleet;
+  fleet.owner_lease = std::chrono::milliseconds(500);
+  REQUIRE(LeaseBoundsOf(fleet).owner_lease == EndpointLeaseConfig{}.lease);
+  fleet.owner_lease = std::chrono::seconds(9);
+  REQUIRE(LeaseBoundsOf(fleet).owner_lease == std::chrono::seconds(9));
+}
+
+}  // namespace
+}  // namespace peridot
