--- /dev/null
+++ b/src/coordination/job_scheduler.cc
@@ -0,0 +1,594 @@
+#include "src/coordination/job_scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "src/coordination/job_scheduler_internal.h"
+
+namespace peridot {
+
+namespace {
+
+// Run numbers of different epochs do not meet: an owner cannot know how often
+// an earlier one has started a task.
+constexpr RunNumber kRunsPerEpoch = 1024;
+
+// Decisions kept for the log between two reads; later ones are dropped.
+constexpr std::size_t kMaxDecisions = 2000;
+
+// Pause between two decisions without any input, for timeouts.
+constexpr Milliseconds kTick{100};
+
+}  // namespace
+
+const char* OrderReplyName(OrderReply reply) {
+  switch (reply) {
+    case OrderReply::kDone:
+      return "done";
+    case OrderReply::kFenced:
+      return "fenced";
+    case OrderReply::kOldRun:
+      return "old_run";
+    case OrderReply::kLate:
+      return "late";
+    case OrderReply::kNoRoom:
+      return "no_room";
+    case OrderReply::kNoTicket:
+      return "no_ticket";
+    case OrderReply::kUnhealthy:
+      return "unhealthy";
+    case OrderReply::kOtherLife:
+      return "other_life";
+    case OrderReply::kNotSent:
+      return "not_sent";
+    case OrderReply::kBadRequest:
+      return "bad_request";
+    case OrderReply::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+TaskName NameOf(const ScheduledTask& task) {
+  return TaskName{task.step->job->accepted.id, task.step->occurrence,
+                  task.step->number, task.index};
+}
+
+std::string TaskText(const TaskName& name) {
+  return name.job.value + "." + std::to_string(name.occurrence) + "." +
+         std::to_string(name.step) + "." + std::to_string(name.index);
+}
+
+Resources Reserved(const StepSpec& spec) {
+  Resources reserved = spec.per_task;
+  if (spec.fills) {
+    reserved.milli_cores = 0;
+  }
+  return reserved;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Construction
+//-----------------------------------------------------------------------------
+
+JobScheduler::JobScheduler(JobSchedulerConfig config, Instant now)
+    : state(std::make_unique<State>()) {
+  this->state->config = config;
+  this->state->started = now;
+  const auto lease = std::min(config.endpoint_lease, config.endpoint_lease_max);
+  this->state->recovery_ends =
+      now + lease + lease * config.clock_drift_percent / 100 +
+      config.lapse_margin;
+}
+
+JobScheduler::~JobScheduler() = default;
+JobScheduler::JobScheduler(JobScheduler&&) noexcept = default;
+JobScheduler& JobScheduler::operator=(JobScheduler&&) noexcept = default;
+
+//-----------------------------------------------------------------------------
+// [SECTION] Inputs from the store
+//-----------------------------------------------------------------------------
+
+void JobScheduler::OnFleetConfig(FleetConfig config) {
+  this->state->fleet = std::move(config);
+}
+
+void JobScheduler::OnJob(AcceptedJob job,
+                         bool before_takeover,
+                         Milliseconds age,
+                         Instant now) {
+  State& state = *this->state;
+  if (state.FindJob(job.id) != nullptr) {
+    return;
+  }
+  const JobId id = job.id;
+  auto owned = std::make_unique<ScheduledJob>();
+  ScheduledJob* added = owned.get();
+  added->accepted = std::move(job);
+  added->arrived = now - age;
+  added->before_takeover = before_takeover;
+  state.jobs.emplace(id, std::move(owned));
+  const auto earlier = state.earlier.find(id);
+  if (earlier != state.earlier.end()) {
+    added->decided = added->recorded = earlier->second.state;
+    added->done = std::move(earlier->second.done);
+    added->failures = std::move(earlier->second.failures);
+    added->checkpoints = std::move(earlier->second.checkpoints);
+    state.earlier.erase(earlier);
+  }
+  if (IsFinal(added->decided)) {
+    added->recorded_at = now;
+    added->accepted.spec = JobSpec{};
+    return;
+  }
+  state.AddDueOccurrences(added, now);
+  state.arrived_core_seconds[state.ServiceOf(*added)] += added->core_seconds;
+  if (state.cancelled_early.erase(id) > 0) {
+    this->OnCancel(id, now);
+  }
+  state.FinishIfDone(added);
+}
+
+void JobScheduler::OnProgress(JobProgress progress) {
+  const JobId id = progress.id;
+  this->state->earlier[id] = std::move(progress);
+}
+
+void JobScheduler::OnCancel(const JobId& id, Instant now) {
+  State& state = *this->state;
+  ScheduledJob* job = state.FindJob(id);
+  if (job == nullptr) {
+    state.cancelled_early.insert(id);
+    return;
+  }
+  if (job->cancelled || IsFinal(job->decided)) {
+    return;
+  }
+  job->cancelled = true;
+  job->decided = JobState::kCancelled;
+  state.MarkDirty(job);
+  state.Decide("decision=cancel job=" + id.value);
+  state.StopAll(job, "cancelled", now);
+}
+
+void JobScheduler::OnWallClock(std::int64_t unix_ms, Instant now) {
+  const auto steady = std::chrono::duration_cast<Milliseconds>(
+                          now.time_since_epoch())
+                          .count();
+  this->state->wall_offset_ms = unix_ms - steady;
+}
+
+void JobScheduler::OnZonesOut(std::set<ZoneId> zones) {
+  this->state->zones_out = std::move(zones);
+}
+
+void JobScheduler::OnCordoned(std::set<EndpointId> endpoints) {
+  this->state->cordoned = std::move(endpoints);
+}
+
+void JobScheduler::Evict(const EndpointId& endpoint, Instant now) {
+  State& state = *this->state;
+  const auto found = state.endpoints.find(endpoint);
+  if (found == state.endpoints.end()) {
+    return;
+  }
+  const std::set<ScheduledTask*> tasks = found->second->tasks;
+  for (ScheduledTask* task : tasks) {
+    state.RequestStop(task, "host_leaves", now);
+  }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Jobs
+//-----------------------------------------------------------------------------
+
+ScheduledJob* JobScheduler::State::FindJob(const JobId& id) {
+  const auto found = this->jobs.find(id);
+  return found == this->jobs.end() ? nullptr : found->second.get();
+}
+
+ScheduledTask* JobScheduler::State::FindTask(const TaskName& name) {
+  ScheduledJob* job = this->FindJob(name.job);
+  if (job == nullptr) {
+    return nullptr;
+  }
+  for (ScheduledOccurrence& occurrence : job->occurrences) {
+    if (occurrence.number != name.occurrence || name.step < 0 ||
+        name.step >= static_cast<int>(occurrence.steps.size())) {
+      continue;
+    }
+    std::vector<ScheduledTask>& tasks = occurrence.steps[name.step].tasks;
+    if (name.index >= 0 && name.index < static_cast<int>(tasks.size())) {
+      return &tasks[name.index];
+    }
+  }
+  return nullptr;
+}
+
+const QueueConfig* JobScheduler::State::QueueOf(const ScheduledJob& job) const {
+  const auto found = this->fleet.queues.find(job.accepted.queue);
+  return found == this->fleet.queues.end() ? nullptr : &found->second;
+}
+
+ServiceId JobScheduler::State::ServiceOf(const ScheduledJob& job) const {
+  const QueueConfig* queue = this->QueueOf(job);
+  return queue == nullptr ? job.accepted.service : queue->service;
+}
+
+Instant JobScheduler::State::DueAt(const ScheduledJob& job,
+                                   int occurrence) const {
+  if (job.accepted.spec.occurrences == 0) {
+    return job.arrived;
+  }
+  const std::int64_t unix_ms = job.accepted.spec.first_due_ms +
+                               occurrence * job.accepted.spec.interval_ms;
+  return Instant(Milliseconds(unix_ms - this->wall_offset_ms));
+}
+
+void JobScheduler::State::AddDueOccurrences(ScheduledJob* job, Instant now) {
+  const int count = std::max(1, job->accepted.spec.occurrences);
+  while (job->next_occurrence < count &&
+         this->DueAt(*job, job->next_occurrence) <= now) {
+    this->AddOccurrence(job, now);
+  }
+}
+
+void JobScheduler::State::AddOccurrence(ScheduledJob* job, Instant now) {
+  const RunNumber base = (this->config.epoch.value - 1) * kRunsPerEpoch;
+  ScheduledOccurrence& occurrence = job->occurrences.emplace_back();
+  occurrence.number = job->next_occurrence++;
+  const std::vector<StepSpec>& specs = job->accepted.spec.steps;
+  occurrence.steps.resize(specs.size());
+  std::vector<Milliseconds> finish(specs.size());
+  for (std::size_t i = 0; i < specs.size(); ++i) {
+    ScheduledStep& step = occurrence.steps[i];
+    step.job = job;
+    step.occurrence = occurrence.number;
+    step.number = static_cast<int>(i);
+    step.spec = &specs[i];
+    step.gang_run = base;
+    step.tasks.resize(specs[i].task_count);
+    for (int index = 0; index < specs[i].task_count; ++index) {
+      ScheduledTask& task = step.tasks[index];
+      task.step = &step;
+      task.index = index;
+      task.run = base;
+      const TaskName name = NameOf(task);
+      if (job->done.contains(name)) {
+        task.phase = TaskPhase::kDone;
+        ++step.done;
+        continue;
+      }
+      ++job->open_tasks;
+      if (const auto found = job->failures.find(name);
+          found != job->failures.end()) {
+        task.failures = found->second;
+      }
+      if (const auto found = job->checkpoints.find(name);
+          found != job->checkpoints.end()) {
+        task.checkpoint = found->second;
+      }
+    }
+    Milliseconds begin{0};
+    for (const int earlier : specs[i].after) {
+      begin = std::max(begin, finish[earlier]);
+    }
+    finish[i] = begin + specs[i].estimate;
+    job->chain = std::max(job->chain, finish[i]);
+    if (!specs[i].long_running) {
+      job->core_seconds +=
+          static_cast<double>(specs[i].per_task.milli_cores) / 1000 *
+          specs[i].task_count *
+          std::chrono::duration<double>(specs[i].estimate).count();
+    }
+  }
+  this->UpdateReadySteps(job, now);
+}
+
+void JobScheduler::State::UpdateReadySteps(ScheduledJob* job, Instant now) {
+  for (ScheduledOccurrence& occurrence : job->occurrences) {
+    for (ScheduledStep& step : occurrence.steps) {
+      if (step.ready_since != kNever) {
+        continue;
+      }
+      const bool ready = std::all_of(
+          step.spec->after.begin(), step.spec->after.end(), [&](int earlier) {
+            const ScheduledStep& before = occurrence.steps[earlier];
+            return before.done == static_cast<int>(before.tasks.size());
+          });
+      if (ready) {
+        step.ready_since = now;
+      }
+    }
+  }
+}
+
+void JobScheduler::State::FinishIfDone(ScheduledJob* job) {
+  const int count = std::max(1, job->accepted.spec.occurrences);
+  if (IsFinal(job->decided) || job->open_tasks > 0 ||
+      job->next_occurrence < count) {
+    return;
+  }
+  job->decided = JobState::kCompleted;
+  this->MarkDirty(job);
+  this->Decide("decision=complete job=" + job->accepted.id.value);
+}
+
+void JobScheduler::State::StopAll(ScheduledJob* job,
+                                  const char* reason,
+                                  Instant now) {
+  for (ScheduledOccurrence& occurrence : job->occurrences) {
+    for (ScheduledStep& step : occurrence.steps) {
+      for (ScheduledTask& task : step.tasks) {
+        if (MayRun(task)) {
+          this->RequestStop(&task, reason, now);
+        }
+      }
+    }
+  }
+}
+
+void JobScheduler::State::MarkDirty(ScheduledJob* job) {
+  job->dirty = true;
+}
+
+JobProgress JobScheduler::State::ProgressOf(const ScheduledJob& job) const {
+  JobProgress progress;
+  progress.id = job.accepted.id;
+  progress.state = job.decided;
+  if (IsFinal(job.decided)) {
+    return progress;
+  }
+  progress.state = JobState::kRunning;
+  progress.done = job.done;
+  progress.failures = job.failures;
+  progress.checkpoints = job.checkpoints;
+  return progress;
+}
+
+void JobScheduler::State::Decide(std::string text) {
+  if (this->decisions.size() < kMaxDecisions) {
+    this->decisions.push_back(std::move(text));
+  }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Decisions
+//-----------------------------------------------------------------------------
+
+SchedulerActions JobScheduler::Advance(bool may_start, Instant now) {
+  State& state = *this->state;
+  for (auto& [id, job] : state.jobs) {
+    if (job->accepted.spec.occurrences > 0 && !IsFinal(job->decided)) {
+      state.AddDueOccurrences(job.get(), now);
+    }
+  }
+  std::vector<EndpointId> gone;
+  for (auto& [id, endpoint] : state.endpoints) {
+    // Without answers the lease lapses, listed or not.
+    if ((!endpoint->listed || endpoint->failed_looks > 0) &&
+        endpoint->lapse_at <= now) {
+      state.ReleaseLapsed(endpoint.get(), "lapsed", now);
+    }
+    if (!endpoint->listed && endpoint->tasks.empty() && !endpoint->look_open) {
+      gone.push_back(id);
+    }
+    for (ScheduledTask* task : endpoint->tasks) {
+      if (task->phase == TaskPhase::kStopping && !task->stop_confirmed &&
+          now - task->stop_sent >= state.config.stop_retry) {
+        state.SendStop(task, now);
+      }
+    }
+  }
+  for (const EndpointId& id : gone) {
+    state.endpoints.erase(id);
+  }
+  if (may_start && !state.fenced) {
+    state.Place(now);
+    state.AdjustPace(now);
+  }
+  state.SendLooks(may_start && !state.fenced, now);
+  return std::exchange(state.actions, SchedulerActions{});
+}
+
+RecordBatch JobScheduler::TakeBatch(std::size_t limit) {
+  State& state = *this->state;
+  RecordBatch batch;
+  if (state.batch != 0) {
+    return batch;
+  }
+  state.batch_jobs.clear();
+  bool covers_ends = false;
+  bool all = true;
+  for (auto& [id, job] : state.jobs) {
+    if (!job->dirty) {
+      continue;
+    }
+    if (batch.progress.size() == limit) {
+      all = false;
+      break;
+    }
+    batch.progress.push_back(state.ProgressOf(*job));
+    state.batch_jobs.emplace_back(id, job->decided);
+    job->dirty = false;
+  }
+  // Ends of jobs that did not fit are not covered by this batch.
+  for (auto& [id, endpoint] : state.endpoints) {
+    endpoint->in_batch = all ? endpoint->processed : endpoint->recorded;
+    covers_ends = covers_ends || endpoint->in_batch > endpoint->recorded;
+  }
+  if (batch.progress.empty()) {
+    // Ends that change no record need no write.
+    for (auto& [id, endpoint] : state.endpoints) {
+      if (endpoint->in_batch > endpoint->recorded) {
+        endpoint->recorded = endpoint->in_batch;
+        endpoint->next_look = Instant{};
+      }
+    }
+    return batch;
+  }
+  batch.number = state.batch = ++state.last_batch;
+  return batch;
+}
+
+void JobScheduler::OnRecorded(std::uint64_t number, bool stored, Instant now) {
+  State& state = *this->state;
+  if (number == 0 || number != state.batch) {
+    return;
+  }
+  state.batch = 0;
+  for (const auto& [id, decided] : state.batch_jobs) {
+    ScheduledJob* job = state.FindJob(id);
+    if (job == nullptr) {
+      continue;
+    }
+    if (!stored) {
+      job->dirty = true;
+      continue;
+    }
+    job->recorded = decided;
+    if (IsFinal(decided)) {
+      job->recorded_at = now;
+    }
+  }
+  state.batch_jobs.clear();
+  if (!stored) {
+    return;
+  }
+  for (auto& [id, endpoint] : state.endpoints) {
+    if (endpoint->in_batch > endpoint->recorded) {
+      endpoint->recorded = endpoint->in_batch;
+      endpoint->next_look = now;
+    }
+  }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Queries
+//-----------------------------------------------------------------------------
+
+std::optional<JobState> JobScheduler::StateOf(const JobId& id) const {
+  const ScheduledJob* job = this->state->FindJob(id);
+  if (job == nullptr) {
+    return std::nullopt;
+  }
+  if (job->cancelled || IsFinal(job->recorded)) {
+    return job->cancelled ? JobState::kCancelled : job->recorded;
+  }
+  // Done in memory is not done for callers before it has been recorded.
+  return job->any_started ? JobState::kRunning : JobState::kPending;
+}
+
+int JobScheduler::WaitingIn(const std::string& queue) const {
+  int waiting = 0;
+  for (const auto& [id, job] : this->state->jobs) {
+    waiting += job->accepted.queue == queue && !job->any_started &&
+                       !IsFinal(job->decided)
+                   ? 1
+                   : 0;
+  }
+  return waiting;
+}
+
+bool JobScheduler::Fenced() const {
+  return this->state->fenced;
+}
+
+Instant JobScheduler::NextWake(Instant now) const {
+  Instant wake = now + kTick;
+  for (const auto& [id, endpoint] : this->state->endpoints) {
+    if (endpoint->listed && !endpoint->look_open) {
+      wake = std::min(wake, std::max(now, endpoint->next_look));
+    }
+  }
+  return wake;
+}
+
+std::vector<EndpointSummary> JobScheduler::Endpoints(Instant now) const {
+  std::vector<EndpointSummary> all;
+  for (const auto& [id, endpoint] : this->state->endpoints) {
+    EndpointSummary& summary = all.emplace_back();
+    summary.id = id;
+    summary.service = endpoint->row.service;
+    summary.zone = endpoint->row.zone;
+    summary.usable = this->state->Usable(*endpoint, now);
+    summary.idle = endpoint->tasks.empty();
+    summary.used = endpoint->used;
+    summary.capacity = endpoint->row.capacity;
+    for (const ScheduledTask* task : endpoint->tasks) {
+      summary.long_running += task->step->spec->long_running ? 1 : 0;
+    }
+    summary.may_lose_work = this->state->MayLoseWork(*endpoint);
+  }
+  return all;
+}
+
+std::map<ServiceId, ServiceDemand> JobScheduler::Demand() const {
+  std::map<ServiceId, ServiceDemand> demand;
+  for (const auto& [service, config] : this->state->fleet.services) {
+    demand[service];
+  }
+  for (const auto& [id, job] : this->state->jobs) {
+    if (IsFinal(job->decided)) {
+      continue;
+    }
+    ServiceDemand& service = demand[this->state->ServiceOf(*job)];
+    for (const ScheduledOccurrence& occurrence : job->occurrences) {
+      for (const ScheduledStep& step : occurrence.steps) {
+        const double cores =
+            static_cast<double>(Reserved(*step.spec).milli_cores) / 1000;
+        for (const ScheduledTask& task : step.tasks) {
+          if (MayRun(task)) {
+            service.used_cores += cores;
+          } else if (task.phase != TaskPhase::kDone) {
+            const auto expected = this->state->ExpectedDuration(task);
+            service.waiting_core_seconds +=
+                cores * std::chrono::duration<double>(expected).count();
+          }
+        }
+      }
+    }
+  }
+  for (const auto& [service, seconds] : this->state->arrived_core_seconds) {
+    demand[service].arrived_milli_core_seconds =
+        static_cast<std::int64_t>(seconds * 1000);
+  }
+  return demand;
+}
+
+std::vector<JobId> JobScheduler::FinalBefore(Instant instant) const {
+  std::vector<JobId> final_jobs;
+  for (const auto& [id, job] : this->state->jobs) {
+    if (IsFinal(job->recorded) && !job->dirty && job->recorded_at < instant) {
+      final_jobs.push_back(id);
+    }
+  }
+  return final_jobs;
+}
+
+void JobScheduler::Forget(const JobId& id) {
+  ScheduledJob* job = this->state->FindJob(id);
+  if (job == nullptr) {
+    return;
+  }
+  for (ScheduledOccurrence& occurrence : job->occurrences) {
+    for (ScheduledStep& step : occurrence.steps) {
+      for (const ScheduledTask& task : step.tasks) {
+        if (MayRun(task)) {
+          return;
+        }
+      }
+    }
+  }
+  this->state->jobs.erase(id);
+}
+
+const JobScheduler::Counters& JobScheduler::Counts() const {
+  return this->state->counters;
+}
+
+std::vector<std::string> JobScheduler::TakeDecisions() {
+  return std::exchange(this->state->decisions, {});
+}
+
+}  // namespace peridot
--- /dev/null
+++ b/src/coordination/job_scheduler_place.cc
@@ -0,0 +1,597 @@
+// Placement of JobScheduler: the order of work, the choice of an endpoint,
+// advice, pace and looks.
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "src/coordination/job_scheduler.h"
+#include "src/coordination/job_scheduler_internal.h"
+
+namespace peridot {
+
+namespace {
+
+// How far a waiting job is from its objective; lower values go first.
+enum class Urgency { kLasting, kInTime, kLate, kHopeless };
+
+struct Rank {
+  Urgency urgency = Urgency::kHopeless;
+  bool over_share = false;  // the team has more than its share
+  int priority = 0;
+  Instant key{};
+
+  friend auto operator<=>(const Rank&, const Rank&) = default;
+};
+
+bool HasLabel(const EndpointState& endpoint, const std::string& label) {
+  return std::find(endpoint.row.labels.begin(), endpoint.row.labels.end(),
+                   label) != endpoint.row.labels.end();
+}
+
+Resources Room(const EndpointState& endpoint) {
+  Resources room = endpoint.row.capacity;
+  room -= endpoint.used;
+  return room;
+}
+
+// The rack is the last label of an endpoint; the first is its kind.
+std::string RackOf(const EndpointState& endpoint) {
+  return endpoint.row.labels.empty() ? std::string()
+                                     : endpoint.row.labels.back();
+}
+
+// Longest chain of work that is left, by the estimates.
+Milliseconds RemainingChain(const ScheduledJob& job, double ratio) {
+  Milliseconds longest{0};
+  for (const ScheduledOccurrence& occurrence : job.occurrences) {
+    std::vector<Milliseconds> finish(occurrence.steps.size());
+    for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+      const ScheduledStep& step = occurrence.steps[i];
+      Milliseconds begin{0};
+      for (const int earlier : step.spec->after) {
+        begin = std::max(begin, finish[earlier]);
+      }
+      const bool done = step.done == static_cast<int>(step.tasks.size());
+      finish[i] = begin + (done ? Milliseconds{0} : step.spec->estimate);
+      longest = std::max(longest, finish[i]);
+    }
+  }
+  return Milliseconds(static_cast<std::int64_t>(
+      static_cast<double>(longest.count()) * ratio));
+}
+
+bool HasWaitingTask(const ScheduledJob& job) {
+  for (const ScheduledOccurrence& occurrence : job.occurrences) {
+    for (const ScheduledStep& step : occurrence.steps) {
+      if (step.ready_since == kNever) {
+        continue;
+      }
+      for (const ScheduledTask& task : step.tasks) {
+        if (task.phase == TaskPhase::kWaiting) {
+          return true;
+        }
+      }
+    }
+  }
+  return false;
+}
+
+bool IsLasting(const ScheduledJob& job) {
+  const std::vector<StepSpec>& steps = job.accepted.spec.steps;
+  return std::any_of(steps.begin(), steps.end(), [](const StepSpec& step) {
+    return step.long_running;
+  });
+}
+
+}  // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Order of work
+//-----------------------------------------------------------------------------
+
+bool JobScheduler::State::Usable(const EndpointState& endpoint,
+                                 Instant now) const {
+  return endpoint.listed && endpoint.row.ready && endpoint.fenced &&
+         endpoint.has_clock &&
+         endpoint.failed_looks < this->config.looks_to_unreachable &&
+         endpoint.unhealthy_until <= now && endpoint.full_until <= now &&
+         endpoint.quarantine_until <= now &&
+         !this->zones_out.contains(endpoint.row.zone) &&
+         !this->cordoned.contains(endpoint.row.id);
+}
+
+void JobScheduler::State::Place(Instant now) {
+  this->unrecovered.clear();
+  if (now < this->recovery_ends) {
+    for (const auto& [id, endpoint] : this->endpoints) {
+      if (!endpoint->fenced && endpoint->lapse_at > now) {
+        this->unrecovered.insert(endpoint->row.service);
+      }
+    }
+  }
+  std::map<ServiceId, std::vector<ScheduledJob*>> waiting;
+  for (const auto& [id, job] : this->jobs) {
+    if (IsFinal(job->decided) || !HasWaitingTask(*job)) {
+      continue;
+    }
+    const ServiceId service = this->ServiceOf(*job);
+    if (job->before_takeover && this->unrecovered.contains(service)) {
+      continue;  // a run of it may be on an endpoint not seen yet
+    }
+    waiting[service].push_back(job.get());
+  }
+  for (auto& [service, jobs] : waiting) {
+    this->PlaceService(service, &jobs, now);
+  }
+}
+
+void JobScheduler::State::PlaceService(const ServiceId& service,
+                                       std::vector<ScheduledJob*>* waiting,
+                                       Instant now) {
+  std::vector<EndpointState*> usable;
+  Resources capacity;
+  for (auto& [id, endpoint] : this->endpoints) {
+    if (endpoint->row.service == service && this->Usable(*endpoint, now)) {
+      usable.push_back(endpoint.get());
+      capacity += endpoint->row.capacity;
+    }
+  }
+  if (usable.empty()) {
+    return;
+  }
+  std::map<TeamId, std::int64_t> use;
+  double weights = 0;
+  for (EndpointState* endpoint : usable) {
+    for (const ScheduledTask* task : endpoint->tasks) {
+      use[task->step->job->accepted.team] +=
+          Reserved(*task->step->spec).milli_cores;
+    }
+  }
+  std::set<TeamId> teams;
+  for (const ScheduledJob* job : *waiting) {
+    teams.insert(job->accepted.team);
+  }
+  const auto weight_of = [&](const TeamId& team) {
+    const auto found = this->fleet.teams.find(team);
+    return found == this->fleet.teams.end() ? 1.0 : found->second.weight;
+  };
+  for (const TeamId& team : teams) {
+    weights += weight_of(team);
+  }
+  std::vector<std::pair<Rank, ScheduledJob*>> ranked;
+  for (ScheduledJob* job : *waiting) {
+    const QueueConfig* queue = this->QueueOf(*job);
+    const TeamId& team = job->accepted.team;
+    const auto found = this->duration_ratio.find(job->accepted.queue);
+    const double ratio =
+        found == this->duration_ratio.end() ? 1 : found->second;
+    const auto chain = static_cast<double>(job->chain.count()) * ratio;
+    const Milliseconds objective =
+        Milliseconds(static_cast<std::int64_t>(
+            chain * (queue == nullptr ? 1 : queue->stretch))) +
+        (queue == nullptr ? Milliseconds{0} : queue->objective);
+    const Instant finish = now + RemainingChain(*job, ratio);
+    Rank rank;
+    rank.over_share = weights > 0 && static_cast<double>(use[team]) >
+                                         weight_of(team) / weights *
+                                             static_cast<double>(
+                                                 capacity.milli_cores);
+    rank.priority = queue == nullptr ? 0 : queue->priority;
+    const auto weighted = [](Milliseconds time, double factor) {
+      return Milliseconds(static_cast<std::int64_t>(
+          static_cast<double>(time.count()) * factor));
+    };
+    if (IsLasting(*job)) {
+      rank.urgency = Urgency::kLasting;
+      rank.key = job->arrived;
+    } else if (finish <= job->arrived + objective) {
+      rank.urgency = Urgency::kInTime;
+      rank.key = job->arrived + weighted(objective,
+                                         this->config.short_job_weight);
+    } else if (finish <=
+               job->arrived + weighted(objective, this->config.late_factor)) {
+      rank.urgency = Urgency::kLate;
+      rank.key = job->arrived + weighted(objective,
+                                         this->config.short_job_weight);
+    } else {
+      rank.urgency = Urgency::kHopeless;
+      rank.key = job->arrived;
+    }
+    ranked.emplace_back(rank, job);
+  }
+  std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) {
+    return std::tie(a.first, a.second->accepted.id) <
+           std::tie(b.first, b.second->accepted.id);
+  });
+  for (const auto& [rank, job] : ranked) {
+    const QueueConfig* queue = this->QueueOf(*job);
+    for (ScheduledOccurrence& occurrence : job->occurrences) {
+      for (ScheduledStep& step : occurrence.steps) {
+        if (queue != nullptr && queue->needs_advice) {
+          this->AskForAdvice(&step, *queue, usable, now);
+        }
+        if (step.ready_since == kNever) {
+          continue;
+        }
+        if (step.spec->gang) {
+          this->PlaceGang(&step, queue, usable, now);
+        } else {
+          this->PlaceStep(&step, queue, usable, now);
+        }
+      }
+    }
+  }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Choice of an endpoint
+//-----------------------------------------------------------------------------
+
+bool JobScheduler::State::WithinTeamLimit(const TeamId& team,
+                                          const Resources& more) const {
+  const auto config = this->fleet.teams.find(team);
+  if (config == this->fleet.teams.end()) {
+    return true;
+  }
+  Resources use = more;
+  if (const auto found = this->team_use.find(team);
+      found != this->team_use.end()) {
+    use += found->second;
+  }
+  const Resources& limit = config->second.limit;
+  return (limit.milli_cores == 0 || use.milli_cores <= limit.milli_cores) &&
+         (limit.memory_mb == 0 || use.memory_mb <= limit.memory_mb) &&
+         (limit.accelerators == 0 || use.accelerators <= limit.accelerators);
+}
+
+int JobScheduler::State::OthersOnEndpoint(const ScheduledStep& step,
+                                          const EndpointState& endpoint) const {
+  int others = 0;
+  for (const ScheduledTask* task : endpoint.tasks) {
+    others += task->step == &step ? 1 : 0;
+  }
+  return others;
+}
+
+bool JobScheduler::State::Accepts(const EndpointState& endpoint,
+                                  const ScheduledStep& step,
+                                  const QueueConfig* queue,
+                                  Instant now) const {
+  const StepSpec& spec = *step.spec;
+  if (!Reserved(spec).FitsIn(Room(endpoint)) ||
+      (!spec.required_label.empty() &&
+       !HasLabel(endpoint, spec.required_label)) ||
+      (spec.max_per_endpoint > 0 &&
+       this->OthersOnEndpoint(step, endpoint) >= spec.max_per_endpoint)) {
+    return false;
+  }
+  if (queue == nullptr || !queue->needs_advice) {
+    return true;
+  }
+  const auto ticket = step.tickets.find(endpoint.row.id);
+  return ticket != step.tickets.end() && ticket->second.expires > now;
+}
+
+EndpointState* JobScheduler::State::Choose(
+    const ScheduledStep& step,
+    const ScheduledTask& task,
+    const QueueConfig* queue,
+    const std::vector<EndpointState*>& usable,
+    Instant now) const {
+  // Waits for the rack of the data as long as that beats a slower place.
+  const bool patient =
+      !step.spec->data_rack.empty() &&
+      std::any_of(usable.begin(), usable.end(),
+                  [&](const EndpointState* endpoint) {
+                    return HasLabel(*endpoint, step.spec->data_rack);
+                  }) &&
+      now - step.ready_since <
+          Milliseconds(static_cast<std::int64_t>(
+              this->config.data_rack_patience * this->config.remote_factor *
+              static_cast<double>(step.spec->estimate.count())));
+  std::string rack;
+  if (step.spec->same_rack) {
+    for (const ScheduledTask& other : step.tasks) {
+      if (MayRun(other)) {
+        rack = RackOf(*other.endpoint);
+        break;
+      }
+    }
+  }
+  EndpointState* best = nullptr;
+  std::tuple<int, int, std::int64_t> best_score;
+  for (EndpointState* endpoint : usable) {
+    const bool near = step.spec->data_rack.empty() ||
+                      HasLabel(*endpoint, step.spec->data_rack);
+    if (!this->Accepts(*endpoint, step, queue, now) || (!near && patient)) {
+      continue;
+    }
+    const bool other_rack = !rack.empty() && RackOf(*endpoint) != rack;
+    const int far = (near ? 0 : 1) + (other_rack ? 1 : 0);
+    const int avoided = endpoint->row.id == task.avoid ? 1 : 0;
+    // The fullest endpoint that fits keeps the others free for large tasks and
+    // for leaving the pool; filling work goes where most is left unused.
+    const std::int64_t left = Room(*endpoint).milli_cores;
+    const std::tuple<int, int, std::int64_t> score{
+        avoided, far, step.spec->fills ? -left : left};
+    if (best == nullptr || score < best_score) {
+      best = endpoint;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+bool JobScheduler::State::PlaceStep(ScheduledStep* step,
+                                    const QueueConfig* queue,
+                                    const std::vector<EndpointState*>& usable,
+                                    Instant now) {
+  const TeamId& team = step->job->accepted.team;
+  for (ScheduledTask& task : step->tasks) {
+    if (task.phase != TaskPhase::kWaiting) {
+      continue;
+    }
+    if (!this->WithinTeamLimit(team, step->spec->per_task)) {
+      return false;
+    }
+    EndpointState* endpoint = this->Choose(*step, task, queue, usable, now);
+    if (endpoint == nullptr) {
+      return false;  // all tasks of a step are alike
+    }
+    this->Start(&task, endpoint, now);
+  }
+  return true;
+}
+
+void JobScheduler::State::PlaceGang(ScheduledStep* step,
+                                    const QueueConfig* queue,
+                                    const std::vector<EndpointState*>& usable,
+                                    Instant now) {
+  // A gang restarts as a whole, once no run of the last try is left.
+  RunNumber run = step->gang_run;
+  Resources total;
+  std::string checkpoint;
+  for (const ScheduledTask& task : step->tasks) {
+    if (task.phase != TaskPhase::kWaiting) {
+      return;
+    }
+    run = std::max(run, task.run);
+    total += step->spec->per_task;
+    checkpoint = std::max(checkpoint, task.checkpoint);
+  }
+  if (!this->WithinTeamLimit(step->job->accepted.team, total)) {
+    return;
+  }
+  // Room is reserved for all members before the first of them starts.
+  std::vector<EndpointState*> chosen;
+  std::vector<Resources> before;
+  for (ScheduledTask& task : step->tasks) {
+    EndpointState* endpoint = this->Choose(*step, task, queue, usable, now);
+    if (endpoint == nullptr) {
+      break;
+    }
+    chosen.push_back(endpoint);
+    endpoint->used += Reserved(*step->spec);
+    endpoint->tasks.insert(&task);
+    task.endpoint = endpoint;
+  }
+  for (std::size_t i = 0; i < chosen.size(); ++i) {
+    chosen[i]->used -= Reserved(*step->spec);
+    chosen[i]->tasks.erase(&step->tasks[i]);
+    step->tasks[i].endpoint = nullptr;
+  }
+  if (chosen.size() < step->tasks.size()) {
+    return;
+  }
+  step->gang_run = run + 1;
+  for (std::size_t i = 0; i < chosen.size(); ++i) {
+    step->tasks[i].run = run;
+    step->tasks[i].checkpoint = checkpoint;
+    this->Start(&step->tasks[i], chosen[i], now);
+  }
+}
+
+void JobScheduler::State::Start(ScheduledTask* task,
+                                EndpointState* endpoint,
+                                Instant now) {
+  this->Attach(task, endpoint, task->run + 1);
+  task->phase = TaskPhase::kStarting;
+  task->since = now;
+  task->answered = Instant{};
+  task->percent = -1;
+  task->percent_changed = now;
+  StartRun order;
+  order.target = this->TargetOf(*endpoint);
+  order.task = NameOf(*task);
+  order.run = task->run;
+  order.payload = task->step->job->accepted.spec.payload;
+  order.checkpoint = task->checkpoint;
+  order.lease_until_ms = this->LeaseUntil(endpoint, now);
+  if (const auto ticket = task->step->tickets.find(endpoint->row.id);
+      ticket != task->step->tickets.end()) {
+    order.ticket = ticket->second.ticket;
+  }
+  this->Decide("decision=start task=" + TaskText(order.task) +
+               " run=" + std::to_string(order.run) +
+               " endpoint=" + endpoint->row.id.value + " room_milli_cores=" +
+               std::to_string(Room(*endpoint).milli_cores) + " clock_age_ms=" +
+               std::to_string(std::chrono::duration_cast<Milliseconds>(
+                                  now - endpoint->clock_read)
+                                  .count()));
+  this->actions.starts.push_back(std::move(order));
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Advice
+//-----------------------------------------------------------------------------
+
+void JobScheduler::State::AskForAdvice(
+    ScheduledStep* step,
+    const QueueConfig& queue,
+    const std::vector<EndpointState*>& usable,
+    Instant now) {
+  const bool waiting = std::any_of(
+      step->tasks.begin(), step->tasks.end(), [](const ScheduledTask& task) {
+        return task.phase == TaskPhase::kWaiting;
+      });
+  if (!waiting || step->advice_open || step->advice_after > now ||
+      this->advice_open >= this->config.advice_calls) {
+    return;
+  }
+  // Tickets of a later step would expire before the step is ready.
+  const bool soon = step->ready_since != kNever || queue.advice.valid.count() == 0;
+  if (!soon) {
+    return;
+  }
+  AskAdvice call;
+  call.step = NameOf(step->tasks.front());
+  call.step.index = 0;
+  for (const EndpointState* endpoint : usable) {
+    const auto ticket = step->tickets.find(endpoint->row.id);
+    const bool valid =
+        ticket != step->tickets.end() && ticket->second.expires > now;
+    const bool suitable = step->spec->required_label.empty() ||
+                          HasLabel(*endpoint, step->spec->required_label);
+    if (!valid && suitable &&
+        call.endpoints.size() < this->config.advice_endpoints) {
+      call.endpoints.push_back(endpoint->row.id);
+    }
+  }
+  if (call.endpoints.empty()) {
+    return;
+  }
+  step->advice_open = true;
+  ++this->advice_open;
+  this->actions.advice.push_back(std::move(call));
+}
+
+void JobScheduler::OnAdvice(
+    const AskAdvice& call,
+    const std::optional<std::vector<AdviceTicket>>& tickets,
+    Milliseconds valid,
+    Instant now) {
+  State& state = *this->state;
+  if (state.advice_open > 0) {
+    --state.advice_open;
+  }
+  ScheduledTask* task = state.FindTask(call.step);
+  if (task == nullptr) {
+    return;
+  }
+  ScheduledStep* step = task->step;
+  step->advice_open = false;
+  // Endpoints that were refused are asked about again only with a new ticket
+  // period: the answer does not change.
+  step->advice_after =
+      now + (tickets ? std::max(valid, state.config.unhealthy_pause)
+                     : state.config.full_pause);
+  if (!tickets) {
+    return;
+  }
+  for (const AdviceTicket& ticket : *tickets) {
+    step->tickets[ticket.endpoint] = StepTicket{ticket.ticket, now + valid};
+  }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Pace and looks
+//-----------------------------------------------------------------------------
+
+void JobScheduler::State::AdjustPace(Instant now) {
+  for (auto& [id, endpoint] : this->endpoints) {
+    bool harmed = false;
+    bool easy = true;
+    for (const ScheduledTask* task : endpoint->tasks) {
+      const Milliseconds target = task->step->spec->target_tail;
+      if (target.count() == 0 || task->percent < 0 ||
+          task->step->spec->fills) {
+        continue;
+      }
+      const auto tail = static_cast<double>(task->recent);
+      const auto goal = static_cast<double>(target.count());
+      harmed = harmed || tail > this->config.pace_down_at * goal;
+      easy = easy && tail < this->config.pace_up_at * goal;
+    }
+    for (ScheduledTask* task : endpoint->tasks) {
+      if (!task->step->spec->fills || task->phase != TaskPhase::kRunning ||
+          now - task->paced < this->config.pace_interval) {
+        continue;
+      }
+      int pace = task->pace;
+      if (harmed) {
+        pace = pace > 25 ? pace / 2 : 0;
+      } else if (easy) {
+        pace = std::min(100, pace + 20);
+      }
+      if (pace == task->pace) {
+        continue;
+      }
+      task->pace = pace;
+      task->paced = now;
+      this->Decide("decision=pace task=" + TaskText(NameOf(*task)) +
+                   " endpoint=" + id.value +
+                   " percent=" + std::to_string(pace));
+      this->actions.paces.push_back(PaceRun{this->TargetOf(*endpoint),
+                                            NameOf(*task), task->run, pace});
+    }
+  }
+}
+
+void JobScheduler::State::SendLooks(bool renew, Instant now) {
+  for (auto& [id, endpoint] : this->endpoints) {
+    const bool needed = endpoint->listed || !endpoint->tasks.empty();
+    if (endpoint->look_open || !needed || endpoint->next_look > now) {
+      continue;
+    }
+    bool fills = false;
+    bool serves = false;
+    bool asks = false;
+    for (const ScheduledTask* task : endpoint->tasks) {
+      fills = fills || task->step->spec->fills;
+      serves = serves || task->step->spec->target_tail.count() > 0;
+      asks = asks || task->unanswered || task->stop_confirmed;
+    }
+    LookAt look;
+    look.target = this->TargetOf(*endpoint);
+    look.acknowledged = endpoint->recorded;
+    // Work on an endpoint that left the list has to lapse.
+    look.lease_until_ms =
+        renew && endpoint->listed ? this->LeaseUntil(endpoint.get(), now) : 0;
+    if (endpoint->fenced && !asks &&
+        endpoint->processed <= endpoint->recorded) {
+      look.wait = fills && serves ? this->config.paced_look_wait
+                                  : this->config.look_wait;
+    }
+    endpoint->look_open = true;
+    this->actions.looks.push_back(look);
+  }
+}
+
+bool JobScheduler::State::MayLoseWork(const EndpointState& endpoint) const {
+  std::map<const ScheduledStep*, int> lost;
+  for (const ScheduledTask* task : endpoint.tasks) {
+    if (task->step->spec->long_running &&
+        !IsFinal(task->step->job->decided)) {
+      ++lost[task->step];
+    }
+  }
+  for (const auto& [step, count] : lost) {
+    int away = 0;
+    for (const ScheduledTask& task : step->tasks) {
+      const bool at_work =
+          task.phase == TaskPhase::kRunning && task.percent >= 100;
+      away += at_work || task.endpoint == &endpoint ? 0 : 1;
+    }
+    // Without a stated allowance, one endpoint's tasks at a time.
+    const int allowed = std::max(step->spec->max_unavailable, count);
+    if (step->spec->max_unavailable >= 0
+            ? away + count > step->spec->max_unavailable
+            : away + count > allowed) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace peridot
--- /dev/null
+++ b/src/coordination/job_scheduler_runs.cc
@@ -0,0 +1,523 @@
+// The runs of JobScheduler: orders without an answer, ends, lost endpoints.
+
+#include <algorithm>
+#include <utility>
+
+#include "src/coordination/job_scheduler.h"
+#include "src/coordination/job_scheduler_internal.h"
+
+namespace peridot {
+
+namespace {
+
+// Weight of the newest run in the learned ratio of actual to estimated time.
+constexpr double kRatioWeight = 0.15;
+
+// Bounds of that ratio, so that one odd run does not spoil the order of work.
+constexpr double kMinRatio = 0.2;
+constexpr double kMaxRatio = 5.0;
+
+}  // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Endpoints
+//-----------------------------------------------------------------------------
+
+void JobScheduler::OnEndpoints(const std::vector<EndpointRow>& rows,
+                               Instant now) {
+  State& state = *this->state;
+  std::set<EndpointId> listed;
+  std::map<std::string, EndpointId> addresses;
+  for (const EndpointRow& row : rows) {
+    listed.insert(row.id);
+    addresses[row.address] = row.id;
+    std::unique_ptr<EndpointState>& endpoint = state.endpoints[row.id];
+    if (endpoint == nullptr) {
+      endpoint = std::make_unique<EndpointState>();
+      endpoint->row = row;
+      endpoint->lapse_at = state.recovery_ends;
+    }
+    const bool other_life = endpoint->row.born_ms != 0 && row.born_ms != 0 &&
+                            endpoint->row.born_ms != row.born_ms;
+    if (!endpoint->listed) {
+      endpoint->listed = true;
+      endpoint->next_look = now;
+      endpoint->failed_looks = 0;
+    }
+    if (endpoint->row.ready && !row.ready) {
+      state.Decide("decision=endpoint_draining endpoint=" + row.id.value);
+    }
+    endpoint->row = row;
+    if (other_life) {
+      state.StartNewLife(endpoint.get(), now);
+    }
+  }
+  for (auto& [id, endpoint] : state.endpoints) {
+    if (listed.contains(id)) {
+      continue;
+    }
+    if (endpoint->listed) {
+      endpoint->listed = false;
+      state.Decide("decision=endpoint_gone endpoint=" + id.value +
+                   " runs=" + std::to_string(endpoint->tasks.size()));
+    }
+    // An address belongs to one endpoint at a time: the earlier one has ended.
+    const auto successor = addresses.find(endpoint->row.address);
+    if (successor != addresses.end() && successor->second != id) {
+      state.ReleaseLapsed(endpoint.get(), "address_reused", now);
+    }
+  }
+}
+
+void JobScheduler::State::StartNewLife(EndpointState* endpoint, Instant now) {
+  this->Decide("decision=endpoint_restarted endpoint=" +
+               endpoint->row.id.value +
+               " runs=" + std::to_string(endpoint->tasks.size()));
+  endpoint->fenced = false;
+  endpoint->has_clock = false;
+  endpoint->processed = endpoint->in_batch = endpoint->recorded = 0;
+  endpoint->next_look = now;
+  const std::set<ScheduledTask*> tasks = endpoint->tasks;
+  for (ScheduledTask* task : tasks) {
+    // A start without an answer may still be carried out by the new life; a
+    // stop that arrives first forbids it.
+    const bool may_come = task->unanswered ||
+                          task->phase == TaskPhase::kStarting;
+    if (may_come) {
+      task->phase = TaskPhase::kRunning;
+      this->RequestStop(task, "endpoint_restarted", now);
+    } else {
+      this->ReturnToWaiting(task, "endpoint_restarted", now);
+    }
+  }
+}
+
+void JobScheduler::State::ReleaseLapsed(EndpointState* endpoint,
+                                        const char* reason,
+                                        Instant now) {
+  const std::set<ScheduledTask*> tasks = endpoint->tasks;
+  for (ScheduledTask* task : tasks) {
+    this->ReturnToWaiting(task, reason, now);
+  }
+}
+
+OrderTarget JobScheduler::State::TargetOf(const EndpointState& endpoint) const {
+  return OrderTarget{endpoint.row.id, endpoint.row.address};
+}
+
+std::int64_t JobScheduler::State::LeaseUntil(EndpointState* endpoint,
+                                             Instant now) {
+  if (!endpoint->has_clock) {
+    return 0;
+  }
+  const auto lease =
+      std::min(this->config.endpoint_lease, this->config.endpoint_lease_max);
+  const auto since_read =
+      std::chrono::duration_cast<Milliseconds>(now - endpoint->clock_read);
+  const auto offered = since_read + lease;
+  // Its clock reaches the deadline at the latest after the stretched time.
+  const Instant lapse = endpoint->clock_read + offered +
+                        offered * this->config.clock_drift_percent / 100 +
+                        this->config.lapse_margin;
+  endpoint->lapse_at = std::max(endpoint->lapse_at, lapse);
+  return endpoint->clock_ms + offered.count();
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Tasks
+//-----------------------------------------------------------------------------
+
+void JobScheduler::State::Attach(ScheduledTask* task,
+                                 EndpointState* endpoint,
+                                 RunNumber run) {
+  task->endpoint = endpoint;
+  task->run = run;
+  task->step->job->any_started = true;
+  endpoint->tasks.insert(task);
+  endpoint->used += Reserved(*task->step->spec);
+  this->team_use[task->step->job->accepted.team] +=
+      task->step->spec->per_task;
+}
+
+void JobScheduler::State::Detach(ScheduledTask* task) {
+  if (task->endpoint == nullptr) {
+    return;
+  }
+  task->endpoint->tasks.erase(task);
+  task->endpoint->used -= Reserved(*task->step->spec);
+  this->team_use[task->step->job->accepted.team] -=
+      task->step->spec->per_task;
+  task->endpoint = nullptr;
+  task->unanswered = false;
+  task->stop_confirmed = false;
+  task->percent = -1;
+  task->pace = 100;
+}
+
+void JobScheduler::State::ReturnToWaiting(ScheduledTask* task,
+                                          const char* reason,
+                                          Instant now) {
+  this->Decide("decision=run_over task=" + TaskText(NameOf(*task)) +
+               " run=" + std::to_string(task->run) + " endpoint=" +
+               (task->endpoint == nullptr ? std::string("none")
+                                          : task->endpoint->row.id.value) +
+               " reason=" + reason);
+  this->Detach(task);
+  // An earlier run may have ended done while this one was being stopped.
+  const bool done = task->step->job->done.contains(NameOf(*task));
+  task->phase = done ? TaskPhase::kDone : TaskPhase::kWaiting;
+  task->since = now;
+}
+
+void JobScheduler::State::RequestStop(ScheduledTask* task,
+                                      const char* reason,
+                                      Instant now) {
+  if (!MayRun(*task) || task->phase == TaskPhase::kStopping) {
+    return;
+  }
+  ++this->counters.stops_by_reason[reason];
+  this->Decide("decision=stop task=" + TaskText(NameOf(*task)) +
+               " run=" + std::to_string(task->run) +
+               " endpoint=" + task->endpoint->row.id.value +
+               " reason=" + reason);
+  task->phase = TaskPhase::kStopping;
+  task->since = now;
+  task->stop_confirmed = false;
+  this->SendStop(task, now);
+}
+
+void JobScheduler::State::SendStop(ScheduledTask* task, Instant now) {
+  task->stop_sent = now;
+  this->actions.stops.push_back(
+      StopRun{this->TargetOf(*task->endpoint), NameOf(*task), task->run});
+}
+
+Milliseconds JobScheduler::State::ExpectedDuration(
+    const ScheduledTask& task) const {
+  const auto found =
+      this->duration_ratio.find(task.step->job->accepted.queue);
+  const double ratio = found == this->duration_ratio.end() ? 1 : found->second;
+  return Milliseconds(static_cast<std::int64_t>(
+      static_cast<double>(task.step->spec->estimate.count()) * ratio));
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Replies
+//-----------------------------------------------------------------------------
+
+void JobScheduler::OnStartReply(const StartRun& order,
+                                OrderReply reply,
+                                Instant now) {
+  State& state = *this->state;
+  ++state.counters.starts_by_reply[OrderReplyName(reply)];
+  state.fenced = state.fenced || reply == OrderReply::kFenced;
+  ScheduledTask* task = state.FindTask(order.task);
+  if (task == nullptr || !MayRun(*task) || task->run != order.run ||
+      task->endpoint->row.id != order.target.endpoint) {
+    return;  // the run has ended or was given up meanwhile
+  }
+  EndpointState* endpoint = task->endpoint;
+  if (reply == OrderReply::kDone) {
+    task->unanswered = false;
+    task->answered = now;
+    if (task->phase == TaskPhase::kStarting) {
+      task->phase = TaskPhase::kRunning;
+      task->since = now;
+    }
+    return;
+  }
+  if (reply == OrderReply::kUnknown) {
+    task->unanswered = true;
+    endpoint->next_look = now;
+    state.Decide("decision=start_unanswered task=" + TaskText(order.task) +
+                 " run=" + std::to_string(order.run) +
+                 " endpoint=" + order.target.endpoint.value);
+    return;
+  }
+  if (reply == OrderReply::kUnhealthy || reply == OrderReply::kNotSent ||
+      reply == OrderReply::kOtherLife || reply == OrderReply::kBadRequest) {
+    endpoint->unhealthy_until = now + state.config.unhealthy_pause;
+  }
+  if (reply == OrderReply::kNoRoom) {
+    endpoint->full_until = now + state.config.full_pause;
+  }
+  if (reply == OrderReply::kNoTicket) {
+    task->step->tickets.erase(order.target.endpoint);
+  }
+  task->avoid = order.target.endpoint;
+  state.ReturnToWaiting(task, OrderReplyName(reply), now);
+}
+
+void JobScheduler::OnStopReply(const StopRun& order,
+                               OrderReply reply,
+                               Instant now) {
+  State& state = *this->state;
+  state.fenced = state.fenced || reply == OrderReply::kFenced;
+  ScheduledTask* task = state.FindTask(order.task);
+  if (task == nullptr || !MayRun(*task) || task->run != order.run ||
+      task->endpoint->row.id != order.target.endpoint) {
+    return;
+  }
+  if (reply == OrderReply::kDone) {
+    task->stop_confirmed = true;
+    task->stop_answered = now;
+    task->endpoint->next_look = now;
+  } else if (reply == OrderReply::kOtherLife) {
+    // The life that may have had the run is over.
+    state.ReturnToWaiting(task, "other_life", now);
+  }
+}
+
+void JobScheduler::OnLook(const LookAt& look,
+                          const std::optional<EndpointReportRows>& report,
+                          Instant sent,
+                          Instant now) {
+  State& state = *this->state;
+  ++state.counters.looks;
+  const auto found = state.endpoints.find(look.target.endpoint);
+  if (found == state.endpoints.end()) {
+    return;
+  }
+  EndpointState* endpoint = found->second.get();
+  endpoint->look_open = false;
+  if (!report) {
+    ++state.counters.looks_failed;
+    ++endpoint->failed_looks;
+    endpoint->next_look = now + state.config.look_retry;
+    if (endpoint->failed_looks == state.config.looks_to_unreachable) {
+      state.Decide("decision=endpoint_unreachable endpoint=" +
+                   endpoint->row.id.value);
+    }
+    return;
+  }
+  if (report->born_ms != 0 && endpoint->row.born_ms != 0 &&
+      report->born_ms != endpoint->row.born_ms) {
+    endpoint->row.born_ms = report->born_ms;
+    state.StartNewLife(endpoint, now);
+  } else if (endpoint->row.born_ms == 0) {
+    endpoint->row.born_ms = report->born_ms;
+  }
+  endpoint->failed_looks = 0;
+  endpoint->fenced = true;
+  endpoint->has_clock = true;
+  endpoint->clock_ms = report->clock_ms;
+  endpoint->clock_read = now;
+  for (const RunEnd& end : report->ended) {
+    if (end.number > endpoint->processed) {
+      state.OnRunEnd(endpoint, end, now);
+      endpoint->processed = end.number;
+    }
+  }
+  for (const RunningTask& row : report->running) {
+    state.OnListed(endpoint, row, now);
+  }
+  state.ResolveMissing(endpoint, *report, sent, now);
+  state.RemoveStalled(endpoint, now);
+  // Ends that are not recorded yet would be listed again at once.
+  endpoint->next_look = endpoint->processed > endpoint->recorded
+                            ? now + state.config.unrecorded_look
+                            : now;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] What an endpoint lists
+//-----------------------------------------------------------------------------
+
+void JobScheduler::State::OnListed(EndpointState* endpoint,
+                                   const RunningTask& row,
+                                   Instant now) {
+  ScheduledTask* task = this->FindTask(row.task);
+  if (task == nullptr || task->phase == TaskPhase::kDone ||
+      (MayRun(*task) &&
+       (task->endpoint != endpoint || task->run != row.run))) {
+    // A run that nobody needs: of a final job, or beside the current run.
+    this->actions.stops.push_back(
+        StopRun{this->TargetOf(*endpoint), row.task, row.run});
+    return;
+  }
+  if (!MayRun(*task)) {
+    // Started by an earlier owner, or carried out late.
+    this->Decide("decision=adopt task=" + TaskText(row.task) +
+                 " run=" + std::to_string(row.run) +
+                 " endpoint=" + endpoint->row.id.value);
+    this->Attach(task, endpoint, row.run);
+    task->phase = TaskPhase::kRunning;
+    task->since = now;
+    if (task->step->job->cancelled || IsFinal(task->step->job->decided)) {
+      this->RequestStop(task, "job_final", now);
+    }
+  }
+  if (task->phase == TaskPhase::kStarting) {
+    task->phase = TaskPhase::kRunning;
+    task->since = now;
+  }
+  if (task->unanswered) {
+    task->unanswered = false;
+    task->answered = now;
+  }
+  if (!row.checkpoint.empty()) {
+    task->checkpoint = row.checkpoint;
+  }
+  if (row.percent != task->percent) {
+    task->percent = row.percent;
+    task->percent_changed = now;
+  }
+  task->recent = row.recent;
+}
+
+void JobScheduler::State::ResolveMissing(EndpointState* endpoint,
+                                         const EndpointReportRows& report,
+                                         Instant sent,
+                                         Instant now) {
+  std::set<std::pair<TaskName, RunNumber>> listed;
+  for (const RunningTask& row : report.running) {
+    listed.emplace(row.task, row.run);
+  }
+  const std::set<ScheduledTask*> tasks = endpoint->tasks;
+  for (ScheduledTask* task : tasks) {
+    if (listed.contains({NameOf(*task), task->run})) {
+      continue;
+    }
+    if (task->phase == TaskPhase::kStopping) {
+      // The stop forbids a run that had not begun.
+      if (task->stop_confirmed && task->stop_answered <= sent) {
+        this->ReturnToWaiting(task, "stopped", now);
+      }
+    } else if (task->unanswered) {
+      this->RequestStop(task, "start_unanswered", now);
+    } else if (task->phase == TaskPhase::kRunning && task->answered <= sent &&
+               task->since <= sent) {
+      // Confirmed before the look and in neither list: its end was forgotten.
+      this->ReturnToWaiting(task, "not_listed", now);
+    }
+  }
+}
+
+void JobScheduler::State::OnRunEnd(EndpointState* endpoint,
+                                   const RunEnd& end,
+                                   Instant now) {
+  ++this->counters.ends_by_kind[EndKindName(end.kind)];
+  ScheduledTask* task = this->FindTask(end.task);
+  this->Decide("decision=end task=" + TaskText(end.task) +
+               " run=" + std::to_string(end.run) + " endpoint=" +
+               endpoint->row.id.value + " number=" +
+               std::to_string(end.number) + " kind=" + EndKindName(end.kind));
+  if (task == nullptr || task->phase == TaskPhase::kDone) {
+    return;
+  }
+  ScheduledJob* job = task->step->job;
+  const bool current = task->endpoint == endpoint && task->run == end.run;
+  if (MayRun(*task) && !current) {
+    if (end.kind != EndKind::kDone) {
+      return;
+    }
+    // An earlier run has done the work: the later one is not needed.
+    this->RequestStop(task, "done_elsewhere", now);
+  }
+  if (!end.checkpoint.empty()) {
+    task->checkpoint = end.checkpoint;
+    job->checkpoints[end.task] = end.checkpoint;
+    this->MarkDirty(job);
+  }
+  if (current) {
+    if (end.kind == EndKind::kDone && !task->step->spec->long_running &&
+        task->answered != Instant{} && task->step->spec->estimate.count() > 0) {
+      const double ratio =
+          std::chrono::duration<double, std::milli>(now - task->since).count() /
+          static_cast<double>(task->step->spec->estimate.count());
+      double& learned =
+          this->duration_ratio.try_emplace(job->accepted.queue, 1.0)
+              .first->second;
+      learned += (std::clamp(ratio, kMinRatio, kMaxRatio) - learned) *
+                 kRatioWeight;
+    }
+    this->Detach(task);
+    task->phase = TaskPhase::kWaiting;
+    task->since = now;
+  }
+  if (task->step->spec->long_running) {
+    return;  // restarted however it ends
+  }
+  if (end.kind == EndKind::kDone) {
+    endpoint->failures_in_row = 0;
+    ScheduledStep* step = task->step;
+    // One such end stands for the whole gang.
+    for (ScheduledTask& member : step->tasks) {
+      if (&member != task && !step->spec->gang) {
+        continue;
+      }
+      if (!job->done.insert(NameOf(member)).second) {
+        continue;
+      }
+      ++step->done;
+      --job->open_tasks;
+      job->checkpoints.erase(NameOf(member));
+      if (&member != task && MayRun(member)) {
+        this->Detach(&member);
+      }
+      // A later run that is being stopped keeps its room until it has ended.
+      if (!MayRun(member)) {
+        member.phase = TaskPhase::kDone;
+      }
+    }
+    this->MarkDirty(job);
+    this->UpdateReadySteps(job, now);
+    this->FinishIfDone(job);
+    return;
+  }
+  if (end.kind == EndKind::kFailed) {
+    this->CountFailure(task, endpoint, now);
+  }
+}
+
+void JobScheduler::State::CountFailure(ScheduledTask* task,
+                                       EndpointState* endpoint,
+                                       Instant now) {
+  ScheduledJob* job = task->step->job;
+  task->avoid = endpoint->row.id;
+  if (endpoint->last_failed_job != job->accepted.id) {
+    endpoint->last_failed_job = job->accepted.id;
+    ++endpoint->failures_in_row;
+  }
+  if (endpoint->failures_in_row >= this->config.failures_to_quarantine) {
+    endpoint->quarantine_until = now + this->config.quarantine;
+    endpoint->failures_in_row = this->config.failures_to_quarantine - 1;
+    this->Decide("decision=quarantine endpoint=" + endpoint->row.id.value);
+  }
+  ++task->failures;
+  job->failures[NameOf(*task)] = task->failures;
+  this->MarkDirty(job);
+  const QueueConfig* queue = this->QueueOf(*job);
+  if (IsFinal(job->decided) || queue == nullptr ||
+      task->failures < queue->max_attempts) {
+    return;
+  }
+  job->decided = JobState::kFailed;
+  this->Decide("decision=fail job=" + job->accepted.id.value +
+               " task=" + TaskText(NameOf(*task)) +
+               " attempts=" + std::to_string(task->failures));
+  this->StopAll(job, "job_failed", now);
+}
+
+void JobScheduler::State::RemoveStalled(EndpointState* endpoint, Instant now) {
+  const std::set<ScheduledTask*> tasks = endpoint->tasks;
+  for (ScheduledTask* task : tasks) {
+    if (task->phase != TaskPhase::kRunning || task->percent < 0 ||
+        task->step->spec->long_running || task->step->spec->fills) {
+      continue;
+    }
+    const auto limit = std::max<Duration>(
+        this->config.stall,
+        Milliseconds(static_cast<std::int64_t>(
+            this->config.stall_factor *
+            static_cast<double>(this->ExpectedDuration(*task).count()))));
+    if (now - task->percent_changed > this->config.stall &&
+        now - task->since > limit) {
+      task->avoid = endpoint->row.id;
+      endpoint->unhealthy_until = now + this->config.quarantine;
+      this->RequestStop(task, "stalled", now);
+    }
+  }
+}
+
+}  // namespace peridot
--- /dev/null
+++ b/src/coordination/owner_lease.cc
@@ -0,0 +1,83 @@
+#include "src/coordination/owner_lease.h"
+
+namespace peridot {
+
+bool OwnerLease::OnRow(const OwnerRow& read,
+                       RowVersion read_version,
+                       std::int64_t store_ms,
+                       Instant now) {
+  (void)store_ms;
+  if (read_version < this->version) {
+    return true;  // an answer that was overtaken
+  }
+  const bool mine = read.instance == this->config.instance;
+  this->seen = true;
+  this->row = read;
+  this->version = read_version;
+  if (this->held && !mine) {
+    this->held = false;
+    return false;
+  }
+  if (mine && !this->held && !read.holder.value.empty()) {
+    // A claim whose answer was lost. Its start is not known, so the lease only
+    // becomes valid with the next renewal.
+    this->held = true;
+    this->valid_until = now;
+    this->renewed = Instant{};
+  }
+  return true;
+}
+
+void OwnerLease::OnHolderOver(const std::string& instance) {
+  this->over = instance;
+}
+
+bool OwnerLease::ShouldClaim(std::int64_t store_ms) const {
+  if (!this->seen || this->held) {
+    return false;
+  }
+  return this->row.holder.value.empty() || this->row.instance == this->over ||
+         this->row.expires_ms <= store_ms ||
+         // An earlier process of this host cannot be running any more.
+         (this->row.holder == this->config.self &&
+          this->row.instance != this->config.instance);
+}
+
+OwnerRow OwnerLease::NextRow(std::int64_t store_ms, bool release) const {
+  OwnerRow next;
+  next.epoch = this->held ? this->row.epoch
+                          : OwnerEpoch(this->row.epoch.value + 1);
+  next.sequence = this->held ? this->row.sequence + 1 : 1;
+  next.instance = this->config.instance;
+  if (!release) {
+    next.holder = this->config.self;
+    next.address = this->config.address;
+    next.expires_ms = store_ms + this->config.length.count();
+  }
+  return next;
+}
+
+void OwnerLease::OnWritten(const OwnerRow& written,
+                           RowVersion written_version,
+                           Instant sent) {
+  this->seen = true;
+  this->row = written;
+  this->version = written_version;
+  this->held = !written.holder.value.empty();
+  this->valid_until = sent + this->config.length - this->config.margin;
+  this->renewed = sent;
+}
+
+void OwnerLease::OnLost() {
+  this->held = false;
+}
+
+bool OwnerLease::Valid(Instant now) const {
+  return this->held && now < this->valid_until;
+}
+
+bool OwnerLease::RenewalDue(Instant now) const {
+  return this->held && now - this->renewed >= this->config.renew_after;
+}
+
+}  // namespace peridot
--- /dev/null
+++ b/src/coordination/owner_lease.h
@@ -0,0 +1,105 @@
+// The lease of the one daemon that owns all decisions, as a row of the store.
+//
+// Index:
+//   [SECTION] Types
+//   [SECTION] OwnerLease
+//
+// The row names the holder, its epoch and the instant of the store's clock at
+// which the lease ends. Claims and renewals are conditional on the version of
+// the row, so that two claims never both succeed. The holder counts its own
+// time from the moment it sent the renewal; the epoch fences its orders.
+//
+// Not thread-safe.
+
+#ifndef SRC_COORDINATION_OWNER_LEASE_H_
+#define SRC_COORDINATION_OWNER_LEASE_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "src/coordination/job.h"
+
+namespace peridot {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Types
+//-----------------------------------------------------------------------------
+
+struct OwnerLeaseConfig {
+  DaemonId self;            // default: empty; name of this daemon's host
+  std::string instance;     // default: empty; unique for each process
+  std::string address;      // default: empty; "ip:port" for other daemons
+  // Long enough for two renewals to be lost, short enough that work goes on
+  // soon after the holder's host has lost power.
+  Milliseconds length{3000};  // default: 3000 ms
+  // Renewal without other writes.
+  Milliseconds renew_after{900};  // default: 900 ms
+  // The holder stops this much early: network delay and timer lateness.
+  Milliseconds margin{300};  // default: 300 ms
+};
+
+// The row as it is stored.
+struct OwnerRow {
+  DaemonId holder;               // default: empty; released
+  std::string instance;          // default: empty
+  std::string address;           // default: empty
+  OwnerEpoch epoch;              // default: 0
+  std::int64_t expires_ms = 0;   // default: 0; on the store's clock
+  std::uint64_t sequence = 0;    // default: 0; writes of this holder
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] OwnerLease
+//-----------------------------------------------------------------------------
+
+class OwnerLease {
+ public:
+  explicit OwnerLease(OwnerLeaseConfig config) : config(std::move(config)) {}
+
+  // The row was read at a store time. Version 0: the row does not exist.
+  // Returns false if this daemon has just found out that it lost the lease.
+  bool OnRow(const OwnerRow& row,
+             RowVersion version,
+             std::int64_t store_ms,
+             Instant now);
+
+  // The process that holds the lease has proved to be over: it refused the
+  // connection, or another process answered at its address.
+  void OnHolderOver(const std::string& instance);
+
+  // Returns whether a claim is due.
+  bool ShouldClaim(std::int64_t store_ms) const;
+
+  // The row to write: a claim with the next epoch, or a renewal.
+  OwnerRow NextRow(std::int64_t store_ms, bool release) const;
+
+  // The row was written under a condition. `sent` is when the call was sent.
+  void OnWritten(const OwnerRow& row, RowVersion version, Instant sent);
+
+  // Another writer came first, or the write was fenced.
+  void OnLost();
+
+  bool Held() const { return this->held; }
+  // True while no other daemon can hold the lease.
+  bool Valid(Instant now) const;
+  bool RenewalDue(Instant now) const;
+  OwnerEpoch Epoch() const { return this->row.epoch; }
+  RowVersion Version() const { return this->version; }
+  // Owner as last read or written; empty holder if there is none.
+  const OwnerRow& Row() const { return this->row; }
+
+ private:
+  OwnerLeaseConfig config;
+  OwnerRow row;
+  RowVersion version;
+  bool seen = false;
+  bool held = false;
+  std::string over;  // instance of a holder that is known to be over
+  Instant valid_until{};
+  Instant renewed{};
+};
+
+}  // namespace peridot
+
+#endif  // SRC_COORDINATION_OWNER_LEASE_H_
--- /dev/null
+++ b/src/daemon/entry_task.h
@@ -0,0 +1,93 @@
+// Answers callers: submits, shows and cancels jobs.
+//
+// Index:
+//   [SECTION] Answers
+//   [SECTION] EntryTask
+//
+// Accepts a job once it is stored. A refusal means that the job has not run
+// and never will; when that is not certain the answer is 504. Not thread-safe:
+// lives on the loop's thread.
+
+#ifndef SRC_DAEMON_ENTRY_TASK_H_
+#define SRC_DAEMON_ENTRY_TASK_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "src/daemon/fleet_ports.h"
+#include "src/daemon/job_store.h"
+#include "src/daemon/operator_view.h"
+#include "src/daemon/owner_task.h"
+#include "src/transport/http_server.h"
+#include "src/transport/metrics.h"
+
+namespace peridot {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Answers
+//-----------------------------------------------------------------------------
+
+// What the owner says about a job or a queue.
+struct OwnerReply {
+  bool answered = false;            // default: false; no owner answered
+  std::optional<JobState> state;    // of a job; none: the owner knows it not
+  std::optional<int> waiting;       // of a queue
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] EntryTask
+//-----------------------------------------------------------------------------
+
+class EntryTask {
+ public:
+  // Asks the owner at an address; exactly one of job and queue is not empty.
+  using AskOwner = std::function<void(const std::string& address,
+                                      const JobId& job,
+                                      const std::string& queue,
+                                      std::function<void(OwnerReply)>)>;
+
+  // All pointers must outlive the task.
+  EntryTask(EventLoop* loop,
+            const FleetPorts* ports,
+            const OperatorView* view,
+            const OwnerTask* owner,
+            Metrics* metrics,
+            AskOwner ask);
+
+  // Answers one request, now or later.
+  void Handle(const HttpServerRequest& request, const HttpResponder& responder);
+
+ private:
+  struct Call {
+    HttpResponder responder;
+    Instant arrived{};
+    std::string name;  // of the job or the queue, for the log
+    const char* verb = "";
+  };
+
+  void Submit(const Call& call,
+              const CallAdmission& admission,
+              const HttpServerRequest& request);
+  void ShowState(const Call& call, const JobId& id);
+  void ShowStored(const Call& call, const JobId& id);
+  void ShowWaiting(const Call& call, const std::string& queue);
+  void Cancel(const Call& call, const JobId& id);
+  void Answer(const Call& call,
+              int status,
+              const char* reason,
+              std::string body = {}) const;
+
+  EventLoop* loop;
+  const FleetPorts* ports;
+  const OperatorView* view;
+  const OwnerTask* owner;
+  Metrics* metrics;
+  AskOwner ask;
+  JobWriter writer;
+};
+
+}  // namespace peridot
+
+#endif  // SRC_DAEMON_ENTRY_TASK_H_
--- /dev/null
+++ b/src/daemon/fleet_node.cc
@@ -0,0 +1,273 @@
+#include "src/daemon/fleet_node.h"
+
+#include <csignal>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "src/protocol/job_json.h"
+#include "src/protocol/socket_address.h"
+#include "src/transport/log.h"
+
+namespace peridot {
+
+namespace {
+
+// Internal calls between daemons: paths and timeouts.
+constexpr char kInstancePath[] = "/internal/v1/instance";
+constexpr char kJobPath[] = "/internal/v1/jobs/";
+constexpr char kQueuePath[] = "/internal/v1/queues/";
+
+// Between zones an answer takes a few milliseconds; the store is the fallback.
+constexpr Milliseconds kPeerTimeout{400};
+
+// The balancer stops sending new connections after two missed checks of one
+// second each; until then they are accepted.
+constexpr Milliseconds kLeaveBalancer{2300};
+
+HttpServerAnswer JsonAnswer(int status, const nlohmann::json& body) {
+  HttpServerAnswer answer;
+  answer.status = status;
+  answer.headers.push_back({"Content-Type", "application/json"});
+  answer.body = body.dump();
+  return answer;
+}
+
+Result<std::unique_ptr<HttpServer>> ListenOn(EventLoop* loop,
+                                             const std::string& address) {
+  BOOST_OUTCOME_TRY(parsed, SocketAddress::Parse(address));
+  HttpServerOptions options;
+  options.address = parsed.ip;
+  options.port = parsed.port;
+  return HttpServer::Create(loop, options);
+}
+
+std::optional<JobState> StateByName(const std::string& name) {
+  for (const JobState state :
+       {JobState::kPending, JobState::kRunning, JobState::kCompleted,
+        JobState::kFailed, JobState::kCancelled}) {
+    if (name == JobStateName(state)) {
+      return state;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+FleetNode::FleetNode(EventLoop* loop,
+                     FleetPorts ports,
+                     FleetNodeSettings settings)
+    : loop(loop),
+      ports(std::move(ports)),
+      settings(std::move(settings)),
+      peers(loop, HttpClientOptions{}),
+      view(loop, &this->ports),
+      owner(loop,
+            &this->ports,
+            &this->view,
+            &this->metrics,
+            this->settings,
+            OwnerTaskConfig{},
+            [this](const std::string& address,
+                   std::function<void(std::optional<std::string>)> done) {
+              this->Probe(address, std::move(done));
+            }),
+      entry(loop,
+            &this->ports,
+            &this->view,
+            &this->owner,
+            &this->metrics,
+            [this](const std::string& address, const JobId& job,
+                   const std::string& queue,
+                   std::function<void(OwnerReply)> done) {
+              this->AskOwner(address, job, queue, std::move(done));
+            }) {}
+
+Result<std::unique_ptr<FleetNode>> FleetNode::Create(
+    EventLoop* loop,
+    FleetPorts ports,
+    FleetNodeSettings settings,
+    std::function<void()> on_reload) {
+  std::unique_ptr<FleetNode> node(
+      new FleetNode(loop, std::move(ports), std::move(settings)));
+  BOOST_OUTCOME_TRY(node->Listen());
+  BOOST_OUTCOME_TRY(node->WatchSignals(std::move(on_reload)));
+  return node;
+}
+
+Result<void> FleetNode::Listen() {
+  BOOST_OUTCOME_TRY(callers_server,
+                    ListenOn(this->loop, this->settings.caller_address));
+  this->callers = std::move(callers_server);
+  BOOST_OUTCOME_TRY(readiness_server,
+                    ListenOn(this->loop, this->settings.readiness_address));
+  this->readiness = std::move(readiness_server);
+  BOOST_OUTCOME_TRY(internal_server,
+                    ListenOn(this->loop, this->settings.internal_address));
+  this->internal = std::move(internal_server);
+  for (const HttpMethod method :
+       {HttpMethod::kGet, HttpMethod::kPost, HttpMethod::kDelete}) {
+    this->callers->Route(method, "/",
+                         [this](const HttpServerRequest& request,
+                                const HttpResponder& responder) {
+                           this->entry.Handle(request, responder);
+                         });
+  }
+  this->readiness->Route(
+      HttpMethod::kGet, this->settings.readiness_path,
+      [this](const HttpServerRequest&, const HttpResponder& responder) {
+        HttpServerAnswer answer;
+        answer.status = this->Ready() ? 200 : 503;
+        responder.Send(answer);
+      });
+  this->ServeInternal();
+  return boost::outcome_v2::success();
+}
+
+void FleetNode::ServeInternal() {
+  this->internal->Route(
+      HttpMethod::kGet, kInstancePath,
+      [this](const HttpServerRequest&, const HttpResponder& responder) {
+        responder.Send(JsonAnswer(
+            200, {{"instance", this->settings.lease.instance}}));
+      });
+  this->internal->Route(
+      HttpMethod::kGet, kJobPath,
+      [this](const HttpServerRequest& request, const HttpResponder& responder) {
+        const JobId id(request.path.substr(std::string_view(kJobPath).size()));
+        const std::optional<JobState> state =
+            this->owner.Owns() ? this->owner.StateOf(id) : std::nullopt;
+        responder.Send(state ? JsonAnswer(200, {{"state",
+                                                 JobStateName(*state)}})
+                             : JsonAnswer(404, nlohmann::json::object()));
+      });
+  this->internal->Route(
+      HttpMethod::kGet, kQueuePath,
+      [this](const HttpServerRequest& request, const HttpResponder& responder) {
+        const std::string queue =
+            request.path.substr(std::string_view(kQueuePath).size());
+        responder.Send(
+            this->owner.Owns()
+                ? JsonAnswer(200, {{"waiting", this->owner.WaitingIn(queue)}})
+                : JsonAnswer(404, nlohmann::json::object()));
+      });
+  this->internal->Route(
+      HttpMethod::kGet, "/metrics",
+      [this](const HttpServerRequest&, const HttpResponder& responder) {
+        HttpServerAnswer answer;
+        answer.headers.push_back({"Content-Type", kMetricsContentType});
+        answer.body = this->metrics.Expose();
+        responder.Send(answer);
+      });
+}
+
+Result<void> FleetNode::WatchSignals(std::function<void()> on_reload) {
+  BOOST_OUTCOME_TRY(this->loop->OnSignal(SIGHUP, std::move(on_reload)));
+  for (const int number : {SIGTERM, SIGINT}) {
+    BOOST_OUTCOME_TRY(
+        this->loop->OnSignal(number, [this] { this->BeginStop(); }));
+  }
+  return boost::outcome_v2::success();
+}
+
+void FleetNode::Start() {
+  LogEvent(LogLevel::kInfo, "start",
+           {{"node", this->settings.name.value},
+            {"zone", this->settings.zone.value},
+            {"instance", this->settings.lease.instance},
+            {"callers", this->settings.caller_address},
+            {"internal", this->settings.internal_address}});
+  this->view.Start([this] { this->owner.OnViewChanged(); });
+  this->owner.Start();
+}
+
+bool FleetNode::Ready() const {
+  return !this->stopping && this->view.HasConfig() &&
+         this->owner.StoreReachable(this->loop->Now());
+}
+
+void FleetNode::BeginStop() {
+  if (this->stopping) {
+    return;
+  }
+  this->stopping = true;
+  LogEvent(LogLevel::kInfo, "stop_requested", {});
+  this->owner.Release([] {});
+  this->loop->After(std::min(kLeaveBalancer, this->settings.drain / 2),
+                    [this] { this->FinishStop(); });
+}
+
+void FleetNode::FinishStop() {
+  const Milliseconds left =
+      this->settings.drain - std::min(kLeaveBalancer, this->settings.drain / 2);
+  this->callers->Stop(left, [this](const HttpStopReport& report) {
+    LogEvent(LogLevel::kInfo, "stop",
+             {{"cut_requests", std::to_string(report.cut_requests)}});
+    this->loop->Stop();
+  });
+}
+
+void FleetNode::Probe(
+    const std::string& address,
+    std::function<void(std::optional<std::string>)> done) {
+  const Result<SocketAddress> peer = SocketAddress::Parse(address);
+  if (!peer) {
+    this->loop->Post([done = std::move(done)] { done(std::nullopt); });
+    return;
+  }
+  HttpRequest request;
+  request.path = kInstancePath;
+  request.timeout = kPeerTimeout;
+  this->peers.Send(
+      HttpPeer{peer.value().ip, peer.value().port}, std::move(request),
+      [done = std::move(done)](const HttpOutcome& outcome) {
+        if (outcome.result == HttpResult::kConnectFailed) {
+          done(std::string());
+          return;
+        }
+        if (!outcome.Answered()) {
+          done(std::nullopt);
+          return;
+        }
+        const auto body =
+            nlohmann::json::parse(outcome.body, nullptr, false);
+        if (!body.is_object() || !body.contains("instance")) {
+          done(std::nullopt);
+          return;
+        }
+        done(body.value("instance", std::string()));
+      });
+}
+
+void FleetNode::AskOwner(const std::string& address,
+                         const JobId& job,
+                         const std::string& queue,
+                         std::function<void(OwnerReply)> done) {
+  const Result<SocketAddress> peer = SocketAddress::Parse(address);
+  if (!peer) {
+    this->loop->Post([done = std::move(done)] { done(OwnerReply{}); });
+    return;
+  }
+  HttpRequest request;
+  request.path = job.value.empty() ? kQueuePath + queue : kJobPath + job.value;
+  request.timeout = kPeerTimeout;
+  this->peers.Send(
+      HttpPeer{peer.value().ip, peer.value().port}, std::move(request),
+      [done = std::move(done)](const HttpOutcome& outcome) {
+        OwnerReply reply;
+        if (outcome.Answered() && outcome.status == 200) {
+          const auto body =
+              nlohmann::json::parse(outcome.body, nullptr, false);
+          reply.answered = body.is_object();
+          if (reply.answered && body.contains("state")) {
+            reply.state = StateByName(body.value("state", std::string()));
+          }
+          if (reply.answered && body.contains("waiting")) {
+            reply.waiting = body.value("waiting", 0);
+          }
+        }
+        done(reply);
+      });
+}
+
+}  // namespace peridot
--- /dev/null
+++ b/src/daemon/fleet_node.h
@@ -0,0 +1,76 @@
+// One daemon on a platform: wires the tasks, the servers and the signals.
+//
+// Index:
+//   [SECTION] FleetNode
+
+#ifndef SRC_DAEMON_FLEET_NODE_H_
+#define SRC_DAEMON_FLEET_NODE_H_
+
+#include <functional>
+#include <memory>
+
+#include "src/daemon/entry_task.h"
+#include "src/daemon/fleet_ports.h"
+#include "src/daemon/operator_view.h"
+#include "src/daemon/owner_task.h"
+#include "src/transport/event_loop.h"
+#include "src/transport/http_client.h"
+#include "src/transport/http_server.h"
+#include "src/transport/metrics.h"
+
+namespace peridot {
+
+//-----------------------------------------------------------------------------
+// [SECTION] FleetNode
+//-----------------------------------------------------------------------------
+
+// Not thread-safe: lives on the loop's thread.
+class FleetNode {
+ public:
+  // Binds all addresses. Fails if one is in use or not valid. The loop must
+  // outlive the node. on_reload is called at SIGHUP.
+  static Result<std::unique_ptr<FleetNode>> Create(
+      EventLoop* loop,
+      FleetPorts ports,
+      FleetNodeSettings settings,
+      std::function<void()> on_reload);
+
+  FleetNode(const FleetNode&) = delete;
+  FleetNode& operator=(const FleetNode&) = delete;
+
+  // Serves until SIGTERM or SIGINT has been handled, then stops the loop.
+  void Start();
+
+ private:
+  FleetNode(EventLoop* loop, FleetPorts ports, FleetNodeSettings settings);
+
+  Result<void> Listen();
+  Result<void> WatchSignals(std::function<void()> on_reload);
+  void ServeInternal();
+  void BeginStop();
+  void FinishStop();
+  bool Ready() const;
+  void Probe(const std::string& address,
+             std::function<void(std::optional<std::string>)> done);
+  void AskOwner(const std::string& address,
+                const JobId& job,
+                const std::string& queue,
+                std::function<void(OwnerReply)> done);
+
+  EventLoop* loop;
+  FleetPorts ports;
+  FleetNodeSettings settings;
+  Metrics metrics;
+  HttpClient peers;
+  OperatorView view;
+  OwnerTask owner;
+  EntryTask entry;
+  std::unique_ptr<HttpServer> callers;
+  std::unique_ptr<HttpServer> readiness;
+  std::unique_ptr<HttpServer> internal;
+  bool stopping = false;
+};
+
+}  // namespace peridot
+
+#endif  // SRC_DAEMON_FLEET_NODE_H_
--- /dev/null
+++ b/src/daemon/job_store.cc
@@ -0,0 +1,260 @@
+#include "src/daemon/job_store.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "src/protocol/job_json.h"
+#include "src/transport/log.h"
+
+namespace peridot {
+
+namespace {
+
+// Enough that writes of many daemons do not queue behind each other.
+constexpr int kJobParts = 4;
+
+// A condition that fails without naming a row would be repeated for ever.
+constexpr int kMaxConflicts = 4;
+
+}  // namespace
+
+std::vector<std::string> JobParts() {
+  std::vector<std::string> parts;
+  for (int i = 0; i < kJobParts; ++i) {
+    parts.push_back(std::to_string(i));
+  }
+  return parts;
+}
+
+std::string PartOf(const JobId& id) {
+  const unsigned last =
+      id.value.empty() ? 0U : static_cast<unsigned char>(id.value.back());
+  return std::to_string(last % kJobParts);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] JobWriter
+//-----------------------------------------------------------------------------
+
+JobWriter::JobWriter(EventLoop* loop,
+                     const FleetPorts* ports,
+                     JobWriterConfig config)
+    : loop(loop),
+      ports(ports),
+      config(config),
+      alive(std::make_shared<bool>(true)) {}
+
+JobWriter::~JobWriter() {
+  *this->alive = false;
+}
+
+void JobWriter::Accept(const AcceptedJob& job, Callback done) {
+  const std::string part = PartOf(job.id);
+  Lane& lane = this->lanes[part];
+  const auto same = [&](const Entry& entry) { return entry.id == job.id; };
+  const auto waiting =
+      std::find_if(lane.waiting.begin(), lane.waiting.end(), same);
+  if (waiting != lane.waiting.end()) {
+    waiting->callbacks.push_back(std::move(done));
+    return;
+  }
+  const auto writing =
+      std::find_if(lane.writing.begin(), lane.writing.end(), same);
+  if (writing != lane.writing.end()) {
+    writing->callbacks.push_back(std::move(done));
+    return;
+  }
+  Entry entry;
+  entry.id = job.id;
+  entry.row = EncodeJob(job);
+  entry.arrived = this->loop->Now();
+  entry.callbacks.push_back(std::move(done));
+  lane.waiting.push_back(std::move(entry));
+  this->Flush(part);
+}
+
+void JobWriter::Flush(const std::string& part) {
+  Lane& lane = this->lanes[part];
+  if (lane.open || lane.waiting.empty()) {
+    return;
+  }
+  StoreTransaction transaction;
+  while (!lane.waiting.empty() &&
+         lane.writing.size() < this->config.max_batch) {
+    Entry& entry = lane.waiting.front();
+    const StoreKey key{kJobTable, part, entry.id.value};
+    transaction.conditions.emplace_back(key, RowVersion{});
+    transaction.puts.emplace_back(key, entry.row);
+    lane.writing.push_back(std::move(entry));
+    lane.waiting.pop_front();
+  }
+  lane.open = true;
+  this->ports->transact(
+      std::move(transaction),
+      [this, part, alive = this->alive](const StoreReply& reply) {
+        if (*alive) {
+          this->OnReply(part, reply);
+        }
+      });
+}
+
+void JobWriter::Answer(Entry* entry, AcceptResult result) {
+  for (Callback& callback : entry->callbacks) {
+    callback(result);
+  }
+}
+
+void JobWriter::OnReply(const std::string& part, const StoreReply& reply) {
+  Lane& lane = this->lanes[part];
+  lane.open = false;
+  std::vector<Entry> written = std::exchange(lane.writing, {});
+  std::set<std::string> existing;
+  if (reply.outcome == StoreOutcome::kConflict) {
+    for (const StoreRow& row : reply.rows) {
+      if (row.version != RowVersion{} && !row.removed) {
+        existing.insert(row.key.key);
+      }
+    }
+  }
+  const Instant now = this->loop->Now();
+  bool pause = false;
+  for (Entry& entry : written) {
+    const auto waited = now - entry.arrived;
+    bool again = false;
+    AcceptResult result = AcceptResult::kUnknown;
+    switch (reply.outcome) {
+      case StoreOutcome::kOk:
+        result = AcceptResult::kAccepted;
+        break;
+      case StoreOutcome::kConflict:
+        result = AcceptResult::kAccepted;
+        if (!existing.contains(entry.id.value)) {
+          again = ++entry.conflicts < kMaxConflicts;
+          result = AcceptResult::kUnknown;
+        }
+        break;
+      case StoreOutcome::kNotDone:
+        again = waited < this->config.patience;
+        pause = true;
+        result = entry.uncertain ? AcceptResult::kUnknown
+                                 : AcceptResult::kNotRun;
+        break;
+      case StoreOutcome::kRejected:
+      case StoreOutcome::kHistoryLost:
+        result = entry.uncertain ? AcceptResult::kUnknown
+                                 : AcceptResult::kNotRun;
+        break;
+      case StoreOutcome::kUnknown:
+        entry.uncertain = true;
+        again = waited < this->config.repeat_within;
+        break;
+    }
+    if (again) {
+      lane.waiting.push_back(std::move(entry));
+    } else {
+      this->Answer(&entry, result);
+    }
+  }
+  if (!pause) {
+    this->Flush(part);
+    return;
+  }
+  this->loop->After(this->config.retry, [this, part, alive = this->alive] {
+    if (*alive) {
+      this->Flush(part);
+    }
+  });
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Reads
+//-----------------------------------------------------------------------------
+
+namespace {
+
+// Returns the row with this key, or null.
+const StoreRow* FindRow(const StoreReply& reply, const std::string& key) {
+  for (const StoreRow& row : reply.rows) {
+    if (row.key.key == key && !row.removed) {
+      return &row;
+    }
+  }
+  return nullptr;
+}
+
+void LookUpProgress(const FleetPorts& ports,
+                    const JobId& id,
+                    std::function<void(LookUpResult, JobState)> done) {
+  ports.read_one(
+      StoreKey{kProgressTable, kOwnerPart, id.value},
+      [id, done = std::move(done)](const StoreReply& reply) {
+        if (reply.outcome != StoreOutcome::kOk) {
+          done(LookUpResult::kUnavailable, JobState::kPending);
+          return;
+        }
+        const StoreRow* row = FindRow(reply, id.value);
+        if (row == nullptr) {
+          done(LookUpResult::kFound, JobState::kPending);
+          return;
+        }
+        const Result<JobProgress> progress = DecodeProgress(row->value);
+        if (!progress) {
+          LogError(LogLevel::kError, "progress_row", progress.error());
+          done(LookUpResult::kUnavailable, JobState::kPending);
+          return;
+        }
+        done(LookUpResult::kFound, progress.value().state);
+      });
+}
+
+}  // namespace
+
+void LookUpState(const FleetPorts& ports,
+                 const JobId& id,
+                 std::function<void(LookUpResult, JobState)> done) {
+  ports.read_one(
+      StoreKey{kJobTable, PartOf(id), id.value},
+      [&ports, id, done = std::move(done)](const StoreReply& reply) {
+        if (reply.outcome != StoreOutcome::kOk) {
+          done(LookUpResult::kUnavailable, JobState::kPending);
+        } else if (FindRow(reply, id.value) == nullptr) {
+          done(LookUpResult::kUnknownJob, JobState::kPending);
+        } else {
+          LookUpProgress(ports, id, done);
+        }
+      });
+}
+
+void StoreCancel(const FleetPorts& ports,
+                 const JobId& id,
+                 std::function<void(LookUpResult)> done) {
+  const StoreKey job{kJobTable, PartOf(id), id.value};
+  ports.read_one(job, [&ports, id, job,
+                       done = std::move(done)](const StoreReply& reply) {
+    if (reply.outcome != StoreOutcome::kOk) {
+      done(LookUpResult::kUnavailable);
+      return;
+    }
+    const StoreRow* row = FindRow(reply, id.value);
+    if (row == nullptr) {
+      done(LookUpResult::kUnknownJob);
+      return;
+    }
+    StoreTransaction transaction;
+    transaction.conditions.emplace_back(job, row->version);
+    transaction.puts.emplace_back(
+        StoreKey{kCancelTable, PartOf(id), id.value}, "{}");
+    ports.transact(std::move(transaction), [done](const StoreReply& written) {
+      if (written.outcome == StoreOutcome::kOk) {
+        done(LookUpResult::kFound);
+      } else if (written.outcome == StoreOutcome::kConflict) {
+        done(LookUpResult::kUnknownJob);
+      } else {
+        done(LookUpResult::kUnavailable);
+      }
+    });
+  });
+}
+
+}  // namespace peridot
--- /dev/null
+++ b/src/daemon/owner_task.h
@@ -0,0 +1,151 @@
+// The daemon as owner of the fleet, or as a candidate for it.
+//
+// Index:
+//   [SECTION] Tunables
+//   [SECTION] OwnerTask
+//
+// Every daemon runs one. The holder of the lease in the store loads all jobs
+// and follows them, and carries out what the scheduler and the host planner
+// decide. The others watch the lease. Not thread-safe: lives on the loop's
+// thread.
+
+#ifndef SRC_DAEMON_OWNER_TASK_H_
+#define SRC_DAEMON_OWNER_TASK_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+
+#include "src/daemon/fleet_ports.h"
+#include "src/daemon/operator_view.h"
+#include "src/daemon/table_follower.h"
+#include "src/transport/event_loop.h"
+#include "src/transport/metrics.h"
+
+namespace peridot {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Tunables
+//-----------------------------------------------------------------------------
+
+struct OwnerTaskConfig {
+  // Time between two reads of the lease by a candidate.
+  Milliseconds watch{500};  // default: 500 ms
+  // Spread of that time, so that candidates do not claim at the same moment.
+  Milliseconds watch_spread{150};  // default: 150 ms
+  // Inputs that come within this time share one round of decisions.
+  Milliseconds gather{2};  // default: 2 ms
+  // Least time between two writes of progress; ends in between share a write.
+  Milliseconds write_spacing{20};  // default: 20 ms
+  Milliseconds write_retry{60};    // default: 60 ms, after a refusal
+  std::size_t max_batch = 80;      // default: 80 jobs; a call takes 100 rows
+  // Time a final job stays readable: the longest promise to callers.
+  Milliseconds keep_final{150000};  // default: 150 s
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] OwnerTask
+//-----------------------------------------------------------------------------
+
+class OwnerTask {
+ public:
+  // Asks the daemon at an address which process it is; empty: it refused the
+  // connection; none: no answer.
+  using ProbePeer = std::function<void(
+      const std::string& address,
+      std::function<void(std::optional<std::string>)>)>;
+
+  // The loop, the ports, the view and the metrics must outlive the task.
+  OwnerTask(EventLoop* loop,
+            const FleetPorts* ports,
+            const OperatorView* view,
+            Metrics* metrics,
+            const FleetNodeSettings& settings,
+            OwnerTaskConfig config,
+            ProbePeer probe);
+  ~OwnerTask();
+  OwnerTask(const OwnerTask&) = delete;
+  OwnerTask& operator=(const OwnerTask&) = delete;
+
+  // Begins to watch the lease.
+  void Start();
+  // The operator's view has changed.
+  void OnViewChanged();
+  // Gives the lease back and takes it no more; then calls done.
+  void Release(std::function<void()> done);
+
+  // True if this daemon owns the fleet and has loaded all jobs.
+  bool Owns() const;
+  // Address of the owner as last read; empty if there is none.
+  const std::string& OwnerAddress() const;
+  std::optional<JobState> StateOf(const JobId& id) const;
+  int WaitingIn(const std::string& queue) const;
+  bool StoreReachable(Instant now) const;
+
+ private:
+  struct Ownership;  // owner_task.cc
+
+  void Watch();
+  void OnLeaseRow(const StoreReply& reply);
+  void ProbeHolder();
+  void Claim();
+  void OnClaimed(const StoreReply& reply, const OwnerRow& row, Instant sent);
+  void BeginOwnership(Milliseconds earlier_lease_left);
+  void EndOwnership(const char* reason);
+
+  void LoadProgress(std::string from);
+  void LoadWaves();
+  void FollowTables();
+  void OnJobRow(const StoreRow& row);
+  void OnEndpointRow(const StoreRow& row);
+  void ApplyView();
+
+  void Wake();
+  void Round();
+  void SetTimer();
+  void Carry(SchedulerActions actions);
+  void PlanHosts();
+  void Write();
+  void OnWritten(const StoreReply& reply,
+                 const OwnerRow& row,
+                 Instant sent,
+                 std::uint64_t batch);
+  void ResolveWrite(std::uint64_t batch);
+  void ReportWave(const WaveProgress& progress);
+  void RemoveOldJobs();
+  void LogDecisions();
+
+  // Wraps an action so that it runs only while this ownership lasts.
+  template <typename Action>
+  auto IfOwner(Action action);
+
+  StoreKey LeaseKey() const;
+  std::int64_t StoreMs() const;
+  void NoteStore(const StoreReply& reply);
+
+  EventLoop* loop;
+  const FleetPorts* ports;
+  const OperatorView* view;
+  Metrics* metrics;
+  FleetNodeSettings settings;
+  OwnerTaskConfig config;
+  ProbePeer probe;
+  OwnerLease lease;
+  std::shared_ptr<bool> alive;
+  std::shared_ptr<Ownership> owned;  // null while another daemon owns
+  std::mt19937 random;
+  bool releasing = false;
+  bool claiming = false;
+  std::function<void()> on_released;
+  std::int64_t store_ms = 0;  // store's clock at store_read
+  Instant store_read{};
+  Instant store_answered{};
+  std::string refused_by;  // instance that refused the last probe
+};
+
+}  // namespace peridot
+
+#endif  // SRC_DAEMON_OWNER_TASK_H_
--- /dev/null
+++ b/src/daemon/table_follower.h
@@ -0,0 +1,93 @@
+// Follows one table of the store: a whole read, then the feed of changes.
+//
+// Index:
+//   [SECTION] TableFollower
+//
+// Starts over with a whole read when the store has dropped its history. Not
+// thread-safe: lives on the loop's thread.
+
+#ifndef SRC_DAEMON_TABLE_FOLLOWER_H_
+#define SRC_DAEMON_TABLE_FOLLOWER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "src/daemon/fleet_ports.h"
+#include "src/transport/event_loop.h"
+
+namespace peridot {
+
+//-----------------------------------------------------------------------------
+// [SECTION] TableFollower
+//-----------------------------------------------------------------------------
+
+struct TableFollowerConfig {
+  std::string table;                // default: empty
+  std::vector<std::string> parts;   // default: none; parts to read
+  // Pause after a call that failed, so that an outage costs few calls.
+  Milliseconds retry{150};  // default: 150 ms
+  // Least time between two calls of the feed: changes that come in quick
+  // succession share one answer.
+  Milliseconds spacing{0};  // default: 0, none
+  // Keep the keys, so that a whole read tells which rows are gone. Not needed
+  // for rows that are never removed while they matter.
+  bool report_removed = true;  // default: true
+};
+
+class TableFollower {
+ public:
+  struct Handlers {
+    std::function<void(const StoreRow&)> on_row;  // also removed ones
+    std::function<void()> on_batch;   // after the rows of one answer
+    std::function<void()> on_synced;  // after each whole read
+  };
+
+  // The loop and the ports must outlive the follower.
+  TableFollower(EventLoop* loop,
+                const FleetPorts* ports,
+                TableFollowerConfig config,
+                Handlers handlers);
+  ~TableFollower();
+  TableFollower(const TableFollower&) = delete;
+  TableFollower& operator=(const TableFollower&) = delete;
+
+  // Begins with the whole read.
+  void Start();
+
+  bool Synced() const { return this->synced; }
+  // Last answer of the store, good or bad.
+  Instant LastAnswer() const { return this->last_answer; }
+  RowVersion Version() const { return this->version; }
+
+ private:
+  void ReadNext();
+  void OnRead(StoreReply reply);
+  void FinishRead();
+  void Follow();
+  void OnFeed(StoreReply reply);
+  void Later(Milliseconds delay, void (TableFollower::*action)());
+  void Deliver(const StoreRow& row);
+  // Wraps a member so that it is not called after destruction.
+  StoreCallback Guard(void (TableFollower::*member)(StoreReply));
+
+  EventLoop* loop;
+  const FleetPorts* ports;
+  TableFollowerConfig config;
+  Handlers handlers;
+  std::shared_ptr<bool> alive;
+  bool synced = false;
+  std::size_t part = 0;       // of the whole read
+  std::string from;           // next key of the whole read
+  RowVersion read_version;    // of the first answer of the whole read
+  RowVersion version;         // the feed goes on from here
+  Instant last_answer{};
+  std::map<std::string, RowVersion> known;     // by part and key
+  std::map<std::string, RowVersion> read_now;  // of the whole read under way
+};
+
+}  // namespace peridot
+
+#endif  // SRC_DAEMON_TABLE_FOLLOWER_H_
--- /dev/null
+++ b/src/protocol/job_json.cc
@@ -0,0 +1,269 @@
+#include "src/protocol/job_json.h"
+
+#include <array>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace peridot {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::array<const char*, 5> kStateNames = {
+    "pending", "running", "completed", "failed", "cancelled"};
+
+Error Malformed(const char* what, const std::string& why) {
+  return MakeError(ErrorCode::kMalformed, "decode", what, why);
+}
+
+// Leaves out a field that has its default, which keeps rows small.
+template <typename T>
+void PutIf(Json* object, const char* name, const T& value, const T& ordinary) {
+  if (value != ordinary) {
+    (*object)[name] = value;
+  }
+}
+
+Json EncodeStep(const StepSpec& step) {
+  const StepSpec ordinary;
+  Json out = Json::object();
+  PutIf(&out, "tasks", step.task_count, ordinary.task_count);
+  PutIf(&out, "cpu", step.per_task.milli_cores, std::int64_t{0});
+  PutIf(&out, "memory", step.per_task.memory_mb, std::int64_t{0});
+  PutIf(&out, "accelerators", step.per_task.accelerators, std::int64_t{0});
+  PutIf(&out, "estimate_ms", step.estimate.count(), ordinary.estimate.count());
+  PutIf(&out, "after", step.after, ordinary.after);
+  PutIf(&out, "checkpointing", step.checkpointing, false);
+  PutIf(&out, "gang", step.gang, false);
+  PutIf(&out, "same_rack", step.same_rack, false);
+  PutIf(&out, "speculative", step.speculative, false);
+  PutIf(&out, "long_running", step.long_running, false);
+  PutIf(&out, "fills", step.fills, false);
+  PutIf(&out, "label", step.required_label, std::string());
+  PutIf(&out, "data_rack", step.data_rack, std::string());
+  PutIf(&out, "per_endpoint", step.max_per_endpoint, 0);
+  PutIf(&out, "image", step.image, std::string());
+  PutIf(&out, "target_tail_ms", step.target_tail.count(),
+        ordinary.target_tail.count());
+  PutIf(&out, "unavailable", step.max_unavailable, ordinary.max_unavailable);
+  return out;
+}
+
+StepSpec DecodeStep(const Json& in) {
+  StepSpec step;
+  step.task_count = in.value("tasks", step.task_count);
+  step.per_task.milli_cores = in.value("cpu", std::int64_t{0});
+  step.per_task.memory_mb = in.value("memory", std::int64_t{0});
+  step.per_task.accelerators = in.value("accelerators", std::int64_t{0});
+  step.estimate = Milliseconds(in.value("estimate_ms", std::int64_t{0}));
+  step.after = in.value("after", step.after);
+  step.checkpointing = in.value("checkpointing", false);
+  step.gang = in.value("gang", false);
+  step.same_rack = in.value("same_rack", false);
+  step.speculative = in.value("speculative", false);
+  step.long_running = in.value("long_running", false);
+  step.fills = in.value("fills", false);
+  step.required_label = in.value("label", std::string());
+  step.data_rack = in.value("data_rack", std::string());
+  step.max_per_endpoint = in.value("per_endpoint", 0);
+  step.image = in.value("image", std::string());
+  step.target_tail = Milliseconds(in.value("target_tail_ms", std::int64_t{0}));
+  step.max_unavailable = in.value("unavailable", step.max_unavailable);
+  return step;
+}
+
+Json EncodeName(const TaskName& name) {
+  return Json::array({name.occurrence, name.step, name.index});
+}
+
+TaskName DecodeName(const JobId& job, const Json& in) {
+  return TaskName{job, in.at(0).get<int>(), in.at(1).get<int>(),
+                  in.at(2).get<int>()};
+}
+
+JobState StateByName(const std::string& name) {
+  for (std::size_t i = 0; i < kStateNames.size(); ++i) {
+    if (name == kStateNames[i]) {
+      return static_cast<JobState>(i);
+    }
+  }
+  throw std::runtime_error("unknown state " + name);
+}
+
+// The JSON library reports by exceptions; they end here.
+template <typename T, typename F>
+Result<T> Decode(const char* what, std::string_view text, F decode) {
+  try {
+    return decode(Json::parse(text));
+  } catch (const std::exception& error) {
+    return Malformed(what, error.what());
+  }
+}
+
+}  // namespace
+
+const char* JobStateName(JobState state) {
+  return kStateNames[static_cast<std::size_t>(state)];
+}
+
+std::string CheckJobSpec(const JobSpec& spec) {
+  if (spec.payload.size() > kMaxPayloadBytes) {
+    return "the payload exceeds 4000 bytes";
+  }
+  if (spec.steps.empty() || spec.steps.size() > kMaxStepsPerJob) {
+    return "a job has 1 to 64 steps";
+  }
+  if (spec.occurrences < 0 || (spec.occurrences > 1 && spec.interval_ms < 0)) {
+    return "occurrences and their interval are not negative";
+  }
+  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+    const StepSpec& step = spec.steps[i];
+    if (step.task_count < 1 || step.task_count > kMaxTasksPerStep) {
+      return "a step has 1 to 10000 tasks";
+    }
+    if (step.per_task.milli_cores < 0 || step.per_task.memory_mb < 0 ||
+        step.per_task.accelerators < 0 || step.estimate.count() < 0 ||
+        step.max_per_endpoint < 0) {
+      return "amounts of a step are not negative";
+    }
+    for (const int earlier : step.after) {
+      if (earlier < 0 || earlier >= static_cast<int>(i)) {
+        return "a step comes after earlier steps only";
+      }
+    }
+  }
+  return {};
+}
+
+std::string EncodeJob(const AcceptedJob& job) {
+  Json out = Json::object();
+  out["id"] = job.id.value;
+  out["queue"] = job.queue;
+  out["service"] = job.service.value;
+  out["team"] = job.team.value;
+  out["accepted_ms"] = job.accepted_ms;
+  out["payload"] = job.spec.payload;
+  PutIf(&out, "occurrences", job.spec.occurrences, 0);
+  PutIf(&out, "first_due_ms", job.spec.first_due_ms, std::int64_t{0});
+  PutIf(&out, "interval_ms", job.spec.interval_ms, std::int64_t{0});
+  Json& steps = out["steps"] = Json::array();
+  for (const StepSpec& step : job.spec.steps) {
+    steps.push_back(EncodeStep(step));
+  }
+  // A payload that is not UTF-8 is kept readable rather than lost.
+  return out.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+Result<AcceptedJob> DecodeJob(std::string_view text) {
+  return Decode<AcceptedJob>("job", text, [](const Json& in) {
+    AcceptedJob job;
+    job.id = JobId(in.at("id").get<std::string>());
+    job.queue = in.at("queue").get<std::string>();
+    job.service = ServiceId(in.at("service").get<std::string>());
+    job.team = TeamId(in.at("team").get<std::string>());
+    job.accepted_ms = in.at("accepted_ms").get<std::int64_t>();
+    job.spec.payload = in.at("payload").get<std::string>();
+    job.spec.occurrences = in.value("occurrences", 0);
+    job.spec.first_due_ms = in.value("first_due_ms", std::int64_t{0});
+    job.spec.interval_ms = in.value("interval_ms", std::int64_t{0});
+    for (const Json& step : in.at("steps")) {
+      job.spec.steps.push_back(DecodeStep(step));
+    }
+    const std::string fault = CheckJobSpec(job.spec);
+    if (!fault.empty()) {
+      throw std::runtime_error(fault);
+    }
+    return job;
+  });
+}
+
+std::string EncodeProgress(const JobProgress& progress) {
+  Json out = Json::object();
+  out["id"] = progress.id.value;
+  out["state"] = JobStateName(progress.state);
+  if (!progress.done.empty()) {
+    Json& done = out["done"] = Json::array();
+    for (const TaskName& name : progress.done) {
+      done.push_back(EncodeName(name));
+    }
+  }
+  if (!progress.failures.empty()) {
+    Json& failures = out["failures"] = Json::array();
+    for (const auto& [name, count] : progress.failures) {
+      failures.push_back(Json::array({EncodeName(name), count}));
+    }
+  }
+  if (!progress.checkpoints.empty()) {
+    Json& checkpoints = out["checkpoints"] = Json::array();
+    for (const auto& [name, value] : progress.checkpoints) {
+      checkpoints.push_back(Json::array({EncodeName(name), value}));
+    }
+  }
+  return out.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+Result<JobProgress> DecodeProgress(std::string_view text) {
+  return Decode<JobProgress>("progress", text, [](const Json& in) {
+    JobProgress progress;
+    progress.id = JobId(in.at("id").get<std::string>());
+    progress.state = StateByName(in.at("state").get<std::string>());
+    for (const Json& name : in.value("done", Json::array())) {
+      progress.done.insert(DecodeName(progress.id, name));
+    }
+    for (const Json& entry : in.value("failures", Json::array())) {
+      progress.failures[DecodeName(progress.id, entry.at(0))] =
+          entry.at(1).get<int>();
+    }
+    for (const Json& entry : in.value("checkpoints", Json::array())) {
+      progress.checkpoints[DecodeName(progress.id, entry.at(0))] =
+          entry.at(1).get<std::string>();
+    }
+    return progress;
+  });
+}
+
+std::string EncodeOwner(const OwnerRow& row) {
+  return Json{{"holder", row.holder.value},  {"instance", row.instance},
+              {"address", row.address},      {"epoch", row.epoch.value},
+              {"expires_ms", row.expires_ms}, {"sequence", row.sequence}}
+      .dump();
+}
+
+Result<OwnerRow> DecodeOwner(std::string_view text) {
+  return Decode<OwnerRow>("owner", text, [](const Json& in) {
+    OwnerRow row;
+    row.holder = DaemonId(in.at("holder").get<std::string>());
+    row.instance = in.at("instance").get<std::string>();
+    row.address = in.at("address").get<std::string>();
+    row.epoch = OwnerEpoch(in.at("epoch").get<std::uint64_t>());
+    row.expires_ms = in.at("expires_ms").get<std::int64_t>();
+    row.sequence = in.at("sequence").get<std::uint64_t>();
+    return row;
+  });
+}
+
+std::string EncodeWaveProgress(const WaveProgress& progress) {
+  Json hosts = Json::array();
+  for (const HostId& host : progress.begun) {
+    hosts.push_back(host.value);
+  }
+  return Json{{"name", progress.name},
+              {"begun", std::move(hosts)},
+              {"completed", progress.completed}}
+      .dump();
+}
+
+Result<WaveProgress> DecodeWaveProgress(std::string_view text) {
+  return Decode<WaveProgress>("wave", text, [](const Json& in) {
+    WaveProgress progress;
+    progress.name = in.at("name").get<std::string>();
+    progress.completed = in.at("completed").get<bool>();
+    for (const Json& host : in.at("begun")) {
+      progress.begun.insert(HostId(host.get<std::string>()));
+    }
+    return progress;
+  });
+}
+
+}  // namespace peridot
--- /dev/null
+++ b/src/protocol/job_json.h
@@ -0,0 +1,62 @@
+// The product's own rows in the store: jobs, their progress, the owner's lease
+// and the progress of upkeep, as JSON.
+//
+// Index:
+//   [SECTION] Jobs
+//   [SECTION] Owner
+//   [SECTION] Upkeep
+//
+// Decoders reject a row that breaks a rule of its type; nothing is guessed.
+// All functions are thread-safe.
+
+#ifndef SRC_PROTOCOL_JOB_JSON_H_
+#define SRC_PROTOCOL_JOB_JSON_H_
+
+#include <string>
+#include <string_view>
+
+#include "src/coordination/host_planner.h"
+#include "src/coordination/job.h"
+#include "src/coordination/owner_lease.h"
+#include "src/state/error.h"
+
+namespace peridot {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Jobs
+//-----------------------------------------------------------------------------
+
+// Limits of a job; larger ones are rejected at the edge.
+inline constexpr int kMaxStepsPerJob = 64;
+inline constexpr int kMaxTasksPerStep = 10000;
+inline constexpr std::size_t kMaxPayloadBytes = 4000;
+
+// Returns the first rule that the job breaks; empty if none.
+std::string CheckJobSpec(const JobSpec& spec);
+
+std::string EncodeJob(const AcceptedJob& job);
+Result<AcceptedJob> DecodeJob(std::string_view text);
+
+std::string EncodeProgress(const JobProgress& progress);
+Result<JobProgress> DecodeProgress(std::string_view text);
+
+// Returns a stable lower-case name, as in "completed".
+const char* JobStateName(JobState state);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Owner
+//-----------------------------------------------------------------------------
+
+std::string EncodeOwner(const OwnerRow& row);
+Result<OwnerRow> DecodeOwner(std::string_view text);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Upkeep
+//-----------------------------------------------------------------------------
+
+std::string EncodeWaveProgress(const WaveProgress& progress);
+Result<WaveProgress> DecodeWaveProgress(std::string_view text);
+
+}  // namespace peridot
+
+#endif  // SRC_PROTOCOL_JOB_JSON_H_
--- a/src/transport/log.cc
+++ b/src/transport/log.cc
@@ -84,10 +84,10 @@
 
 }  // namespace
 
-void StartLog(LogLevel lowest) {
+void StartLog(LogLevel lowest, LogTarget target) {
   static const log4cplus::Initializer initializer;
   log4cplus::SharedAppenderPtr appender(
-      new log4cplus::ConsoleAppender(/*logToStdErr=*/true,
+      new log4cplus::ConsoleAppender(target == LogTarget::kStandardError,
                                      /*immediateFlush=*/true));
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
       "time=%d{%Y-%m-%dT%H:%M:%S.%qZ} level=%p %m%n"));
@@ -108,6 +108,17 @@
   EventLogger().log(ToLibrary(level), FormatEvent(event, fields));
 }
 
+void LogLine(LogLevel level, std::string_view event, std::string_view fields) {
+  if (!log_started || !EventLogger().isEnabledFor(ToLibrary(level))) {
+    return;
+  }
+  std::string line = "event=";
+  line += event;
+  line += ' ';
+  line += fields;
+  EventLogger().log(ToLibrary(level), line);
+}
+
 void LogError(LogLevel level, std::string_view event, const Error& error) {
   LogEvent(level, event,
            {{"step", error.step},
--- a/src/transport/log.h
+++ b/src/transport/log.h
@@ -34,9 +34,11 @@
 // [SECTION] Output
 //-----------------------------------------------------------------------------
 
-// Sends the lines of this level and above to standard error. Call it once,
-// before the first event and before other threads start.
-void StartLog(LogLevel lowest);
+enum class LogTarget { kStandardError, kStandardOutput };
+
+// Sends the lines of this level and above to the target. Call it once, before
+// the first event and before other threads start.
+void StartLog(LogLevel lowest, LogTarget target = LogTarget::kStandardError);
 
 //-----------------------------------------------------------------------------
 // [SECTION] Events
@@ -47,6 +49,10 @@
               std::string_view event,
               std::initializer_list<LogField> fields);
 
+// Writes one event whose fields are already in the form of FormatEvent().
+// Thread-safe.
+void LogLine(LogLevel level, std::string_view event, std::string_view fields);
+
 // Writes one event with the error's step, peer, code and message.
 void LogError(LogLevel level, std::string_view event, const Error& error);
 
