Keep unlisted endpoints until their work has lapsed; drop bytes of abandoned calls

Ruled out: run numbers, fencing. Change: such endpoints stay until the lease has lapsed; the owner records the endpoints it uses; connections of abandoned calls are reset.

--- a/src/coordination/job_scheduler.cc
+++ b/src/coordination/job_scheduler.cc
@@ -370,7 +370,9 @@
         endpoint->lapse_at <= now) {
       state.ReleaseLapsed(endpoint.get(), "lapsed", now);
     }
-    if (!endpoint->listed && endpoint->tasks.empty() && !endpoint->look_open) {
+    // One that never answered may still run work of an earlier owner.
+    if (!endpoint->listed && endpoint->tasks.empty() && !endpoint->look_open &&
+        (endpoint->fenced || endpoint->lapse_at <= now)) {
       gone.push_back(id);
     }
     for (ScheduledTask* task : endpoint->tasks) {
--- a/src/coordination/job_scheduler.h
+++ b/src/coordination/job_scheduler.h
@@ -199,6 +199,14 @@
   Resources capacity;
 };
 
+// An endpoint that may hold work, for the next owner.
+struct UsedEndpoint {
+  EndpointId id;      // default: empty
+  ServiceId service;  // default: empty
+
+  friend bool operator==(const UsedEndpoint&, const UsedEndpoint&) = default;
+};
+
 // Work of one service, for the planner of hosts.
 struct ServiceDemand {
   double waiting_core_seconds = 0;  // default: 0; ready or not, not started
@@ -239,6 +247,10 @@
   // work may go on until its lease has lapsed.
   void OnEndpoints(const std::vector<EndpointRow>& rows, Instant now);
 
+  // Endpoints that an earlier owner used. One that is not listed any more
+  // counts as running until its lease has lapsed.
+  void OnEarlierEndpoints(const std::vector<UsedEndpoint>& endpoints);
+
   // No task starts in these zones.
   void OnZonesOut(std::set<ZoneId> zones);
 
@@ -280,6 +292,12 @@
 
   // The state to show; none if the job is unknown.
   std::optional<JobState> StateOf(const JobId& id) const;
+  // Why a job waits: the constraint that binds its first task that could
+  // start, with the figures that decide, as key=value text. Empty if no task
+  // of it waits for a place.
+  std::string WhyWaiting(const JobId& id, Instant now) const;
+  // Jobs with a task that has been ready for longer than this.
+  std::vector<JobId> WaitingSince(Instant instant) const;
   // Accepted jobs of a queue of which no task has started.
   int WaitingIn(const std::string& queue) const;
   // True once an endpoint has reported a higher epoch than this owner's.
@@ -287,6 +305,8 @@
   // Instant by which a decision is due again without any input.
   Instant NextWake(Instant now) const;
   std::vector<EndpointSummary> Endpoints(Instant now) const;
+  // All endpoints that may hold work, by id.
+  std::vector<UsedEndpoint> UsedEndpoints() const;
   std::map<ServiceId, ServiceDemand> Demand() const;
   // Final jobs that were recorded before the instant, to be forgotten.
   std::vector<JobId> FinalBefore(Instant instant) const;
--- a/src/coordination/job_scheduler_place.cc
+++ b/src/coordination/job_scheduler_place.cc
@@ -422,6 +422,99 @@
   this->actions.starts.push_back(std::move(order));
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] Why a job waits
+//-----------------------------------------------------------------------------
+
+namespace {
+
+const ScheduledTask* FirstReadyTask(const ScheduledJob& job) {
+  for (const ScheduledOccurrence& occurrence : job.occurrences) {
+    for (const ScheduledStep& step : occurrence.steps) {
+      if (step.ready_since == kNever) {
+        continue;
+      }
+      for (const ScheduledTask& task : step.tasks) {
+        if (task.phase == TaskPhase::kWaiting) {
+          return &task;
+        }
+      }
+    }
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+std::string JobScheduler::WhyWaiting(const JobId& id, Instant now) const {
+  const State& state = *this->state;
+  const ScheduledJob* job = this->state->FindJob(id);
+  const ScheduledTask* task = job == nullptr ? nullptr : FirstReadyTask(*job);
+  if (task == nullptr || IsFinal(job->decided)) {
+    return {};
+  }
+  const ScheduledStep& step = *task->step;
+  const QueueConfig* queue = state.QueueOf(*job);
+  const ServiceId service = state.ServiceOf(*job);
+  int listed = 0;
+  int usable = 0;
+  int with_room = 0;
+  int accepting = 0;
+  for (const auto& [name, endpoint] : state.endpoints) {
+    if (endpoint->row.service != service) {
+      continue;
+    }
+    ++listed;
+    if (!state.Usable(*endpoint, now)) {
+      continue;
+    }
+    ++usable;
+    with_room += Reserved(*step.spec).FitsIn(Room(*endpoint)) ? 1 : 0;
+    accepting += state.Accepts(*endpoint, step, queue, now) ? 1 : 0;
+  }
+  const bool within_limit =
+      state.WithinTeamLimit(job->accepted.team, step.spec->per_task);
+  const char* constraint = "order";
+  if (job->before_takeover && state.unrecovered.contains(service)) {
+    constraint = "takeover";
+  } else if (!within_limit) {
+    constraint = "team_limit";
+  } else if (usable == 0) {
+    constraint = "no_usable_endpoint";
+  } else if (with_room == 0) {
+    constraint = "room";
+  } else if (accepting == 0) {
+    constraint = "placement";
+  }
+  const auto used = state.team_use.find(job->accepted.team);
+  return "job=" + id.value + " task=" + TaskText(NameOf(*task)) +
+         " constraint=" + constraint + " queue=" + job->accepted.queue +
+         " service=" + service.value + " endpoints=" + std::to_string(listed) +
+         " usable=" + std::to_string(usable) +
+         " with_room=" + std::to_string(with_room) +
+         " accepting=" + std::to_string(accepting) +
+         " team=" + job->accepted.team.value + " team_milli_cores=" +
+         std::to_string(used == state.team_use.end()
+                            ? 0
+                            : used->second.milli_cores) +
+         " failures=" + std::to_string(task->failures);
+}
+
+std::vector<JobId> JobScheduler::WaitingSince(Instant instant) const {
+  std::vector<JobId> waiting;
+  for (const auto& [id, job] : this->state->jobs) {
+    if (IsFinal(job->decided)) {
+      continue;
+    }
+    const ScheduledTask* task = FirstReadyTask(*job);
+    if (task != nullptr &&
+        std::max(task->step->ready_since, task->since) < instant) {
+      waiting.push_back(id);
+    }
+  }
+  return waiting;
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Advice
 //-----------------------------------------------------------------------------
--- a/src/coordination/job_scheduler_runs.cc
+++ b/src/coordination/job_scheduler_runs.cc
@@ -69,6 +69,28 @@
   }
 }
 
+void JobScheduler::OnEarlierEndpoints(
+    const std::vector<UsedEndpoint>& endpoints) {
+  for (const UsedEndpoint& used : endpoints) {
+    std::unique_ptr<EndpointState>& endpoint =
+        this->state->endpoints[used.id];
+    if (endpoint == nullptr) {
+      endpoint = std::make_unique<EndpointState>();
+      endpoint->row.id = used.id;
+      endpoint->row.service = used.service;
+      endpoint->lapse_at = this->state->recovery_ends;
+    }
+  }
+}
+
+std::vector<UsedEndpoint> JobScheduler::UsedEndpoints() const {
+  std::vector<UsedEndpoint> used;
+  for (const auto& [id, endpoint] : this->state->endpoints) {
+    used.push_back(UsedEndpoint{id, endpoint->row.service});
+  }
+  return used;
+}
+
 void JobScheduler::State::StartNewLife(EndpointState* endpoint, Instant now) {
   this->Decide("decision=endpoint_restarted endpoint=" +
                endpoint->row.id.value +
--- a/src/daemon/job_store.h
+++ b/src/daemon/job_store.h
@@ -35,6 +35,8 @@
 inline constexpr char kOwnerTable[] = "owner";
 inline constexpr char kOwnerPart[] = "owner";
 inline constexpr char kOwnerKey[] = "lease";
+inline constexpr char kUsedTable[] = "used_endpoints";
+inline constexpr char kUsedKey[] = "all";
 
 // Parts of the tables that all daemons write: the store handles the
 // transactions of one part one after another.
--- a/src/daemon/owner_task.cc
+++ b/src/daemon/owner_task.cc
@@ -21,6 +21,9 @@
 // Time between two sweeps of final jobs.
 constexpr Milliseconds kSweep{5000};
 
+// Time between two explanations of waiting jobs.
+constexpr Milliseconds kExplain{1000};
+
 // Jobs removed in one call: three rows each, of the 100 that a call takes.
 constexpr std::size_t kRemoveBatch = 30;
 
@@ -48,6 +51,9 @@
   bool writing = false;
   Instant next_write{};
   Instant next_sweep{};
+  Instant next_explanation{};
+  std::vector<UsedEndpoint> used_written;  // as the store holds them
+  std::vector<UsedEndpoint> used_writing;
   WatchId timer = kNoWatch;
   bool reading_hosts = false;
   std::map<std::string, WaveProgress> waves_to_write;
@@ -292,16 +298,21 @@
     this->loop->Post(std::move(done));
     return;
   }
-  this->EndOwnership("release");
+  this->on_released = std::move(done);
+  this->Wake();
+}
+
+void OwnerTask::WriteRelease() {
   StoreTransaction transaction;
   OwnerRow row = this->lease.Row();
   row.holder = DaemonId{};
   row.address.clear();
   transaction.conditions.emplace_back(this->LeaseKey(), this->lease.Version());
   transaction.puts.emplace_back(this->LeaseKey(), EncodeOwner(row));
+  this->EndOwnership("release");
   this->ports->transact(
       std::move(transaction),
-      [done = std::move(done)](const StoreReply& reply) {
+      [done = std::move(this->on_released)](const StoreReply& reply) {
         LogEvent(LogLevel::kInfo, "owner_released",
                  {{"outcome", StoreOutcomeName(reply.outcome)}});
         done();
@@ -359,6 +370,29 @@
           }
         }
         this->owned->planner.OnWaves(this->view->Waves());
+        this->LoadUsedEndpoints();
+      }));
+}
+
+void OwnerTask::LoadUsedEndpoints() {
+  this->ports->read(
+      StoreKey{kUsedTable, kOwnerPart, ""},
+      this->IfOwner([this](const StoreReply& reply) {
+        this->NoteStore(reply);
+        if (reply.outcome != StoreOutcome::kOk) {
+          this->loop->After(
+              this->config.write_retry,
+              this->IfOwner([this] { this->LoadUsedEndpoints(); }));
+          return;
+        }
+        for (const StoreRow& row : reply.rows) {
+          const auto used = DecodeUsedEndpoints(row.value);
+          if (used) {
+            this->owned->scheduler.OnEarlierEndpoints(used.value());
+          } else {
+            LogError(LogLevel::kError, "used_endpoints_row", used.error());
+          }
+        }
         this->FollowTables();
       }));
 }
@@ -489,6 +523,12 @@
 void OwnerTask::Round() {
   Ownership& owned = *this->owned;
   owned.round_due = false;
+  if (this->releasing) {
+    if (!owned.writing) {
+      this->WriteRelease();
+    }
+    return;
+  }
   const Instant now = this->loop->Now();
   owned.scheduler.OnWallClock(UnixMs(), now);
   if (owned.endpoints_changed) {
@@ -510,6 +550,7 @@
   }
   this->Write();
   this->RemoveOldJobs();
+  this->ExplainWaiting();
   this->LogDecisions();
   this->SetTimer();
 }
@@ -634,6 +675,7 @@
       !this->lease.RenewalDue(now)) {
     return;
   }
+  owned.used_writing = owned.scheduler.UsedEndpoints();
   // Each write renews the lease and fails once another daemon holds it.
   const OwnerRow row = this->lease.NextRow(this->StoreMs(), false);
   StoreTransaction transaction;
@@ -644,6 +686,10 @@
         StoreKey{kProgressTable, kOwnerPart, progress.id.value},
         EncodeProgress(progress));
   }
+  if (owned.loaded && owned.used_writing != owned.used_written) {
+    transaction.puts.emplace_back(StoreKey{kUsedTable, kOwnerPart, kUsedKey},
+                                  EncodeUsedEndpoints(owned.used_writing));
+  }
   for (const auto& [name, progress] : owned.waves_to_write) {
     transaction.puts.emplace_back(StoreKey{kWaveTable, kOwnerPart, name},
                                   EncodeWaveProgress(progress));
@@ -668,6 +714,9 @@
   if (reply.outcome == StoreOutcome::kOk) {
     owned.writing = false;
     this->lease.OnWritten(row, reply.version, sent);
+    if (owned.loaded) {
+      owned.used_written = owned.used_writing;
+    }
     owned.scheduler.OnRecorded(batch, true, now);
     for (const auto& [name, progress] : owned.waves_to_write) {
       this->ReportWave(progress);
@@ -776,6 +825,23 @@
   this->ports->transact(std::move(transaction), this->IfOwner(std::move(done)));
 }
 
+void OwnerTask::ExplainWaiting() {
+  Ownership& owned = *this->owned;
+  const Instant now = this->loop->Now();
+  if (now < owned.next_explanation) {
+    return;
+  }
+  owned.next_explanation = now + kExplain;
+  std::size_t explained = 0;
+  for (const JobId& id :
+       owned.scheduler.WaitingSince(now - this->config.explain_after)) {
+    if (explained++ == this->config.explain_most) {
+      break;
+    }
+    LogLine(LogLevel::kInfo, "job_waits", owned.scheduler.WhyWaiting(id, now));
+  }
+}
+
 void OwnerTask::LogDecisions() {
   for (const std::string& text : this->owned->scheduler.TakeDecisions()) {
     LogLine(LogLevel::kInfo, "schedule", text);
--- a/src/daemon/owner_task.h
+++ b/src/daemon/owner_task.h
@@ -44,6 +44,9 @@
   std::size_t max_batch = 80;      // default: 80 jobs; a call takes 100 rows
   // Time a final job stays readable: the longest promise to callers.
   Milliseconds keep_final{150000};  // default: 150 s
+  // A job that waits longer than this is explained in the log.
+  Milliseconds explain_after{2000};  // default: 2000 ms
+  std::size_t explain_most = 5;      // default: 5 jobs a second
 };
 
 //-----------------------------------------------------------------------------
@@ -98,6 +101,7 @@
 
   void LoadProgress(std::string from);
   void LoadWaves();
+  void LoadUsedEndpoints();
   void FollowTables();
   void OnJobRow(const StoreRow& row);
   void OnEndpointRow(const StoreRow& row);
@@ -116,6 +120,8 @@
   void ResolveWrite(std::uint64_t batch);
   void ReportWave(const WaveProgress& progress);
   void RemoveOldJobs();
+  void ExplainWaiting();
+  void WriteRelease();
   void LogDecisions();
 
   // Wraps an action so that it runs only while this ownership lasts.
--- a/src/protocol/job_json.cc
+++ b/src/protocol/job_json.cc
@@ -243,6 +243,27 @@
   });
 }
 
+std::string EncodeUsedEndpoints(const std::vector<UsedEndpoint>& endpoints) {
+  Json out = Json::array();
+  for (const UsedEndpoint& endpoint : endpoints) {
+    out.push_back(Json::array({endpoint.id.value, endpoint.service.value}));
+  }
+  return out.dump();
+}
+
+Result<std::vector<UsedEndpoint>> DecodeUsedEndpoints(std::string_view text) {
+  return Decode<std::vector<UsedEndpoint>>(
+      "endpoints", text, [](const Json& in) {
+        std::vector<UsedEndpoint> endpoints;
+        for (const Json& entry : in) {
+          endpoints.push_back(
+              UsedEndpoint{EndpointId(entry.at(0).get<std::string>()),
+                           ServiceId(entry.at(1).get<std::string>())});
+        }
+        return endpoints;
+      });
+}
+
 std::string EncodeWaveProgress(const WaveProgress& progress) {
   Json hosts = Json::array();
   for (const HostId& host : progress.begun) {
--- a/src/protocol/job_json.h
+++ b/src/protocol/job_json.h
@@ -14,6 +14,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "src/coordination/host_planner.h"
 #include "src/coordination/job.h"
@@ -50,6 +51,9 @@
 std::string EncodeOwner(const OwnerRow& row);
 Result<OwnerRow> DecodeOwner(std::string_view text);
 
+std::string EncodeUsedEndpoints(const std::vector<UsedEndpoint>& endpoints);
+Result<std::vector<UsedEndpoint>> DecodeUsedEndpoints(std::string_view text);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Upkeep
 //-----------------------------------------------------------------------------
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -8,6 +8,7 @@
 #include <event2/keyvalq_struct.h>
 #include <netinet/in.h>
 #include <sys/queue.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <deque>
@@ -164,6 +165,19 @@
   return body;
 }
 
+// Makes the close of a connection discard bytes that were not delivered.
+// Otherwise the system goes on sending an abandoned request, and a peer that
+// becomes reachable again carries it out long after its timeout.
+void DropUnsentBytes(evhttp_connection* connection) {
+  const evutil_socket_t socket =
+      bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+  if (socket < 0) {
+    return;
+  }
+  const linger reset{1, 0};
+  setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
 }  // namespace
 
 std::string PeerName(const HttpPeer& peer) {
@@ -797,6 +811,9 @@
     std::erase(pool->second.connections, id);
     std::erase(pool->second.idle, id);
   }
+  if (!connection->ended) {
+    DropUnsentBytes(connection->evhttp);
+  }
   // Open requests are freed without a call of OnDone().
   evhttp_connection_set_closecb(connection->evhttp, nullptr, nullptr);
   evhttp_connection_free(connection->evhttp);
