--- a/src/coordination/owner_lease.cc
+++ b/src/coordination/owner_lease.cc
@@ -1,5 +1,7 @@
 #include "src/coordination/owner_lease.h"
 
+#include <algorithm>
+
 namespace peridot {
 
 bool OwnerLease::OnRow(const OwnerRow& read,
@@ -28,8 +30,18 @@
   return true;
 }
 
-void OwnerLease::OnHolderOver(const std::string& instance) {
+void OwnerLease::OnHolderOver(const std::string& instance, bool certain) {
   this->over = instance;
+  this->over_for_certain = certain;
+}
+
+Milliseconds OwnerLease::EarlierLeaseLeft(std::int64_t store_ms) const {
+  const bool over_now = this->row.holder.value.empty() ||
+                        this->row.holder == this->config.self ||
+                        (this->row.instance == this->over &&
+                         this->over_for_certain);
+  return Milliseconds(
+      over_now ? 0 : std::max<std::int64_t>(0, this->row.expires_ms - store_ms));
 }
 
 bool OwnerLease::ShouldClaim(std::int64_t store_ms) const {
--- a/src/coordination/owner_lease.h
+++ b/src/coordination/owner_lease.h
@@ -64,13 +64,16 @@
              std::int64_t store_ms,
              Instant now);
 
-  // The process that holds the lease has proved to be over: it refused the
-  // connection, or another process answered at its address.
-  void OnHolderOver(const std::string& instance);
+  // The process that holds the lease seems to be over: it refused connections,
+  // or another process answered at its address, which is certain.
+  void OnHolderOver(const std::string& instance, bool certain);
 
   // Returns whether a claim is due.
   bool ShouldClaim(std::int64_t store_ms) const;
 
+  // Time for which the holder of the row as last read may still act.
+  Milliseconds EarlierLeaseLeft(std::int64_t store_ms) const;
+
   // The row to write: a claim with the next epoch, or a renewal.
   OwnerRow NextRow(std::int64_t store_ms, bool release) const;
 
@@ -95,7 +98,8 @@
   RowVersion version;
   bool seen = false;
   bool held = false;
-  std::string over;  // instance of a holder that is known to be over
+  std::string over;  // instance of a holder that seems to be over
+  bool over_for_certain = false;
   Instant valid_until{};
   Instant renewed{};
 };
--- a/src/daemon/owner_task.cc
+++ b/src/daemon/owner_task.cc
@@ -185,7 +185,7 @@
               {"address", row.address}});
   }
   if (!held_before && this->lease.Held()) {
-    this->BeginOwnership(Milliseconds{0});
+    this->BeginOwnership();
     return;
   }
   if (this->lease.ShouldClaim(this->StoreMs())) {
@@ -217,7 +217,7 @@
     if (over) {
       LogEvent(LogLevel::kInfo, "owner_over",
                {{"instance", instance}, {"answer", *answer}});
-      this->lease.OnHolderOver(instance);
+      this->lease.OnHolderOver(instance, !answer->empty());
     }
   });
 }
@@ -229,6 +229,7 @@
   this->claiming = true;
   const OwnerRow row = this->lease.NextRow(this->StoreMs(), false);
   const Instant sent = this->loop->Now();
+  this->earlier_until = sent + this->lease.EarlierLeaseLeft(this->StoreMs());
   StoreTransaction transaction;
   transaction.conditions.emplace_back(this->LeaseKey(), this->lease.Version());
   transaction.puts.emplace_back(this->LeaseKey(), EncodeOwner(row));
@@ -249,34 +250,32 @@
   LogEvent(LogLevel::kInfo, "owner_claim",
            {{"epoch", std::to_string(row.epoch.value)},
             {"outcome", StoreOutcomeName(reply.outcome)}});
-  if (reply.outcome != StoreOutcome::kOk) {
-    return;  // the next read of the row tells
-  }
-  // An earlier holder that is not over may act until its lease ends.
-  const std::int64_t left =
-      this->lease.Row().holder.value.empty()
-          ? 0
-          : std::max<std::int64_t>(
-                0, this->lease.Row().expires_ms - this->StoreMs());
+  // Without an answer, the next read of the row tells; it may already have.
+  if (reply.outcome != StoreOutcome::kOk || this->lease.Held()) {
+    return;
+  }
   this->lease.OnWritten(row, reply.version, sent);
-  this->BeginOwnership(Milliseconds(left));
+  this->BeginOwnership();
 }
 
-void OwnerTask::BeginOwnership(Milliseconds earlier_lease_left) {
+void OwnerTask::BeginOwnership() {
   JobSchedulerConfig scheduler = this->settings.scheduler;
   scheduler.epoch = this->lease.Epoch();
   const Instant now = this->loop->Now();
+  const Instant others_until = std::max(now, this->earlier_until);
   this->owned = std::make_shared<Ownership>(
-      Ownership{JobScheduler(scheduler, now + earlier_lease_left),
+      Ownership{JobScheduler(scheduler, others_until),
                 HostPlanner(this->settings.hosts, now)});
   this->owned->began = now;
-  this->owned->others_until = now + earlier_lease_left;
+  this->owned->others_until = others_until;
   LogEvent(LogLevel::kInfo, "ownership_began",
            {{"epoch", std::to_string(scheduler.epoch.value)},
             {"earlier_lease_left_ms",
-             std::to_string(earlier_lease_left.count())}});
-  this->metrics->SetGauge("owner_epoch", static_cast<double>(
-                                             scheduler.epoch.value));
+             std::to_string(std::chrono::duration_cast<Milliseconds>(
+                                others_until - now)
+                                .count())}});
+  this->metrics->SetGauge("owner_epoch",
+                          static_cast<double>(scheduler.epoch.value));
   this->ApplyView();
   this->LoadProgress("");
 }
--- a/src/daemon/owner_task.h
+++ b/src/daemon/owner_task.h
@@ -96,7 +96,7 @@
   void ProbeHolder();
   void Claim();
   void OnClaimed(const StoreReply& reply, const OwnerRow& row, Instant sent);
-  void BeginOwnership(Milliseconds earlier_lease_left);
+  void BeginOwnership();
   void EndOwnership(const char* reason);
 
   void LoadProgress(std::string from);
@@ -145,6 +145,7 @@
   std::mt19937 random;
   bool releasing = false;
   bool claiming = false;
+  Instant earlier_until{};  // the holder before the claim may act until then
   std::function<void()> on_released;
   std::int64_t store_ms = 0;  // store's clock at store_read
   Instant store_read{};
