Size pools by the rate of arriving work; end lasting work task by task

Cause: pools were sized by a backlog that grew while hosts were on their way (38 hosts ordered at once, 256 moves); hosts with several tasks of one step never left for upkeep (allowance 1, 2 to 5 tasks there), so waves stayed open; an upkeep list read before the order was answered let two more hosts go down (LIMIT). Change: rate over 1 s plus backlog over 3 s; starved steps ask for one host at a time; eviction by task within allowances.

--- a/src/coordination/host_planner.cc
+++ b/src/coordination/host_planner.cc
@@ -1,7 +1,7 @@
 #include "src/coordination/host_planner.h"
 
 #include <algorithm>
-#include <cmath>
+#include <tuple>
 #include <utility>
 
 namespace peridot {
@@ -12,6 +12,9 @@
 constexpr Milliseconds kBusyListAge{500};
 constexpr Milliseconds kCalmListAge{3000};
 
+// Time between two explanations why a cordoned host has not left.
+constexpr Milliseconds kExplainPause{1000};
+
 // Pause after a refused order.
 constexpr Milliseconds kRefusalPause{1000};
 
@@ -25,10 +28,13 @@
   this->services = new_services;
 }
 
-void HostPlanner::OnWaves(const std::vector<UpkeepWave>& rows) {
+void HostPlanner::OnWaves(const std::vector<UpkeepWave>& rows, Instant now) {
   for (const UpkeepWave& row : rows) {
     Wave& wave = this->waves[row.name];
     wave.wave = row;
+    if (wave.first_seen == Instant{}) {
+      wave.first_seen = now;
+    }
     const auto found = this->earlier.find(row.name);
     if (found != this->earlier.end()) {
       wave.begun = found->second.begun;
@@ -60,8 +66,6 @@
     if (host.away && up && settled && sent > host.ordered) {
       host.away = false;
       host.order_open = false;
-    }
-    if (host.target == host.row.pool) {
       host.target = ServiceId{};
     }
   }
@@ -82,16 +86,18 @@
     return;  // the list tells what happened
   }
   host.order_open = false;
+  // A list that was read while the order was on its way shows the past.
+  host.ordered = now;
   if (reply == HostOrderReply::kDone) {
     if (!order.wave.empty()) {
       Wave& wave = this->waves[order.wave];
       wave.begun.insert(order.host);
       wave.changed = true;
     }
-    host.target = ServiceId{};
     return;
   }
   host.away = false;
+  host.target = ServiceId{};
   host.not_before = now + kRefusalPause;
   host.cordoned = false;
   host.target = ServiceId{};
@@ -126,9 +132,11 @@
     }
     host.idle = idle;
   }
+  this->MeasurePools(by_id, demand, zones_out, now);
   this->PlanWaves(by_id, &plan, now);
   if (this->config.moves_enabled) {
-    this->PlanMoves(by_id, demand, zones_out, &plan, now);
+    this->FillPools(zones_out, &plan, now);
+    this->EmptyPools(by_id, zones_out, &plan, now);
   }
   return plan;
 }
@@ -158,162 +166,264 @@
   host->away = true;
   host->cordoned = false;
   host->ordered = now;
+  host->target = pool;
   plan->orders.push_back(HostOrder{host->row.id, wave, pool});
   this->decisions.push_back(
       "decision=host_order host=" + host->row.id.value + " wave=" + wave +
       " pool=" + pool.value + " from=" + host->row.pool.value);
 }
 
-void HostPlanner::PlanWaves(
-    const std::map<EndpointId, const EndpointSummary*>& endpoints,
-    HostPlan* plan,
-    Instant now) {
+//-----------------------------------------------------------------------------
+// [SECTION] Upkeep
+//-----------------------------------------------------------------------------
+
+void HostPlanner::PlanWaves(const EndpointMap& endpoints,
+                            HostPlan* plan,
+                            Instant now) {
   for (auto& [name, wave] : this->waves) {
-    std::size_t down = 0;
-    std::size_t cordoned = 0;
-    std::vector<HostRecord*> due;
-    for (const HostId& id : wave.wave.hosts) {
-      const auto found = this->hosts.find(id);
-      if (found == this->hosts.end()) {
-        continue;  // it does not stay
-      }
-      HostRecord& host = found->second;
-      down += host.away || host.row.state == FleetHostState::kUpkeep ? 1 : 0;
-      if (wave.begun.contains(id) || host.away) {
-        continue;
-      }
-      cordoned += host.cordoned ? 1 : 0;
-      if (host.row.state == FleetHostState::kUp && host.not_before <= now) {
-        due.push_back(&host);
-      }
+    this->PlanWave(name, &wave, endpoints, plan, now);
+    const std::vector<HostId>& due = wave.wave.hosts;
+    const bool all_begun =
+        std::all_of(due.begin(), due.end(), [&, begun = &wave.begun](
+                                                const HostId& id) {
+          return begun->contains(id) || !this->hosts.contains(id);
+        });
+    if (all_begun && !wave.reported_complete) {
+      wave.reported_complete = true;
+      wave.changed = true;
     }
-    // Hosts whose leaving costs least go first.
-    const auto cost = [&](const HostRecord* host) {
-      const auto found = endpoints.find(host->row.endpoint);
-      if (found == endpoints.end() || found->second->idle) {
-        return std::make_pair(host->cordoned ? 0 : 1, 0);
-      }
-      return std::make_pair(host->cordoned ? 0 : 2,
-                            found->second->long_running);
-    };
-    std::stable_sort(due.begin(), due.end(),
-                     [&](const HostRecord* a, const HostRecord* b) {
-                       return cost(a) < cost(b);
-                     });
-    for (HostRecord* host : due) {
-      const auto found = endpoints.find(host->row.endpoint);
-      const bool idle = found == endpoints.end() || found->second->idle;
-      if (idle && down < wave.wave.max_down) {
-        cordoned -= host->cordoned ? 1 : 0;
+  }
+}
+
+void HostPlanner::PlanWave(const std::string& name,
+                           Wave* wave,
+                           const EndpointMap& endpoints,
+                           HostPlan* plan,
+                           Instant now) {
+  std::size_t down = 0;
+  std::size_t cordoned = 0;
+  std::size_t lasting = 0;
+  std::vector<HostRecord*> due;
+  for (const HostId& id : wave->wave.hosts) {
+    const auto found = this->hosts.find(id);
+    if (found == this->hosts.end()) {
+      continue;  // it does not stay
+    }
+    HostRecord& host = found->second;
+    down += host.away || host.row.state == FleetHostState::kUpkeep ? 1 : 0;
+    if (wave->begun.contains(id) || host.away) {
+      continue;
+    }
+    const auto endpoint = endpoints.find(host.row.endpoint);
+    const bool lasts =
+        endpoint != endpoints.end() && endpoint->second->long_running > 0;
+    cordoned += host.cordoned && !lasts ? 1 : 0;
+    lasting += host.cordoned && lasts ? 1 : 0;
+    if (host.row.state == FleetHostState::kUp && host.not_before <= now) {
+      due.push_back(&host);
+    }
+  }
+  // Hosts whose leaving costs least go first.
+  const auto cost = [&](const HostRecord* host) {
+    const auto found = endpoints.find(host->row.endpoint);
+    const bool idle = found == endpoints.end() || found->second->idle;
+    return std::make_tuple(idle ? 0 : 1, host->cordoned ? 0 : 1,
+                           idle ? 0 : found->second->long_running,
+                           idle ? 0 : found->second->short_running);
+  };
+  std::stable_sort(due.begin(), due.end(),
+                   [&](const HostRecord* a, const HostRecord* b) {
+                     return cost(a) < cost(b);
+                   });
+  const bool late =
+      now - wave->first_seen >
+      Milliseconds(static_cast<std::int64_t>(
+          this->config.patient_share *
+          static_cast<double>(wave->wave.length.count())));
+  for (HostRecord* host : due) {
+    const auto found = endpoints.find(host->row.endpoint);
+    if (found == endpoints.end() || found->second->idle) {
+      if (down < wave->wave.max_down) {
         this->Order(host, name, ServiceId{}, plan, now);
         ++down;
-        continue;
-      }
-      if (!host->cordoned &&
-          cordoned < wave.wave.max_down + this->config.cordon_ahead) {
-        host->cordoned = true;
-        ++cordoned;
-        this->decisions.push_back("decision=cordon host=" +
-                                  host->row.id.value + " wave=" + name);
-      }
-      // Work that lasts does not end by itself.
-      if (host->cordoned && found != endpoints.end() &&
-          found->second->long_running > 0 && found->second->may_lose_work &&
-          down < wave.wave.max_down) {
-        plan->evict.push_back(host->row.endpoint);
-        break;  // one at a time: the next look at allowances sees it away
       }
+      continue;
     }
-    const bool all_begun = std::all_of(
-        wave.wave.hosts.begin(), wave.wave.hosts.end(), [&](const HostId& id) {
-          return wave.begun.contains(id) || !this->hosts.contains(id);
-        });
-    if (all_begun && !wave.reported_complete) {
-      wave.reported_complete = true;
-      wave.changed = true;
+    const EndpointSummary& endpoint = *found->second;
+    const bool lasts = endpoint.long_running > 0;
+    const double cores =
+        static_cast<double>(host->row.capacity.milli_cores) / 1000;
+    std::size_t& used = lasts ? lasting : cordoned;
+    const std::size_t most =
+        lasts ? this->config.lasting_cordons + (late ? wave->wave.max_down : 0)
+              : std::min<std::size_t>(
+                    wave->wave.max_down,
+                    late ? wave->wave.max_down : this->config.cordon_ahead);
+    if (!host->cordoned && used < most &&
+        (late || lasts || this->CanGive(host->row.pool, cores))) {
+      host->cordoned = true;
+      ++used;
+      this->decisions.push_back("decision=cordon host=" +
+                                host->row.id.value + " wave=" + name);
+    }
+    // Work that lasts does not end by itself. One host at a time: the next
+    // look at the allowances sees it away.
+    if (host->cordoned && lasts && host->not_explained_before <= now) {
+      host->not_explained_before = now + kExplainPause;
+      this->decisions.push_back(
+          "decision=host_waits host=" + host->row.id.value + " wave=" + name +
+          " lasting=" + std::to_string(endpoint.long_running) +
+          " others=" + std::to_string(endpoint.short_running));
+    }
+    // The scheduler ends as much as the allowances of the steps permit.
+    if (host->cordoned && lasts && endpoint.short_running == 0 &&
+        down < wave->wave.max_down) {
+      plan->evict.push_back(host->row.endpoint);
     }
   }
 }
 
-void HostPlanner::PlanMoves(
-    const std::map<EndpointId, const EndpointSummary*>& endpoints,
+//-----------------------------------------------------------------------------
+// [SECTION] Pools
+//-----------------------------------------------------------------------------
+
+const ServiceId& HostPlanner::PoolOf(const HostRecord& host) const {
+  return host.away && !host.target.value.empty() ? host.target
+                                                 : host.row.pool;
+}
+
+bool HostPlanner::CanGive(const ServiceId& pool, double cores) const {
+  const auto found = this->pools.find(pool);
+  return found != this->pools.end() &&
+         found->second.hosts > this->config.pool_floor &&
+         found->second.recent <= found->second.capacity - cores;
+}
+
+bool HostPlanner::Movable(const HostRecord& host,
+                          const std::set<ZoneId>& zones_out,
+                          Instant now) const {
+  return host.row.state == FleetHostState::kUp && !host.away &&
+         !host.cordoned && host.idle && host.not_before <= now &&
+         !zones_out.contains(host.row.zone) && !this->InOpenWave(host.row.id);
+}
+
+void HostPlanner::MeasurePools(
+    const EndpointMap& endpoints,
     const std::map<ServiceId, ServiceDemand>& demand,
     const std::set<ZoneId>& zones_out,
-    HostPlan* plan,
     Instant now) {
-  struct Pool {
-    double capacity = 0;  // cores that take work, or will soon
-    double wanted = 0;    // cores
-    std::size_t hosts = 0;
-    std::size_t incoming = 0;
-  };
-  std::map<ServiceId, Pool> pools;
-  ServiceId spare;
+  this->pools.clear();
   for (const auto& [service, config] : this->services) {
-    if (config.spare) {
-      spare = service;
-    } else {
-      pools[service];
+    if (!config.spare) {
+      this->pools[service];
     }
   }
-  for (auto& [id, host] : this->hosts) {
-    const bool out = zones_out.contains(host.row.zone);
-    const auto pool = pools.find(host.row.pool);
-    if (pool == pools.end() || out ||
+  double host_cores = 0;
+  for (const auto& [id, host] : this->hosts) {
+    const auto pool = this->pools.find(this->PoolOf(host));
+    const double cores =
+        static_cast<double>(host.row.capacity.milli_cores) / 1000;
+    host_cores = std::max(host_cores, cores);
+    if (pool == this->pools.end() || zones_out.contains(host.row.zone) ||
         host.row.state == FleetHostState::kDown) {
       continue;
     }
+    const auto endpoint = endpoints.find(host.row.endpoint);
+    const bool coming = host.away || host.row.state != FleetHostState::kUp ||
+                        endpoint == endpoints.end();
+    if (!coming && !endpoint->second->usable) {
+      continue;  // out of service, whatever the list says
+    }
     ++pool->second.hosts;
-    pool->second.capacity +=
-        static_cast<double>(host.row.capacity.milli_cores) / 1000;
-    pool->second.incoming +=
-        host.away || host.row.state != FleetHostState::kUp ? 1 : 0;
+    pool->second.coming += coming ? 1 : 0;
+    pool->second.capacity += cores;
   }
   const double catch_up =
       std::chrono::duration<double>(this->config.catch_up).count();
-  for (auto& [service, pool] : pools) {
+  for (auto& [service, pool] : this->pools) {
     const auto found = demand.find(service);
     if (found != demand.end()) {
-      pool.wanted = found->second.used_cores +
-                    found->second.waiting_core_seconds / catch_up;
+      const ServiceDemand& load = found->second;
+      pool.rate = this->ArrivalRate(service, load.arrived_core_seconds, now);
+      pool.waiting = load.waiting_core_seconds;
+      pool.wanted =
+          load.lasting_cores +
+          (1 + this->config.packing_loss) *
+              (std::max(load.used_cores - load.lasting_cores, pool.rate) +
+               load.waiting_core_seconds / catch_up);
+      // One host at a time, where room alone is not what is missing.
+      if (load.starved_jobs > 0 && pool.coming == 0) {
+        pool.wanted = std::max(pool.wanted, pool.capacity + host_cores / 2);
+      }
+    }
+    PoolHistory& past = this->history[service];
+    past.wanted.emplace_back(now, pool.wanted);
+    while (now - past.wanted.front().first > this->config.recent) {
+      past.wanted.pop_front();
+    }
+    for (const auto& [when, wanted] : past.wanted) {
+      pool.recent = std::max(pool.recent, wanted);
+    }
+    if (pool.wanted <= pool.capacity) {
+      past.short_since = Instant{};
+    } else if (past.short_since == Instant{}) {
+      past.short_since = now;
     }
   }
-  const auto movable = [&](const HostRecord& host) {
-    return host.row.state == FleetHostState::kUp && !host.away &&
-           !host.cordoned && host.idle && host.not_before <= now &&
-           !zones_out.contains(host.row.zone) &&
-           !this->InOpenWave(host.row.id);
-  };
-  // Pools that lack hosts take idle ones, from the spare pool first.
-  for (auto& [service, pool] : pools) {
+}
+
+double HostPlanner::ArrivalRate(const ServiceId& service,
+                                double arrived,
+                                Instant now) {
+  auto& samples = this->history[service].arrived;
+  samples.emplace_back(now, arrived);
+  while (now - samples.front().first > this->config.arrival_window) {
+    samples.pop_front();
+  }
+  const double window =
+      std::chrono::duration<double>(this->config.arrival_window).count();
+  return (arrived - samples.front().second) / window;
+}
+
+void HostPlanner::FillPools(const std::set<ZoneId>& zones_out,
+                            HostPlan* plan,
+                            Instant now) {
+  for (auto& [service, pool] : this->pools) {
+    const Instant since = this->history[service].short_since;
+    if (since == Instant{} || now - since < this->config.shortage) {
+      continue;
+    }
+    this->decisions.push_back(
+        "decision=pool_short service=" + service.value +
+        " wanted_cores=" + std::to_string(pool.wanted) +
+        " capacity_cores=" + std::to_string(pool.capacity) +
+        " rate_cores=" + std::to_string(pool.rate) +
+        " waiting_core_s=" + std::to_string(pool.waiting) +
+        " hosts=" + std::to_string(pool.hosts));
     while (pool.wanted > pool.capacity) {
+      // A host that stands idle in another pool costs as much to move as one
+      // of the spare pool, and costs no more time afterwards.
       HostRecord* best = nullptr;
       for (auto& [id, host] : this->hosts) {
-        if (!movable(host) || host.row.pool == service) {
+        const double cores =
+            static_cast<double>(host.row.capacity.milli_cores) / 1000;
+        const bool spare = this->IsSpare(host.row.pool);
+        if (host.row.pool == service ||
+            !this->Movable(host, zones_out, now) ||
+            (!spare && !this->CanGive(host.row.pool, cores))) {
           continue;
         }
-        const bool from_spare = this->IsSpare(host.row.pool);
-        const auto giver = pools.find(host.row.pool);
-        if (!from_spare &&
-            (giver == pools.end() ||
-             giver->second.hosts <= this->config.pool_floor ||
-             giver->second.wanted >
-                 giver->second.capacity -
-                     static_cast<double>(host.row.capacity.milli_cores) /
-                         1000)) {
-          continue;
-        }
-        if (best == nullptr || (from_spare && !this->IsSpare(best->row.pool))) {
+        if (best == nullptr || (!spare && this->IsSpare(best->row.pool))) {
           best = &host;
         }
       }
       if (best == nullptr) {
-        break;
+        return;
       }
       const double cores =
           static_cast<double>(best->row.capacity.milli_cores) / 1000;
-      if (const auto giver = pools.find(best->row.pool);
-          giver != pools.end()) {
+      const auto giver = this->pools.find(best->row.pool);
+      if (giver != this->pools.end()) {
         --giver->second.hosts;
         giver->second.capacity -= cores;
       }
@@ -322,32 +432,40 @@
       ++pool.hosts;
     }
   }
-  // Hosts that nobody needs cost nothing in the spare pool.
-  if (spare.value.empty()) {
+}
+
+void HostPlanner::EmptyPools(const EndpointMap& endpoints,
+                             const std::set<ZoneId>& zones_out,
+                             HostPlan* plan,
+                             Instant now) {
+  ServiceId spare;
+  for (const auto& [service, config] : this->services) {
+    spare = config.spare ? service : spare;
+  }
+  if (spare.value.empty() || now - this->started < this->config.observe) {
     return;
   }
   for (auto& [id, host] : this->hosts) {
-    const auto pool = pools.find(host.row.pool);
-    if (pool == pools.end() || !movable(host) ||
-        now - host.idle_since < this->config.idle_before_spare ||
-        pool->second.hosts <= this->config.pool_floor) {
-      continue;
-    }
+    const auto pool = this->pools.find(host.row.pool);
     const double cores =
         static_cast<double>(host.row.capacity.milli_cores) / 1000;
-    if (pool->second.wanted > pool->second.capacity - cores) {
+    // A host without an endpoint has just arrived.
+    if (pool == this->pools.end() || !this->Movable(host, zones_out, now) ||
+        !endpoints.contains(host.row.endpoint) ||
+        now - host.idle_since < this->config.idle_before_spare ||
+        !this->CanGive(host.row.pool, cores)) {
       continue;
     }
-    const auto found = endpoints.find(host.row.endpoint);
-    if (found == endpoints.end()) {
-      continue;  // not registered yet: it has just arrived
-    }
     --pool->second.hosts;
     pool->second.capacity -= cores;
     this->Order(&host, "", spare, plan, now);
   }
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] Queries
+//-----------------------------------------------------------------------------
+
 std::set<EndpointId> HostPlanner::Cordoned() const {
   std::set<EndpointId> cordoned;
   for (const auto& [id, host] : this->hosts) {
--- a/src/coordination/host_planner.h
+++ b/src/coordination/host_planner.h
@@ -13,9 +13,11 @@
 #ifndef SRC_COORDINATION_HOST_PLANNER_H_
 #define SRC_COORDINATION_HOST_PLANNER_H_
 
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "src/coordination/job_scheduler.h"
@@ -36,14 +38,30 @@
   // An order without an answer may still be carried out for this long.
   Milliseconds late_order{12000};  // default: 12 s
 
-  // Time a host may stand idle in its pool before it moves to the spare pool.
+  // Share of a wave's time in which busy hosts are left to become idle by
+  // themselves, unless their pool has hosts to spare.
+  double patient_share = 0.4;  // default: 0.4
+  // Hosts with work that lasts that are cordoned at the same time.
+  std::size_t lasting_cordons = 2;  // default: 2
+
+  // Time a host may stand idle in its pool before it moves to the spare pool:
+  // two moves cost about as much as this time in a pool.
   Milliseconds idle_before_spare{2500};  // default: 2500 ms
-  // Work that waits longer than this in a full pool asks for more hosts.
-  Milliseconds backlog{400};  // default: 400 ms
-  // Time in which the hosts asked for should work the backlog off.
-  Milliseconds catch_up{2000};  // default: 2000 ms
+  // A pool that lacks room for this long gets hosts; shorter peaks pass.
+  Milliseconds shortage{150};  // default: 150 ms
+  // Time in which the hosts of a pool should work its backlog off.
+  Milliseconds catch_up{3000};  // default: 3000 ms
+  // Time over which the rate of arriving work is measured.
+  Milliseconds arrival_window{1000};  // default: 1000 ms
+  // Room that packing tasks on hosts leaves unused.
+  double packing_loss = 0.1;  // default: 0.1
+  // Demand is watched for this long before a pool gives hosts away: an owner
+  // that has just begun does not know its rhythm.
+  Milliseconds observe{12000};  // default: 12 s
+  // A pool gives hosts away only if it did not need them in this time.
+  Milliseconds recent{2500};  // default: 2500 ms
   // Hosts that stay in each pool, so that the next peak starts at once.
-  std::size_t pool_floor = 3;  // default: 3
+  std::size_t pool_floor = 2;  // default: 2
   bool moves_enabled = true;   // default: true
 };
 
@@ -68,6 +86,7 @@
   std::string name;              // default: empty; number of the wave
   std::vector<HostId> hosts;     // default: none
   std::size_t max_down = 1;      // default: 1; at the same time
+  Milliseconds length{0};        // default: 0; time given for all of them
 };
 
 //-----------------------------------------------------------------------------
@@ -103,7 +122,7 @@
   HostPlanner(HostPlannerConfig config, Instant now);
 
   void OnServices(const std::map<ServiceId, ServiceConfig>& services);
-  void OnWaves(const std::vector<UpkeepWave>& waves);
+  void OnWaves(const std::vector<UpkeepWave>& waves, Instant now);
   // What an earlier owner recorded.
   void OnWaveProgress(const WaveProgress& progress);
   // The whole list; `sent` is when it was asked for.
@@ -131,9 +150,10 @@
     ServiceId target;          // empty: no move is planned
     bool order_open = false;   // sent and not answered
     bool away = false;         // ordered; not seen up since
-    Instant ordered{};
+    Instant ordered{};         // or answered, whichever came last
     Instant not_before{};      // no order before; after a refusal
     Instant idle_since{};
+    Instant not_explained_before{};
     bool idle = false;
   };
   struct Wave {
@@ -141,16 +161,50 @@
     std::set<HostId> begun;
     bool reported_complete = false;
     bool changed = true;
+    Instant first_seen{};
   };
-
-  void PlanWaves(const std::map<EndpointId, const EndpointSummary*>& endpoints,
-                 HostPlan* plan,
-                 Instant now);
-  void PlanMoves(const std::map<EndpointId, const EndpointSummary*>& endpoints,
-                 const std::map<ServiceId, ServiceDemand>& demand,
-                 const std::set<ZoneId>& zones_out,
+  // What a pool has and needs, in cores.
+  struct PoolLoad {
+    double capacity = 0;  // takes work, or will soon
+    double wanted = 0;
+    double recent = 0;    // highest demand lately
+    double rate = 0;      // of arriving work
+    double waiting = 0;   // core-seconds
+    std::size_t hosts = 0;
+    std::size_t coming = 0;  // of these, on their way
+  };
+  struct PoolHistory {
+    std::deque<std::pair<Instant, double>> wanted;
+    std::deque<std::pair<Instant, double>> arrived;  // core-seconds in all
+    Instant short_since{};  // zero: the pool has room
+  };
+  using EndpointMap = std::map<EndpointId, const EndpointSummary*>;
+
+  void PlanWaves(const EndpointMap& endpoints, HostPlan* plan, Instant now);
+  void PlanWave(const std::string& name,
+                Wave* wave,
+                const EndpointMap& endpoints,
+                HostPlan* plan,
+                Instant now);
+  void MeasurePools(const EndpointMap& endpoints,
+                    const std::map<ServiceId, ServiceDemand>& demand,
+                    const std::set<ZoneId>& zones_out,
+                    Instant now);
+  // Work that arrived for a service, in core-seconds a second.
+  double ArrivalRate(const ServiceId& service, double arrived, Instant now);
+  void FillPools(const std::set<ZoneId>& zones_out,
                  HostPlan* plan,
                  Instant now);
+  void EmptyPools(const EndpointMap& endpoints,
+                  const std::set<ZoneId>& zones_out,
+                  HostPlan* plan,
+                  Instant now);
+  bool Movable(const HostRecord& host,
+               const std::set<ZoneId>& zones_out,
+               Instant now) const;
+  bool CanGive(const ServiceId& pool, double cores) const;
+  // The pool that the host is in, or is on its way to.
+  const ServiceId& PoolOf(const HostRecord& host) const;
   bool InOpenWave(const HostId& host) const;
   bool IsSpare(const ServiceId& pool) const;
   void Order(HostRecord* host,
@@ -165,6 +219,8 @@
   std::map<HostId, HostRecord> hosts;
   std::map<std::string, Wave> waves;
   std::map<std::string, WaveProgress> earlier;
+  std::map<ServiceId, PoolLoad> pools;
+  std::map<ServiceId, PoolHistory> history;
   Instant list_sent{};
   bool have_list = false;
   std::vector<std::string> decisions;
--- a/src/coordination/job_scheduler.cc
+++ b/src/coordination/job_scheduler.cc
@@ -122,7 +122,13 @@
     return;
   }
   state.AddDueOccurrences(added, now);
-  state.arrived_core_seconds[state.ServiceOf(*added)] += added->core_seconds;
+  // What an earlier owner has taken is not arriving now.
+  if (!before_takeover) {
+    const auto ratio = state.duration_ratio.find(added->accepted.queue);
+    state.arrived_core_seconds[state.ServiceOf(*added)] +=
+        added->core_seconds *
+        (ratio == state.duration_ratio.end() ? 1 : ratio->second);
+  }
   if (state.cancelled_early.erase(id) > 0) {
     this->OnCancel(id, now);
   }
@@ -174,7 +180,18 @@
   }
   const std::set<ScheduledTask*> tasks = found->second->tasks;
   for (ScheduledTask* task : tasks) {
-    state.RequestStop(task, "host_leaves", now);
+    const StepSpec& spec = *task->step->spec;
+    if (!spec.long_running || task->phase == TaskPhase::kStopping) {
+      continue;
+    }
+    // Without a stated allowance, one task at a time.
+    const int allowed = spec.max_unavailable >= 0 ? spec.max_unavailable : 1;
+    const int away = state.UnavailableTasks(*task->step, now);
+    const bool at_work = task->phase == TaskPhase::kRunning &&
+                         task->percent >= 100;
+    if (away + (at_work ? 1 : 0) <= allowed) {
+      state.RequestStop(task, "host_leaves", now);
+    }
   }
 }
 
@@ -518,14 +535,14 @@
     summary.used = endpoint->used;
     summary.capacity = endpoint->row.capacity;
     for (const ScheduledTask* task : endpoint->tasks) {
-      summary.long_running += task->step->spec->long_running ? 1 : 0;
+      ++(task->step->spec->long_running ? summary.long_running
+                                        : summary.short_running);
     }
-    summary.may_lose_work = this->state->MayLoseWork(*endpoint);
   }
   return all;
 }
 
-std::map<ServiceId, ServiceDemand> JobScheduler::Demand() const {
+std::map<ServiceId, ServiceDemand> JobScheduler::Demand(Instant now) const {
   std::map<ServiceId, ServiceDemand> demand;
   for (const auto& [service, config] : this->state->fleet.services) {
     demand[service];
@@ -539,9 +556,14 @@
       for (const ScheduledStep& step : occurrence.steps) {
         const double cores =
             static_cast<double>(Reserved(*step.spec).milli_cores) / 1000;
+        service.starved_jobs += this->state->IsStarved(step, now) ? 1 : 0;
         for (const ScheduledTask& task : step.tasks) {
           if (MayRun(task)) {
             service.used_cores += cores;
+            service.lasting_cores += step.spec->long_running ? cores : 0;
+          } else if (step.spec->long_running) {
+            service.used_cores += cores;
+            service.lasting_cores += cores;
           } else if (task.phase != TaskPhase::kDone) {
             const auto expected = this->state->ExpectedDuration(task);
             service.waiting_core_seconds +=
@@ -552,8 +574,7 @@
     }
   }
   for (const auto& [service, seconds] : this->state->arrived_core_seconds) {
-    demand[service].arrived_milli_core_seconds =
-        static_cast<std::int64_t>(seconds * 1000);
+    demand[service].arrived_core_seconds = seconds;
   }
   return demand;
 }
--- a/src/coordination/job_scheduler.h
+++ b/src/coordination/job_scheduler.h
@@ -70,6 +70,11 @@
   int failures_to_quarantine = 3;  // default: 3
   // Length of that; one more failure afterwards renews it.
   Milliseconds quarantine{4000};  // default: 4000 ms
+  // A ready task that no endpoint accepts for this long asks for a host.
+  Milliseconds starved_after{700};  // default: 700 ms
+  // Age up to which a report counts for allowances of unavailable tasks.
+  Milliseconds fresh_report{1600};  // default: 1600 ms
+
 
   // A task whose progress does not change for this long, and for at least
   // stall_factor of its expected duration, is moved to another endpoint.
@@ -194,7 +199,7 @@
   bool usable = false;        // takes new work
   bool idle = false;          // nothing runs and nothing may start there
   int long_running = 0;       // tasks of steps that last
-  bool may_lose_work = false;  // ending its work stays within allowances
+  int short_running = 0;      // all others
   Resources used;
   Resources capacity;
 };
@@ -211,7 +216,9 @@
 struct ServiceDemand {
   double waiting_core_seconds = 0;  // default: 0; ready or not, not started
   double used_cores = 0;            // default: 0; running now
-  std::int64_t arrived_milli_core_seconds = 0;  // default: 0; since the start
+  double lasting_cores = 0;         // default: 0; of these, work that lasts
+  int starved_jobs = 0;  // ready for long, and no endpoint would accept them
+  double arrived_core_seconds = 0;  // default: 0; since the takeover
 };
 
 //-----------------------------------------------------------------------------
@@ -257,8 +264,9 @@
   // No task starts on these endpoints: their hosts are about to leave.
   void OnCordoned(std::set<EndpointId> endpoints);
 
-  // Stops everything on an endpoint whose host is about to go down; the work
-  // restarts elsewhere.
+  // Stops work that lasts on an endpoint whose host is about to leave, as far
+  // as the allowances of the steps permit now; it restarts elsewhere. Call it
+  // again until the endpoint is idle.
   void Evict(const EndpointId& endpoint, Instant now);
 
   // Inputs from endpoints. --------------------------------------------------
@@ -307,7 +315,7 @@
   std::vector<EndpointSummary> Endpoints(Instant now) const;
   // All endpoints that may hold work, by id.
   std::vector<UsedEndpoint> UsedEndpoints() const;
-  std::map<ServiceId, ServiceDemand> Demand() const;
+  std::map<ServiceId, ServiceDemand> Demand(Instant now) const;
   // Final jobs that were recorded before the instant, to be forgotten.
   std::vector<JobId> FinalBefore(Instant instant) const;
   void Forget(const JobId& id);
--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -228,7 +228,8 @@
   void SendLooks(bool renew, Instant now);
   int OthersOnEndpoint(const ScheduledStep& step,
                        const EndpointState& endpoint) const;
-  bool MayLoseWork(const EndpointState& endpoint) const;
+  int UnavailableTasks(const ScheduledStep& step, Instant now) const;
+  bool IsStarved(const ScheduledStep& step, Instant now) const;
 };
 
 // The name of a task, as orders carry it.
--- a/src/coordination/job_scheduler_place.cc
+++ b/src/coordination/job_scheduler_place.cc
@@ -77,6 +77,13 @@
   return false;
 }
 
+bool HoldsLastingWork(const EndpointState& endpoint) {
+  return std::any_of(endpoint.tasks.begin(), endpoint.tasks.end(),
+                     [](const ScheduledTask* task) {
+                       return task->step->spec->long_running;
+                     });
+}
+
 bool IsLasting(const ScheduledJob& job) {
   const std::vector<StepSpec>& steps = job.accepted.spec.steps;
   return std::any_of(steps.begin(), steps.end(), [](const StepSpec& step) {
@@ -300,7 +307,7 @@
     }
   }
   EndpointState* best = nullptr;
-  std::tuple<int, int, std::int64_t> best_score;
+  std::tuple<int, int, int, bool, std::int64_t> best_score;
   for (EndpointState* endpoint : usable) {
     const bool near = step.spec->data_rack.empty() ||
                       HasLabel(*endpoint, step.spec->data_rack);
@@ -313,8 +320,13 @@
     // The fullest endpoint that fits keeps the others free for large tasks and
     // for leaving the pool; filling work goes where most is left unused.
     const std::int64_t left = Room(*endpoint).milli_cores;
-    const std::tuple<int, int, std::int64_t> score{
-        avoided, far, step.spec->fills ? -left : left};
+    // Work that lasts is spread, so that one loss takes few tasks of a step,
+    // over endpoints that hold such work already.
+    const bool lasts = step.spec->long_running;
+    const std::tuple<int, int, int, bool, std::int64_t> score{
+        avoided, far, lasts ? this->OthersOnEndpoint(step, *endpoint) : 0,
+        lasts && !HoldsLastingWork(*endpoint),
+        step.spec->fills ? -left : left};
     if (best == nullptr || score < best_score) {
       best = endpoint;
       best_score = score;
@@ -661,30 +673,46 @@
   }
 }
 
-bool JobScheduler::State::MayLoseWork(const EndpointState& endpoint) const {
-  std::map<const ScheduledStep*, int> lost;
-  for (const ScheduledTask* task : endpoint.tasks) {
-    if (task->step->spec->long_running &&
-        !IsFinal(task->step->job->decided)) {
-      ++lost[task->step];
-    }
+int JobScheduler::State::UnavailableTasks(const ScheduledStep& step,
+                                          Instant now) const {
+  int away = 0;
+  for (const ScheduledTask& task : step.tasks) {
+    // An endpoint that has not answered lately may have lost its work.
+    const bool at_work =
+        task.phase == TaskPhase::kRunning && task.percent >= 100 &&
+        task.endpoint->failed_looks == 0 && task.endpoint->listed &&
+        now - task.endpoint->clock_read < this->config.fresh_report;
+    away += at_work ? 0 : 1;
+  }
+  return away;
+}
+
+bool JobScheduler::State::IsStarved(const ScheduledStep& step,
+                                    Instant now) const {
+  if (step.ready_since == kNever) {
+    return false;
   }
-  for (const auto& [step, count] : lost) {
-    int away = 0;
-    for (const ScheduledTask& task : step->tasks) {
-      const bool at_work =
-          task.phase == TaskPhase::kRunning && task.percent >= 100;
-      away += at_work || task.endpoint == &endpoint ? 0 : 1;
-    }
-    // Without a stated allowance, one endpoint's tasks at a time.
-    const int allowed = std::max(step->spec->max_unavailable, count);
-    if (step->spec->max_unavailable >= 0
-            ? away + count > step->spec->max_unavailable
-            : away + count > allowed) {
-      return false;
+  const ScheduledTask* waiting = nullptr;
+  for (const ScheduledTask& task : step.tasks) {
+    if (task.phase == TaskPhase::kWaiting) {
+      waiting = &task;
+      break;
     }
   }
-  return true;
+  if (waiting == nullptr ||
+      now - std::max(step.ready_since, waiting->since) <
+          this->config.starved_after ||
+      !this->WithinTeamLimit(step.job->accepted.team, step.spec->per_task)) {
+    return false;
+  }
+  const ServiceId service = this->ServiceOf(*step.job);
+  const QueueConfig* queue = this->QueueOf(*step.job);
+  return std::none_of(
+      this->endpoints.begin(), this->endpoints.end(), [&](const auto& entry) {
+        return entry.second->row.service == service &&
+               this->Usable(*entry.second, now) &&
+               this->Accepts(*entry.second, step, queue, now);
+      });
 }
 
 }  // namespace peridot
--- a/src/daemon/owner_task.cc
+++ b/src/daemon/owner_task.cc
@@ -368,7 +368,7 @@
             LogError(LogLevel::kError, "wave_row", progress.error());
           }
         }
-        this->owned->planner.OnWaves(this->view->Waves());
+        this->owned->planner.OnWaves(this->view->Waves(), this->loop->Now());
         this->LoadUsedEndpoints();
       }));
 }
@@ -493,7 +493,7 @@
   }
   this->ApplyView();
   if (this->owned->loaded) {
-    this->owned->planner.OnWaves(this->view->Waves());
+    this->owned->planner.OnWaves(this->view->Waves(), this->loop->Now());
   }
   this->Wake();
 }
@@ -623,7 +623,7 @@
   Ownership& owned = *this->owned;
   const Instant now = this->loop->Now();
   const HostPlan plan = owned.planner.Advance(
-      owned.scheduler.Endpoints(now), owned.scheduler.Demand(),
+      owned.scheduler.Endpoints(now), owned.scheduler.Demand(now),
       this->view->ZonesOut(), this->lease.Valid(now), now);
   for (const EndpointId& endpoint : plan.evict) {
     owned.scheduler.Evict(endpoint, now);
