--- a/src/coordination/job.h
+++ b/src/coordination/job.h
@@ -200,7 +200,9 @@
   JobId id;                              // default: empty
   JobState state = JobState::kPending;   // default: kPending
   std::set<TaskName> done;               // tasks that ended done
-  std::map<TaskName, int> failures;      // ends "failed" so far
+  // Runs that ended "failed". An end is listed until it is acknowledged, so
+  // that it is seen again by the next owner; a run counts once.
+  std::map<TaskName, std::set<RunNumber>> failures;
   std::map<TaskName, std::string> checkpoints;  // of tasks that are not done
 };
 
--- a/src/coordination/job_scheduler.cc
+++ b/src/coordination/job_scheduler.cc
@@ -277,10 +277,6 @@
         continue;
       }
       ++job->open_tasks;
-      if (const auto found = job->failures.find(name);
-          found != job->failures.end()) {
-        task.failures = found->second;
-      }
       if (const auto found = job->checkpoints.find(name);
           found != job->checkpoints.end()) {
         task.checkpoint = found->second;
--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -50,7 +50,6 @@
   Instant stop_sent{};                // last stop order
   bool stop_confirmed = false;        // the endpoint answered the stop
   Instant stop_answered{};
-  int failures = 0;                   // ends "failed"
   std::string checkpoint;             // newest that is known
   EndpointId avoid;                   // where it failed last
   int percent = -1;                   // as last listed
@@ -99,7 +98,7 @@
   Milliseconds chain{0};           // estimate of the longest chain of work
   double core_seconds = 0;         // estimate of all work
   int open_tasks = 0;              // tasks that are not done
-  std::map<TaskName, int> failures;             // recorded by earlier owners
+  std::map<TaskName, std::set<RunNumber>> failures;  // runs that failed
   std::set<TaskName> done;
   std::map<TaskName, std::string> checkpoints;
 };
@@ -182,7 +181,10 @@
   void RequestStop(ScheduledTask* task, const char* reason, Instant now);
   void SendStop(ScheduledTask* task, Instant now);
   void OnRunEnd(EndpointState* endpoint, const RunEnd& end, Instant now);
-  void CountFailure(ScheduledTask* task, EndpointState* endpoint, Instant now);
+  void CountFailure(ScheduledTask* task,
+                    RunNumber run,
+                    EndpointState* endpoint,
+                    Instant now);
   void OnListed(EndpointState* endpoint, const RunningTask& row, Instant now);
   void ResolveMissing(EndpointState* endpoint,
                       const EndpointReportRows& report,
--- a/src/coordination/job_scheduler_place.cc
+++ b/src/coordination/job_scheduler_place.cc
@@ -499,6 +499,7 @@
     constraint = "placement";
   }
   const auto used = state.team_use.find(job->accepted.team);
+  const auto failed = job->failures.find(NameOf(*task));
   return "job=" + id.value + " task=" + TaskText(NameOf(*task)) +
          " constraint=" + constraint + " queue=" + job->accepted.queue +
          " service=" + service.value + " endpoints=" + std::to_string(listed) +
@@ -509,7 +510,9 @@
          std::to_string(used == state.team_use.end()
                             ? 0
                             : used->second.milli_cores) +
-         " failures=" + std::to_string(task->failures);
+         " failures=" + std::to_string(failed == job->failures.end()
+                                           ? 0
+                                           : failed->second.size());
 }
 
 std::vector<JobId> JobScheduler::WaitingSince(Instant instant) const {
--- a/src/coordination/job_scheduler_runs.cc
+++ b/src/coordination/job_scheduler_runs.cc
@@ -488,14 +488,19 @@
     return;
   }
   if (end.kind == EndKind::kFailed) {
-    this->CountFailure(task, endpoint, now);
+    this->CountFailure(task, end.run, endpoint, now);
   }
 }
 
 void JobScheduler::State::CountFailure(ScheduledTask* task,
+                                       RunNumber run,
                                        EndpointState* endpoint,
                                        Instant now) {
   ScheduledJob* job = task->step->job;
+  std::set<RunNumber>& failed = job->failures[NameOf(*task)];
+  if (!failed.insert(run).second) {
+    return;  // listed again
+  }
   task->avoid = endpoint->row.id;
   if (endpoint->last_failed_job != job->accepted.id) {
     endpoint->last_failed_job = job->accepted.id;
@@ -506,18 +511,16 @@
     endpoint->failures_in_row = this->config.failures_to_quarantine - 1;
     this->Decide("decision=quarantine endpoint=" + endpoint->row.id.value);
   }
-  ++task->failures;
-  job->failures[NameOf(*task)] = task->failures;
   this->MarkDirty(job);
   const QueueConfig* queue = this->QueueOf(*job);
   if (IsFinal(job->decided) || queue == nullptr ||
-      task->failures < queue->max_attempts) {
+      static_cast<int>(failed.size()) < queue->max_attempts) {
     return;
   }
   job->decided = JobState::kFailed;
   this->Decide("decision=fail job=" + job->accepted.id.value +
                " task=" + TaskText(NameOf(*task)) +
-               " attempts=" + std::to_string(task->failures));
+               " attempts=" + std::to_string(failed.size()));
   this->StopAll(job, "job_failed", now);
 }
 
--- a/src/protocol/job_json.cc
+++ b/src/protocol/job_json.cc
@@ -190,8 +190,8 @@
   }
   if (!progress.failures.empty()) {
     Json& failures = out["failures"] = Json::array();
-    for (const auto& [name, count] : progress.failures) {
-      failures.push_back(Json::array({EncodeName(name), count}));
+    for (const auto& [name, runs] : progress.failures) {
+      failures.push_back(Json::array({EncodeName(name), runs}));
     }
   }
   if (!progress.checkpoints.empty()) {
@@ -213,7 +213,7 @@
     }
     for (const Json& entry : in.value("failures", Json::array())) {
       progress.failures[DecodeName(progress.id, entry.at(0))] =
-          entry.at(1).get<int>();
+          entry.at(1).get<std::set<RunNumber>>();
     }
     for (const Json& entry : in.value("checkpoints", Json::array())) {
       progress.checkpoints[DecodeName(progress.id, entry.at(0))] =
