Yield ownership when the store is out of reach; keep done tasks done

Change: candidates that reach the store ask the owner, which yields after 1.1 s without a write; lease 2.4 s; endpoints that do not answer are not renewed and their lapse is recorded; a task at rest is done if any run ended done.

--- a/src/coordination/job_scheduler.h
+++ b/src/coordination/job_scheduler.h
@@ -208,6 +208,9 @@
 struct UsedEndpoint {
   EndpointId id;      // default: empty
   ServiceId service;  // default: empty
+  // Time until its work has lapsed, for one that does not answer and whose
+  // lease is not renewed any more; 0: its lease may be renewed.
+  std::int64_t lapse_ms = 0;  // default: 0
 
   friend bool operator==(const UsedEndpoint&, const UsedEndpoint&) = default;
 };
@@ -256,7 +259,8 @@
 
   // Endpoints that an earlier owner used. One that is not listed any more
   // counts as running until its lease has lapsed.
-  void OnEarlierEndpoints(const std::vector<UsedEndpoint>& endpoints);
+  void OnEarlierEndpoints(const std::vector<UsedEndpoint>& endpoints,
+                          Instant now);
 
   // No task starts in these zones.
   void OnZonesOut(std::set<ZoneId> zones);
@@ -314,7 +318,7 @@
   Instant NextWake(Instant now) const;
   std::vector<EndpointSummary> Endpoints(Instant now) const;
   // All endpoints that may hold work, by id.
-  std::vector<UsedEndpoint> UsedEndpoints() const;
+  std::vector<UsedEndpoint> UsedEndpoints(Instant now) const;
   std::map<ServiceId, ServiceDemand> Demand(Instant now) const;
   // Final jobs that were recorded before the instant, to be forgotten.
   std::vector<JobId> FinalBefore(Instant instant) const;
--- a/src/coordination/job_scheduler_place.cc
+++ b/src/coordination/job_scheduler_place.cc
@@ -61,6 +61,20 @@
       static_cast<double>(longest.count()) * ratio));
 }
 
+// Work that is left, by the estimates.
+double RemainingCoreSeconds(const ScheduledJob& job) {
+  double left = 0;
+  for (const ScheduledOccurrence& occurrence : job.occurrences) {
+    for (const ScheduledStep& step : occurrence.steps) {
+      const auto tasks = static_cast<double>(step.tasks.size()) - step.done;
+      left += tasks *
+              static_cast<double>(step.spec->per_task.milli_cores) / 1000 *
+              std::chrono::duration<double>(step.spec->estimate).count();
+    }
+  }
+  return left;
+}
+
 bool HasWaitingTask(const ScheduledJob& job) {
   for (const ScheduledOccurrence& occurrence : job.occurrences) {
     for (const ScheduledStep& step : occurrence.steps) {
@@ -194,8 +208,11 @@
       rank.key = job->arrived;
     } else if (finish <= job->arrived + objective) {
       rank.urgency = Urgency::kInTime;
-      rank.key = job->arrived + weighted(objective,
-                                         this->config.short_job_weight);
+      // The least work left first: it serves most jobs, and nearly the most
+      // work, in time while there is too much for all.
+      rank.key = Instant{} + std::chrono::duration_cast<Duration>(
+                                 std::chrono::duration<double>(
+                                     RemainingCoreSeconds(*job)));
     } else if (finish <=
                job->arrived + weighted(objective, this->config.late_factor)) {
       rank.urgency = Urgency::kLate;
@@ -663,9 +680,12 @@
     LookAt look;
     look.target = this->TargetOf(*endpoint);
     look.acknowledged = endpoint->recorded;
-    // Work on an endpoint that left the list has to lapse.
+    // Work on an endpoint that left the list or does not answer has to lapse,
+    // so that it can start again elsewhere.
     look.lease_until_ms =
-        renew && endpoint->listed ? this->LeaseUntil(endpoint.get(), now) : 0;
+        renew && endpoint->listed && endpoint->failed_looks == 0
+            ? this->LeaseUntil(endpoint.get(), now)
+            : 0;
     if (endpoint->fenced && !asks &&
         endpoint->processed <= endpoint->recorded) {
       look.wait = fills && serves ? this->config.paced_look_wait
--- a/src/coordination/job_scheduler_runs.cc
+++ b/src/coordination/job_scheduler_runs.cc
@@ -17,6 +17,13 @@
 constexpr double kMinRatio = 0.2;
 constexpr double kMaxRatio = 5.0;
 
+// The phase of a task without a run. An earlier run may have ended done while
+// a later one was being stopped.
+TaskPhase PhaseAtRest(const ScheduledTask& task) {
+  return task.step->job->done.contains(NameOf(task)) ? TaskPhase::kDone
+                                                     : TaskPhase::kWaiting;
+}
+
 }  // namespace
 
 //-----------------------------------------------------------------------------
@@ -70,7 +77,8 @@
 }
 
 void JobScheduler::OnEarlierEndpoints(
-    const std::vector<UsedEndpoint>& endpoints) {
+    const std::vector<UsedEndpoint>& endpoints,
+    Instant now) {
   for (const UsedEndpoint& used : endpoints) {
     std::unique_ptr<EndpointState>& endpoint =
         this->state->endpoints[used.id];
@@ -79,14 +87,25 @@
       endpoint->row.id = used.id;
       endpoint->row.service = used.service;
       endpoint->lapse_at = this->state->recovery_ends;
+      if (used.lapse_ms > 0) {
+        endpoint->lapse_at =
+            std::min(endpoint->lapse_at, now + Milliseconds(used.lapse_ms));
+      }
     }
   }
 }
 
-std::vector<UsedEndpoint> JobScheduler::UsedEndpoints() const {
+std::vector<UsedEndpoint> JobScheduler::UsedEndpoints(Instant now) const {
   std::vector<UsedEndpoint> used;
   for (const auto& [id, endpoint] : this->state->endpoints) {
-    used.push_back(UsedEndpoint{id, endpoint->row.service});
+    UsedEndpoint& entry =
+        used.emplace_back(UsedEndpoint{id, endpoint->row.service});
+    const bool lapsing = !endpoint->listed || endpoint->failed_looks > 0;
+    if (lapsing && endpoint->lapse_at > now) {
+      entry.lapse_ms = std::chrono::duration_cast<Milliseconds>(
+                           endpoint->lapse_at - now)
+                           .count();
+    }
   }
   return used;
 }
@@ -185,9 +204,7 @@
                                           : task->endpoint->row.id.value) +
                " reason=" + reason);
   this->Detach(task);
-  // An earlier run may have ended done while this one was being stopped.
-  const bool done = task->step->job->done.contains(NameOf(*task));
-  task->phase = done ? TaskPhase::kDone : TaskPhase::kWaiting;
+  task->phase = PhaseAtRest(*task);
   task->since = now;
 }
 
@@ -454,9 +471,12 @@
                  kRatioWeight;
     }
     this->Detach(task);
-    task->phase = TaskPhase::kWaiting;
+    task->phase = PhaseAtRest(*task);
     task->since = now;
   }
+  if (task->phase == TaskPhase::kDone) {
+    return;  // this run was being stopped: an earlier one had done the work
+  }
   if (task->step->spec->long_running) {
     return;  // restarted however it ends
   }
--- a/src/coordination/owner_lease.cc
+++ b/src/coordination/owner_lease.cc
@@ -4,11 +4,7 @@
 
 namespace peridot {
 
-bool OwnerLease::OnRow(const OwnerRow& read,
-                       RowVersion read_version,
-                       std::int64_t store_ms,
-                       Instant now) {
-  (void)store_ms;
+bool OwnerLease::OnRow(const OwnerRow& read, RowVersion read_version) {
   if (read_version < this->version) {
     return true;  // an answer that was overtaken
   }
@@ -20,13 +16,6 @@
     this->held = false;
     return false;
   }
-  if (mine && !this->held && !read.holder.value.empty()) {
-    // A claim whose answer was lost. Its start is not known, so the lease only
-    // becomes valid with the next renewal.
-    this->held = true;
-    this->valid_until = now;
-    this->renewed = Instant{};
-  }
   return true;
 }
 
@@ -50,9 +39,9 @@
   }
   return this->row.holder.value.empty() || this->row.instance == this->over ||
          this->row.expires_ms <= store_ms ||
-         // An earlier process of this host cannot be running any more.
-         (this->row.holder == this->config.self &&
-          this->row.instance != this->config.instance);
+         // An earlier process of this host cannot be running any more, and
+         // what this process gave up it takes again with a new epoch only.
+         this->row.holder == this->config.self;
 }
 
 OwnerRow OwnerLease::NextRow(std::int64_t store_ms, bool release) const {
--- a/src/coordination/owner_lease.h
+++ b/src/coordination/owner_lease.h
@@ -32,11 +32,11 @@
   std::string address;      // default: empty; "ip:port" for other daemons
   // Long enough for two renewals to be lost, short enough that work goes on
   // soon after the holder's host has lost power.
-  Milliseconds length{3000};  // default: 3000 ms
+  Milliseconds length{2400};  // default: 2400 ms
   // Renewal without other writes.
-  Milliseconds renew_after{900};  // default: 900 ms
+  Milliseconds renew_after{600};  // default: 600 ms
   // The holder stops this much early: network delay and timer lateness.
-  Milliseconds margin{300};  // default: 300 ms
+  Milliseconds margin{200};  // default: 200 ms
 };
 
 // The row as it is stored.
@@ -57,12 +57,9 @@
  public:
   explicit OwnerLease(OwnerLeaseConfig config) : config(std::move(config)) {}
 
-  // The row was read at a store time. Version 0: the row does not exist.
-  // Returns false if this daemon has just found out that it lost the lease.
-  bool OnRow(const OwnerRow& row,
-             RowVersion version,
-             std::int64_t store_ms,
-             Instant now);
+  // The row was read. Version 0: the row does not exist. Returns false if this
+  // daemon has just found out that it lost the lease.
+  bool OnRow(const OwnerRow& row, RowVersion version);
 
   // The process that holds the lease seems to be over: it refused connections,
   // or another process answered at its address, which is certain.
@@ -87,6 +84,8 @@
   // True while no other daemon can hold the lease.
   bool Valid(Instant now) const;
   bool RenewalDue(Instant now) const;
+  // When the last renewal that succeeded was sent.
+  Instant Renewed() const { return this->renewed; }
   OwnerEpoch Epoch() const { return this->row.epoch; }
   RowVersion Version() const { return this->version; }
   // Owner as last read or written; empty holder if there is none.
--- a/src/daemon/fleet_node.cc
+++ b/src/daemon/fleet_node.cc
@@ -69,7 +69,8 @@
             this->settings,
             OwnerTaskConfig{},
             [this](const std::string& address,
-                   std::function<void(std::optional<std::string>)> done) {
+                   std::function<void(std::optional<OwnerTask::PeerAnswer>)>
+                       done) {
               this->Probe(address, std::move(done));
             }),
       entry(loop,
@@ -128,8 +129,9 @@
   this->internal->Route(
       HttpMethod::kGet, kInstancePath,
       [this](const HttpServerRequest&, const HttpResponder& responder) {
-        responder.Send(JsonAnswer(
-            200, {{"instance", this->settings.lease.instance}}));
+        const OwnerTask::PeerAnswer answer = this->owner.AnswerCandidate();
+        responder.Send(JsonAnswer(200, {{"instance", answer.instance},
+                                        {"yields", answer.yields}}));
       });
   this->internal->Route(
       HttpMethod::kGet, kJobPath,
@@ -209,7 +211,7 @@
 
 void FleetNode::Probe(
     const std::string& address,
-    std::function<void(std::optional<std::string>)> done) {
+    std::function<void(std::optional<OwnerTask::PeerAnswer>)> done) {
   const Result<SocketAddress> peer = SocketAddress::Parse(address);
   if (!peer) {
     this->loop->Post([done = std::move(done)] { done(std::nullopt); });
@@ -222,7 +224,7 @@
       HttpPeer{peer.value().ip, peer.value().port}, std::move(request),
       [done = std::move(done)](const HttpOutcome& outcome) {
         if (outcome.result == HttpResult::kConnectFailed) {
-          done(std::string());
+          done(OwnerTask::PeerAnswer{.refused = true});
           return;
         }
         if (!outcome.Answered()) {
@@ -235,7 +237,9 @@
           done(std::nullopt);
           return;
         }
-        done(body.value("instance", std::string()));
+        done(OwnerTask::PeerAnswer{
+            .instance = body.value("instance", std::string()),
+            .yields = body.value("yields", false)});
       });
 }
 
--- a/src/daemon/fleet_node.h
+++ b/src/daemon/fleet_node.h
@@ -51,7 +51,7 @@
   void FinishStop();
   bool Ready() const;
   void Probe(const std::string& address,
-             std::function<void(std::optional<std::string>)> done);
+             std::function<void(std::optional<OwnerTask::PeerAnswer>)> done);
   void AskOwner(const std::string& address,
                 const JobId& job,
                 const std::string& queue,
--- a/src/daemon/owner_task.cc
+++ b/src/daemon/owner_task.cc
@@ -16,11 +16,14 @@
 namespace {
 
 // Age of the last good answer of the store up to which it counts as reachable.
-constexpr Milliseconds kStoreFresh{3000};
+constexpr Milliseconds kStoreFresh{1800};
 
 // Time between two sweeps of final jobs.
 constexpr Milliseconds kSweep{5000};
 
+// Resolution of the lapse that is recorded for an endpoint, in ms.
+constexpr std::int64_t kLapseUnitMs = 200;
+
 // Time between two explanations of waiting jobs.
 constexpr Milliseconds kExplain{1000};
 
@@ -134,8 +137,7 @@
   }
   if (this->lease.Held()) {
     // Ownership renews the lease by its own writes.
-    this->store_answered = std::max(this->store_answered,
-                                    this->view->LastAnswer());
+    this->Wake();
   } else {
     this->ports->read_one(this->LeaseKey(),
                           [this, alive = this->alive](const StoreReply& reply) {
@@ -173,9 +175,8 @@
     row = decoded.value();
     version = found.version;
   }
-  const bool held_before = this->lease.Held();
   const std::string holder_before = this->lease.Row().instance;
-  if (!this->lease.OnRow(row, version, reply.store_ms, this->loop->Now())) {
+  if (!this->lease.OnRow(row, version)) {
     this->EndOwnership("lease_taken");
   }
   if (row.instance != holder_before) {
@@ -184,10 +185,6 @@
               {"epoch", std::to_string(row.epoch.value)},
               {"address", row.address}});
   }
-  if (!held_before && this->lease.Held()) {
-    this->BeginOwnership();
-    return;
-  }
   if (this->lease.ShouldClaim(this->StoreMs())) {
     this->Claim();
   } else if (!this->lease.Held()) {
@@ -202,26 +199,40 @@
   }
   const std::string instance = row.instance;
   this->probe(row.address, [this, instance, alive = this->alive](
-                               const std::optional<std::string>& answer) {
+                               const std::optional<PeerAnswer>& answer) {
     if (!*alive || this->lease.Row().instance != instance) {
       return;
     }
-    if (!answer || *answer == instance) {
-      this->refused_by.clear();
+    const bool certain = answer && !answer->refused &&
+                         (answer->instance != instance || answer->yields);
+    // A refused connection may come from a process that is starting, or from a
+    // cut: it counts the second time, and the lease as still in force.
+    const bool refused_again =
+        answer && answer->refused && this->refused_by == instance;
+    this->refused_by = answer && answer->refused ? instance : std::string();
+    if (!certain && !refused_again) {
       return;
     }
-    // Another process at its address proves that it is over. A refused
-    // connection may be a process that is starting: two in a row count.
-    const bool over = !answer->empty() || this->refused_by == instance;
-    this->refused_by = instance;
-    if (over) {
-      LogEvent(LogLevel::kInfo, "owner_over",
-               {{"instance", instance}, {"answer", *answer}});
-      this->lease.OnHolderOver(instance, !answer->empty());
-    }
+    LogEvent(LogLevel::kInfo, "owner_over",
+             {{"instance", instance},
+              {"certain", certain ? "yes" : "no"},
+              {"yields", answer->yields ? "yes" : "no"}});
+    this->lease.OnHolderOver(instance, certain);
+    this->Claim();
   });
 }
 
+OwnerTask::PeerAnswer OwnerTask::AnswerCandidate() {
+  PeerAnswer answer;
+  answer.instance = this->settings.lease.instance;
+  if (this->owned != nullptr &&
+      this->loop->Now() - this->lease.Renewed() > this->config.yield_after) {
+    this->EndOwnership("yield");
+  }
+  answer.yields = this->owned == nullptr && !this->claiming;
+  return answer;
+}
+
 void OwnerTask::Claim() {
   if (this->claiming || !this->view->HasConfig()) {
     return;
@@ -284,7 +295,9 @@
   if (this->owned == nullptr) {
     return;
   }
-  LogEvent(LogLevel::kWarning, "ownership_ended", {{"reason", reason}});
+  LogEvent(LogLevel::kWarning, "ownership_ended",
+           {{"reason", reason},
+            {"epoch", std::to_string(this->lease.Epoch().value)}});
   this->LogDecisions();
   this->loop->Cancel(this->owned->timer);
   this->owned.reset();
@@ -385,9 +398,16 @@
           return;
         }
         for (const StoreRow& row : reply.rows) {
-          const auto used = DecodeUsedEndpoints(row.value);
+          auto used = DecodeUsedEndpoints(row.value);
           if (used) {
-            this->owned->scheduler.OnEarlierEndpoints(used.value());
+            for (UsedEndpoint& endpoint : used.value()) {
+              if (endpoint.lapse_ms > 0) {
+                endpoint.lapse_ms = std::max<std::int64_t>(
+                    1, endpoint.lapse_ms - this->StoreMs());
+              }
+            }
+            this->owned->scheduler.OnEarlierEndpoints(used.value(),
+                                                      this->loop->Now());
           } else {
             LogError(LogLevel::kError, "used_endpoints_row", used.error());
           }
@@ -674,7 +694,15 @@
       !this->lease.RenewalDue(now)) {
     return;
   }
-  owned.used_writing = owned.scheduler.UsedEndpoints();
+  owned.used_writing = owned.scheduler.UsedEndpoints(now);
+  for (UsedEndpoint& used : owned.used_writing) {
+    if (used.lapse_ms > 0) {
+      // Rounded up, so that the row does not change with every write.
+      used.lapse_ms = (used.lapse_ms + this->StoreMs()) / kLapseUnitMs *
+                          kLapseUnitMs +
+                      kLapseUnitMs;
+    }
+  }
   // Each write renews the lease and fails once another daemon holds it.
   const OwnerRow row = this->lease.NextRow(this->StoreMs(), false);
   StoreTransaction transaction;
@@ -757,8 +785,7 @@
       if (found.key.key != kOwnerKey || !row) {
         continue;
       }
-      if (!this->lease.OnRow(row.value(), found.version, reply.store_ms,
-                             now)) {
+      if (!this->lease.OnRow(row.value(), found.version)) {
         this->EndOwnership("lease_taken");
         return;
       }
--- a/src/daemon/owner_task.h
+++ b/src/daemon/owner_task.h
@@ -41,6 +41,9 @@
   // Least time between two writes of progress; ends in between share a write.
   Milliseconds write_spacing{20};  // default: 20 ms
   Milliseconds write_retry{60};    // default: 60 ms, after a refusal
+  // An owner without a successful write for this long yields to a candidate
+  // that reaches the store.
+  Milliseconds yield_after{1100};  // default: 1100 ms
   std::size_t max_batch = 80;      // default: 80 jobs; a call takes 100 rows
   // Time a final job stays readable: the longest promise to callers.
   Milliseconds keep_final{150000};  // default: 150 s
@@ -55,11 +58,16 @@
 
 class OwnerTask {
  public:
-  // Asks the daemon at an address which process it is; empty: it refused the
-  // connection; none: no answer.
+  // What the daemon at an address says about itself.
+  struct PeerAnswer {
+    bool refused = false;     // no process accepts connections there
+    std::string instance;     // of the process; empty if refused
+    bool yields = false;      // it owns nothing, whatever the lease says
+  };
+  // Asks it; none: no answer.
   using ProbePeer = std::function<void(
       const std::string& address,
-      std::function<void(std::optional<std::string>)>)>;
+      std::function<void(std::optional<PeerAnswer>)>)>;
 
   // The loop, the ports, the view and the metrics must outlive the task.
   OwnerTask(EventLoop* loop,
@@ -87,6 +95,9 @@
   std::optional<JobState> StateOf(const JobId& id) const;
   int WaitingIn(const std::string& queue) const;
   bool StoreReachable(Instant now) const;
+  // Answers a candidate that has just read the lease from the store. An owner
+  // that cannot write meanwhile gives up its ownership to it.
+  PeerAnswer AnswerCandidate();
 
  private:
   struct Ownership;  // owner_task.cc
--- a/src/protocol/job_json.cc
+++ b/src/protocol/job_json.cc
@@ -246,7 +246,8 @@
 std::string EncodeUsedEndpoints(const std::vector<UsedEndpoint>& endpoints) {
   Json out = Json::array();
   for (const UsedEndpoint& endpoint : endpoints) {
-    out.push_back(Json::array({endpoint.id.value, endpoint.service.value}));
+    out.push_back(Json::array({endpoint.id.value, endpoint.service.value,
+                               endpoint.lapse_ms}));
   }
   return out.dump();
 }
@@ -258,7 +259,8 @@
         for (const Json& entry : in) {
           endpoints.push_back(
               UsedEndpoint{EndpointId(entry.at(0).get<std::string>()),
-                           ServiceId(entry.at(1).get<std::string>())});
+                           ServiceId(entry.at(1).get<std::string>()),
+                           entry.at(2).get<std::int64_t>()});
         }
         return endpoints;
       });
