Count failures of earlier runs; bound a team by what unseen endpoints may hold

Change: failures of any run count; unseen capacity counts; run numbers never fall below the epoch's first; an order answered after the last report is stopped in the new life.

--- a/src/coordination/job_scheduler.cc
+++ b/src/coordination/job_scheduler.cc
@@ -9,10 +9,6 @@
 
 namespace {
 
-// Run numbers of different epochs do not meet: an owner cannot know how often
-// an earlier one has started a task.
-constexpr RunNumber kRunsPerEpoch = 1024;
-
 // Decisions kept for the log between two reads; later ones are dropped.
 constexpr std::size_t kMaxDecisions = 2000;
 
@@ -251,7 +247,7 @@
 }
 
 void JobScheduler::State::AddOccurrence(ScheduledJob* job, Instant now) {
-  const RunNumber base = (this->config.epoch.value - 1) * kRunsPerEpoch;
+  const RunNumber base = FirstRun(this->config.epoch);
   ScheduledOccurrence& occurrence = job->occurrences.emplace_back();
   occurrence.number = job->next_occurrence++;
   const std::vector<StepSpec>& specs = job->accepted.spec.steps;
--- a/src/coordination/job_scheduler.h
+++ b/src/coordination/job_scheduler.h
@@ -208,6 +208,7 @@
 struct UsedEndpoint {
   EndpointId id;      // default: empty
   ServiceId service;  // default: empty
+  Resources capacity;  // default: none
   // Time until its work has lapsed, for one that does not answer and whose
   // lease is not renewed any more; 0: its lease may be renewed.
   std::int64_t lapse_ms = 0;  // default: 0
--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -148,6 +148,7 @@
   std::map<std::string, double> duration_ratio;  // actual by estimated, queue
   std::map<ServiceId, double> arrived_core_seconds;
   std::set<ServiceId> unrecovered;  // services with unseen endpoints
+  Resources unseen;                 // capacity of these endpoints
   Instant recovery_ends{};          // earlier owners' work has lapsed by then
   std::int64_t wall_offset_ms = 0;  // Unix time less the steady clock
   bool fenced = false;
@@ -234,6 +235,13 @@
   bool IsStarved(const ScheduledStep& step, Instant now) const;
 };
 
+// Run numbers of different epochs do not meet: an owner cannot know how often
+// an earlier one has started a task.
+inline RunNumber FirstRun(OwnerEpoch epoch) {
+  constexpr RunNumber kRunsPerEpoch = 1024;
+  return (epoch.value - 1) * kRunsPerEpoch;
+}
+
 // The name of a task, as orders carry it.
 TaskName NameOf(const ScheduledTask& task);
 
--- a/src/coordination/job_scheduler_place.cc
+++ b/src/coordination/job_scheduler_place.cc
@@ -124,10 +124,12 @@
 
 void JobScheduler::State::Place(Instant now) {
   this->unrecovered.clear();
+  this->unseen = Resources{};
   if (now < this->recovery_ends) {
     for (const auto& [id, endpoint] : this->endpoints) {
       if (!endpoint->fenced && endpoint->lapse_at > now) {
         this->unrecovered.insert(endpoint->row.service);
+        this->unseen += endpoint->row.capacity;
       }
     }
   }
@@ -263,6 +265,9 @@
       found != this->team_use.end()) {
     use += found->second;
   }
+  // What an earlier owner started on endpoints not seen yet counts as this
+  // team's.
+  use += this->unseen;
   const Resources& limit = config->second.limit;
   return (limit.milli_cores == 0 || use.milli_cores <= limit.milli_cores) &&
          (limit.memory_mb == 0 || use.memory_mb <= limit.memory_mb) &&
@@ -424,7 +429,8 @@
 void JobScheduler::State::Start(ScheduledTask* task,
                                 EndpointState* endpoint,
                                 Instant now) {
-  this->Attach(task, endpoint, task->run + 1);
+  this->Attach(task, endpoint,
+               std::max(task->run, FirstRun(this->config.epoch)) + 1);
   task->phase = TaskPhase::kStarting;
   task->since = now;
   task->answered = Instant{};
--- a/src/coordination/job_scheduler_runs.cc
+++ b/src/coordination/job_scheduler_runs.cc
@@ -86,6 +86,7 @@
       endpoint = std::make_unique<EndpointState>();
       endpoint->row.id = used.id;
       endpoint->row.service = used.service;
+      endpoint->row.capacity = used.capacity;
       endpoint->lapse_at = this->state->recovery_ends;
       if (used.lapse_ms > 0) {
         endpoint->lapse_at =
@@ -99,7 +100,8 @@
   std::vector<UsedEndpoint> used;
   for (const auto& [id, endpoint] : this->state->endpoints) {
     UsedEndpoint& entry =
-        used.emplace_back(UsedEndpoint{id, endpoint->row.service});
+        used.emplace_back(UsedEndpoint{
+            id, endpoint->row.service, endpoint->row.capacity});
     const bool lapsing = !endpoint->listed || endpoint->failed_looks > 0;
     if (lapsing && endpoint->lapse_at > now) {
       entry.lapse_ms = std::chrono::duration_cast<Milliseconds>(
@@ -122,8 +124,10 @@
   for (ScheduledTask* task : tasks) {
     // A start without an answer may still be carried out by the new life; a
     // stop that arrives first forbids it.
+    // One that was answered after the last report may have met either life.
     const bool may_come = task->unanswered ||
-                          task->phase == TaskPhase::kStarting;
+                          task->phase == TaskPhase::kStarting ||
+                          task->answered > endpoint->clock_read;
     if (may_come) {
       task->phase = TaskPhase::kRunning;
       this->RequestStop(task, "endpoint_restarted", now);
@@ -447,6 +451,9 @@
   ScheduledJob* job = task->step->job;
   const bool current = task->endpoint == endpoint && task->run == end.run;
   if (MayRun(*task) && !current) {
+    if (end.kind == EndKind::kFailed && !task->step->spec->long_running) {
+      this->CountFailure(task, end.run, endpoint, now);
+    }
     if (end.kind != EndKind::kDone) {
       return;
     }
--- a/src/protocol/job_json.cc
+++ b/src/protocol/job_json.cc
@@ -247,7 +247,10 @@
   Json out = Json::array();
   for (const UsedEndpoint& endpoint : endpoints) {
     out.push_back(Json::array({endpoint.id.value, endpoint.service.value,
-                               endpoint.lapse_ms}));
+                               endpoint.lapse_ms,
+                               endpoint.capacity.milli_cores,
+                               endpoint.capacity.memory_mb,
+                               endpoint.capacity.accelerators}));
   }
   return out.dump();
 }
@@ -260,6 +263,9 @@
           endpoints.push_back(
               UsedEndpoint{EndpointId(entry.at(0).get<std::string>()),
                            ServiceId(entry.at(1).get<std::string>()),
+                           Resources{entry.at(3).get<std::int64_t>(),
+                                     entry.at(4).get<std::int64_t>(),
+                                     entry.at(5).get<std::int64_t>()},
                            entry.at(2).get<std::int64_t>()});
         }
         return endpoints;
--- /dev/null
+++ b/tests/support/job_world.cc
@@ -0,0 +1,405 @@
+#include "tests/support/job_world.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridot {
+
+namespace {
+
+constexpr int kMaxAttempts = 3;
+constexpr Milliseconds kRoundEvery{20};
+
+// Every 17th task of a job fails each time, every 11th once.
+bool AlwaysFails(const TaskName& name) {
+  return (std::hash<std::string>{}(name.job.value) + name.index) % 97 == 0;
+}
+
+std::string Text(const TaskName& name) {
+  return name.job.value + "." + std::to_string(name.step) + "." +
+         std::to_string(name.index);
+}
+
+}  // namespace
+
+JobWorld::JobWorld(JobWorldOptions options)
+    : options(options), random(options.seed) {
+  this->fleet.queues["q"] =
+      QueueConfig{.name = "q", .service = ServiceId("s"),
+                  .max_attempts = kMaxAttempts, .stretch = 1.6,
+                  .objective = Milliseconds(600)};
+  this->fleet.services[ServiceId("s")] = ServiceConfig{};
+  this->fleet.teams[TeamId("large")] =
+      TeamConfig{.weight = 3, .limit = Resources{9000, 0, 0}};
+  this->fleet.teams[TeamId("small")] = TeamConfig{};
+  for (int i = 0; i < options.workers; ++i) {
+    WorkerSettings settings;
+    settings.row.id = EndpointId("w" + std::to_string(i));
+    settings.row.born_ms = 1;
+    settings.row.service = ServiceId("s");
+    settings.row.zone = ZoneId("z" + std::to_string(i % 2));
+    settings.row.address = "10.0.0." + std::to_string(i) + ":1";
+    settings.row.ready = true;
+    settings.row.capacity = Resources{4000, 8000, 0};
+    settings.row.labels = {"a", "r" + std::to_string(i % 3)};
+    settings.clock_rate = 0.98 + 0.02 * this->Uniform();
+    this->workers[settings.row.id].model =
+        std::make_unique<WorkerModel>(settings, this->now);
+  }
+  this->MakeJobs();
+  this->NewOwner();
+  this->After(Milliseconds(0), [this] { this->Round(); });
+  this->After(Milliseconds(500), [this] { this->Fault(); });
+}
+
+void JobWorld::After(Milliseconds delay, std::function<void()> action) {
+  const Instant at = this->now + delay;
+  this->events.emplace(at, Event{at, this->next_event++, std::move(action)});
+}
+
+void JobWorld::Break(const std::string& what) {
+  const auto at = std::chrono::duration_cast<Milliseconds>(this->now -
+                                                           this->start);
+  this->broken.push_back("seed " + std::to_string(this->options.seed) +
+                         " at " + std::to_string(at.count()) + " ms: " + what);
+}
+
+void JobWorld::MakeJobs() {
+  for (int i = 0; i < this->options.jobs; ++i) {
+    AcceptedJob job;
+    job.id = JobId("job" + std::to_string(i));
+    job.queue = "q";
+    job.service = ServiceId("s");
+    job.team = TeamId(i % 3 == 0 ? "small" : "large");
+    const int steps = 1 + static_cast<int>(this->random() % 3);
+    for (int step = 0; step < steps; ++step) {
+      StepSpec spec;
+      spec.task_count = 1 + static_cast<int>(this->random() % 4);
+      spec.per_task = Resources{500 + 250 * static_cast<int>(
+                                          this->random() % 4),
+                                500, 0};
+      spec.estimate = Milliseconds(400);
+      if (step > 0) {
+        spec.after = {step - 1};
+      }
+      job.spec.steps.push_back(spec);
+    }
+    this->accepted.push_back(job);
+    this->After(this->Between(0, 12000), [this, job] {
+      this->record.try_emplace(job.id, JobProgress{job.id});
+      this->owner->OnJob(job, false, Milliseconds(0), this->now);
+    });
+  }
+}
+
+const WorkerTask JobWorld::TaskOf(const TaskName& name) {
+  WorkerTask task;
+  for (const AcceptedJob& job : this->accepted) {
+    if (job.id == name.job) {
+      task.needs = job.spec.steps[name.step].per_task;
+    }
+  }
+  task.duration = this->Between(100, 900);
+  const bool fails_now = this->Uniform() < 0.05;
+  task.ends =
+      AlwaysFails(name) || fails_now ? EndKind::kFailed : EndKind::kDone;
+  return task;
+}
+
+void JobWorld::NewOwner() {
+  ++this->epoch.value;
+  ++this->owner_number;
+  JobSchedulerConfig config;
+  config.epoch = this->epoch;
+  this->owner = std::make_unique<JobScheduler>(config, this->now);
+  this->owner->OnFleetConfig(this->fleet);
+  for (const auto& [id, progress] : this->record) {
+    this->owner->OnProgress(progress);
+  }
+  this->owner->OnEarlierEndpoints(this->used_record, this->now);
+  this->ListWorkers();
+  for (const AcceptedJob& job : this->accepted) {
+    if (this->record.contains(job.id)) {
+      this->owner->OnJob(job, true, Milliseconds(0), this->now);
+    }
+  }
+}
+
+void JobWorld::ListWorkers() {
+  std::vector<EndpointRow> rows;
+  for (const auto& [id, worker] : this->workers) {
+    if (worker.unlisted_until <= this->now) {
+      rows.push_back(worker.model->Row());
+    }
+  }
+  this->owner->OnEndpoints(rows, this->now);
+}
+
+template <typename Deliver, typename Reply>
+void JobWorld::Send(const EndpointId& endpoint, Deliver deliver, Reply reply) {
+  const std::uint64_t sender = this->owner_number;
+  const bool in_trouble = this->now - this->start < this->options.trouble;
+  const bool cut = this->workers[endpoint].cut_until > this->now;
+  const bool lost =
+      cut || (in_trouble && this->Uniform() < this->options.lost_orders);
+  const auto answer = [this, sender, reply](auto value) {
+    if (sender == this->owner_number) {
+      reply(std::move(value));
+    }
+  };
+  if (!lost) {
+    this->After(this->Between(1, 8), [this, endpoint, deliver, answer] {
+      auto value = deliver(*this->workers[endpoint].model, true);
+      this->After(this->Between(1, 8), [answer, value] { answer(value); });
+    });
+    return;
+  }
+  // No answer: never carried out, carried out now, or much later.
+  const double fate = this->Uniform();
+  if (!cut && fate < this->options.late_orders) {
+    // An order names the life that it is meant for.
+    const std::int64_t born = this->workers[endpoint].model->Row().born_ms;
+    this->After(this->Between(2000, 12000), [this, endpoint, deliver, born] {
+      WorkerModel& worker = *this->workers[endpoint].model;
+      deliver(worker, worker.Row().born_ms == born);
+    });
+  } else if (!cut && fate < 0.7) {
+    this->After(this->Between(1, 8), [this, endpoint, deliver] {
+      deliver(*this->workers[endpoint].model, true);
+    });
+  }
+  this->After(Milliseconds(700), [this, endpoint, deliver, answer] {
+    answer(deliver(*this->workers[endpoint].model, false));
+  });
+}
+
+void JobWorld::CheckStart(const StartRun& order, const WorkerModel& worker) {
+  const TaskName& name = order.task;
+  for (const auto& [id, other] : this->workers) {
+    if (other.model.get() != &worker && other.model->Runs(name)) {
+      this->Break("two runs at the same time of " + Text(name));
+    }
+    for (const RunEnd& end : other.model->Acknowledged()) {
+      if (end.task == name && end.kind == EndKind::kDone) {
+        this->Break("started after it was done: " + Text(name));
+      }
+    }
+  }
+  const auto failures = this->acked_failures.find(name);
+  if (failures != this->acked_failures.end() &&
+      failures->second.size() >= kMaxAttempts) {
+    this->Break("started after all attempts: " + Text(name));
+  }
+  Resources large;
+  std::set<TaskName> done;
+  for (const auto& [id, other] : this->workers) {
+    for (const TaskName& running : other.model->Running()) {
+      for (const AcceptedJob& job : this->accepted) {
+        if (job.id == running.job && job.team == TeamId("large")) {
+          large += job.spec.steps[running.step].per_task;
+        }
+      }
+    }
+    for (const RunEnd& end : other.model->AllEnds()) {
+      if (end.kind == EndKind::kDone) {
+        done.insert(end.task);
+      }
+    }
+  }
+  if (large.milli_cores > 9000) {
+    this->Break("a team is over its limit");
+  }
+  for (const AcceptedJob& job : this->accepted) {
+    if (job.id != name.job) {
+      continue;
+    }
+    for (const int earlier : job.spec.steps[name.step].after) {
+      for (int i = 0; i < job.spec.steps[earlier].task_count; ++i) {
+        if (!done.contains(TaskName{name.job, 0, earlier, i})) {
+          this->Break("started before an earlier step: " + Text(name));
+        }
+      }
+    }
+  }
+}
+
+void JobWorld::Round() {
+  for (auto& [id, worker] : this->workers) {
+    worker.model->Advance(this->now);
+    for (const RunEnd& end : worker.model->Acknowledged()) {
+      if (end.kind == EndKind::kFailed) {
+        this->acked_failures[end.task].insert(end.run);
+      }
+    }
+  }
+  this->ListWorkers();
+  const OwnerEpoch sender = this->epoch;
+  SchedulerActions actions = this->owner->Advance(true, this->now);
+  for (const StopRun& order : actions.stops) {
+    this->Send(
+        order.target.endpoint,
+        [=, this](WorkerModel& worker, bool reached) {
+          return reached ? worker.Stop(order, sender, this->now)
+                         : OrderReply::kUnknown;
+        },
+        [=, this](OrderReply reply) {
+          this->owner->OnStopReply(order, reply, this->now);
+        });
+  }
+  for (const StartRun& order : actions.starts) {
+    const WorkerTask task = this->TaskOf(order.task);
+    this->Send(
+        order.target.endpoint,
+        [=, this](WorkerModel& worker, bool reached) {
+          if (!reached) {
+            return OrderReply::kUnknown;
+          }
+          const bool before = worker.Runs(order.task);
+          const OrderReply reply =
+              worker.Start(order, sender, task, this->now);
+          if (!before && worker.Runs(order.task)) {
+            this->CheckStart(order, worker);
+          }
+          return reply;
+        },
+        [=, this](OrderReply reply) {
+          this->owner->OnStartReply(order, reply, this->now);
+        });
+  }
+  for (const LookAt& look : actions.looks) {
+    const Instant sent = this->now;
+    this->Send(
+        look.target.endpoint,
+        [=, this](WorkerModel& worker,
+                  bool reached) -> std::optional<EndpointReportRows> {
+          return reached ? worker.Look(look, sender, this->now)
+                         : std::nullopt;
+        },
+        [=, this](const std::optional<EndpointReportRows>& report) {
+          this->owner->OnLook(look, report, sent, this->now);
+        });
+  }
+  for (const std::string& text : this->owner->TakeDecisions()) {
+    if (!this->options.trace.empty() &&
+        text.find(this->options.trace) != std::string::npos) {
+      const auto at = std::chrono::duration_cast<Milliseconds>(this->now -
+                                                               this->start);
+      this->trace.push_back(std::to_string(at.count()) + " ms owner " +
+                            std::to_string(this->owner_number) + " " + text);
+    }
+  }
+  this->Record();
+  this->After(kRoundEvery, [this] { this->Round(); });
+}
+
+void JobWorld::Record() {
+  const RecordBatch batch = this->owner->TakeBatch(10);
+  const std::vector<UsedEndpoint> used =
+      this->owner->UsedEndpoints(this->now);
+  const std::uint64_t sender = this->owner_number;
+  const bool refused = this->Uniform() < 0.05;
+  const Instant sent = this->now;
+  this->After(this->Between(4, 40), [=, this] {
+    if (sender != this->owner_number) {
+      return;  // the write is conditional on the owner's lease
+    }
+    if (!refused) {
+      for (const JobProgress& progress : batch.progress) {
+        this->record[progress.id] = progress;
+      }
+      this->used_record = used;
+      for (UsedEndpoint& endpoint : this->used_record) {
+        endpoint.lapse_ms += endpoint.lapse_ms > 0
+                                 ? std::chrono::duration_cast<Milliseconds>(
+                                       sent - this->now)
+                                       .count()
+                                 : 0;
+      }
+    }
+    this->owner->OnRecorded(batch.number, !refused, this->now);
+  });
+}
+
+void JobWorld::Fault() {
+  if (this->now - this->start >= this->options.trouble) {
+    for (auto& [id, worker] : this->workers) {
+      worker.cut_until = Instant{};
+      worker.unlisted_until = Instant{};
+    }
+    return;
+  }
+  auto victim = this->workers.begin();
+  std::advance(victim, this->random() % this->workers.size());
+  switch (this->random() % 5) {
+    case 0:
+      victim->second.model->Restart(this->now);
+      break;
+    case 1:
+      victim->second.cut_until = this->now + this->Between(500, 7000);
+      break;
+    case 2:
+      victim->second.unlisted_until = this->now + this->Between(200, 6000);
+      break;
+    case 3:
+      victim->second.cut_until = this->now + this->Between(500, 7000);
+      victim->second.unlisted_until = victim->second.cut_until;
+      break;
+    default:
+      if (this->options.change_owners) {
+        ++this->takeovers;
+        this->NewOwner();
+      }
+  }
+  this->After(Milliseconds(static_cast<std::int64_t>(
+                  1000 / this->options.faults_a_second)),
+              [this] { this->Fault(); });
+}
+
+int JobWorld::FinalJobs() const {
+  int final_jobs = 0;
+  for (const AcceptedJob& job : this->accepted) {
+    const std::optional<JobState> state = this->owner->StateOf(job.id);
+    final_jobs += state && IsFinal(*state) ? 1 : 0;
+  }
+  return final_jobs;
+}
+
+void JobWorld::Play(Milliseconds length) {
+  const Instant end = this->now + length;
+  while (!this->events.empty() && this->events.begin()->first <= end) {
+    Event event = std::move(this->events.begin()->second);
+    this->events.erase(this->events.begin());
+    this->now = std::max(this->now, event.at);
+    event.action();
+  }
+  for (const auto& [id, progress] : this->record) {
+    if (progress.state != JobState::kCompleted) {
+      continue;
+    }
+    for (const AcceptedJob& job : this->accepted) {
+      if (job.id != id) {
+        continue;
+      }
+      for (std::size_t step = 0; step < job.spec.steps.size(); ++step) {
+        for (int i = 0; i < job.spec.steps[step].task_count; ++i) {
+          const TaskName name{id, 0, static_cast<int>(step), i};
+          const bool done = std::any_of(
+              this->workers.begin(), this->workers.end(),
+              [&](const auto& worker) {
+                const auto& ends = worker.second.model->AllEnds();
+                return std::any_of(ends.begin(), ends.end(),
+                                   [&](const RunEnd& run_end) {
+                                     return run_end.task == name &&
+                                            run_end.kind == EndKind::kDone;
+                                   });
+              });
+          if (!done) {
+            this->Break("completed without " + Text(name));
+          }
+        }
+      }
+    }
+  }
+}
+
+}  // namespace peridot
--- /dev/null
+++ b/tests/support/job_world.h
@@ -0,0 +1,104 @@
+// A seeded world for the job scheduler: model workers, a lossy network, a
+// record that survives owners, and owners that follow each other. It checks
+// after every event what must always hold.
+
+#ifndef TESTS_SUPPORT_JOB_WORLD_H_
+#define TESTS_SUPPORT_JOB_WORLD_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "src/coordination/job_scheduler.h"
+#include "stand_ins/worker_model.h"
+
+namespace peridot {
+
+struct JobWorldOptions {
+  unsigned seed = 1;
+  int workers = 6;
+  int jobs = 30;
+  double lost_orders = 0.03;   // share of orders without an answer
+  double late_orders = 0.3;    // of these, carried out 2 to 12 s later
+  double faults_a_second = 0.7;
+  bool change_owners = true;
+  Milliseconds trouble{20000};  // faults end after this time
+  std::string trace;            // keep the decisions that mention this text
+};
+
+class JobWorld {
+ public:
+  explicit JobWorld(JobWorldOptions options);
+
+  // Plays until all jobs are final or the time is over.
+  void Play(Milliseconds length);
+
+  // What was broken, one line each; empty if nothing was.
+  const std::vector<std::string>& Broken() const { return this->broken; }
+  // Decisions that mention the text of the options, with their times.
+  const std::vector<std::string>& Trace() const { return this->trace; }
+  int FinalJobs() const;
+  int Jobs() const { return this->options.jobs; }
+  int Takeovers() const { return this->takeovers; }
+
+ private:
+  struct Worker {
+    std::unique_ptr<WorkerModel> model;
+    Instant cut_until{};
+    Instant unlisted_until{};
+  };
+  struct Event {
+    Instant at{};
+    std::uint64_t order = 0;
+    std::function<void()> action;
+  };
+
+  double Uniform() {
+    return std::uniform_real_distribution<double>(0, 1)(this->random);
+  }
+  Milliseconds Between(int from_ms, int to_ms) {
+    return Milliseconds(
+        std::uniform_int_distribution<int>(from_ms, to_ms)(this->random));
+  }
+  void After(Milliseconds delay, std::function<void()> action);
+  void Break(const std::string& what);
+
+  void MakeJobs();
+  void ListWorkers();
+  void NewOwner();
+  void Round();
+  void Fault();
+  void Record();
+  void CheckStart(const StartRun& order, const WorkerModel& worker);
+  const WorkerTask TaskOf(const TaskName& name);
+  template <typename Deliver, typename Reply>
+  void Send(const EndpointId& endpoint, Deliver deliver, Reply reply);
+
+  JobWorldOptions options;
+  std::mt19937 random;
+  Instant now = Instant{} + std::chrono::seconds(1000);
+  Instant start = this->now;
+  std::map<EndpointId, Worker> workers;
+  std::vector<AcceptedJob> accepted;
+  std::map<JobId, JobProgress> record;     // what the store holds
+  std::vector<UsedEndpoint> used_record;
+  std::map<TaskName, std::set<RunNumber>> acked_failures;
+  std::unique_ptr<JobScheduler> owner;
+  OwnerEpoch epoch;
+  std::uint64_t owner_number = 0;
+  std::multimap<Instant, Event> events;
+  std::uint64_t next_event = 0;
+  FleetConfig fleet;
+  std::vector<std::string> broken;
+  std::vector<std::string> trace;
+  int takeovers = 0;
+};
+
+}  // namespace peridot
+
+#endif  // TESTS_SUPPORT_JOB_WORLD_H_
