--- a/src/coordination/owner_lease.cc
+++ b/src/coordination/owner_lease.cc
@@ -19,16 +19,19 @@
   return true;
 }
 
-void OwnerLease::OnHolderOver(const std::string& instance, bool certain) {
-  this->over = instance;
+void OwnerLease::OnHolderOver(OwnerEpoch epoch, bool certain) {
+  this->over = epoch;
   this->over_for_certain = certain;
 }
 
+bool OwnerLease::HolderOver() const {
+  return this->row.epoch == this->over && this->over != OwnerEpoch{};
+}
+
 Milliseconds OwnerLease::EarlierLeaseLeft(std::int64_t store_ms) const {
   const bool over_now = this->row.holder.value.empty() ||
                         this->row.holder == this->config.self ||
-                        (this->row.instance == this->over &&
-                         this->over_for_certain);
+                        (this->HolderOver() && this->over_for_certain);
   return Milliseconds(
       over_now ? 0 : std::max<std::int64_t>(0, this->row.expires_ms - store_ms));
 }
@@ -37,7 +40,7 @@
   if (!this->seen || this->held) {
     return false;
   }
-  return this->row.holder.value.empty() || this->row.instance == this->over ||
+  return this->row.holder.value.empty() || this->HolderOver() ||
          this->row.expires_ms <= store_ms ||
          // An earlier process of this host cannot be running any more, and
          // what this process gave up it takes again with a new epoch only.
--- a/src/coordination/owner_lease.h
+++ b/src/coordination/owner_lease.h
@@ -61,12 +61,14 @@
   // daemon has just found out that it lost the lease.
   bool OnRow(const OwnerRow& row, RowVersion version);
 
-  // The process that holds the lease seems to be over: it refused connections,
-  // or another process answered at its address, which is certain.
-  void OnHolderOver(const std::string& instance, bool certain);
+  // The holder of this epoch seems to be over: it refused connections, or it
+  // yields, or another process answered at its address, which is certain. The
+  // same process may hold a later epoch.
+  void OnHolderOver(OwnerEpoch epoch, bool certain);
 
   // Returns whether a claim is due.
   bool ShouldClaim(std::int64_t store_ms) const;
+  bool HolderOver() const;
 
   // Time for which the holder of the row as last read may still act.
   Milliseconds EarlierLeaseLeft(std::int64_t store_ms) const;
@@ -97,7 +99,7 @@
   RowVersion version;
   bool seen = false;
   bool held = false;
-  std::string over;  // instance of a holder that seems to be over
+  OwnerEpoch over;  // epoch whose holder seems to be over; 0: none
   bool over_for_certain = false;
   Instant valid_until{};
   Instant renewed{};
--- a/src/daemon/owner_task.cc
+++ b/src/daemon/owner_task.cc
@@ -198,9 +198,10 @@
     return;
   }
   const std::string instance = row.instance;
-  this->probe(row.address, [this, instance, alive = this->alive](
+  const OwnerEpoch epoch = row.epoch;
+  this->probe(row.address, [this, instance, epoch, alive = this->alive](
                                const std::optional<PeerAnswer>& answer) {
-    if (!*alive || this->lease.Row().instance != instance) {
+    if (!*alive || this->lease.Row().epoch != epoch) {
       return;
     }
     const bool certain = answer && !answer->refused &&
@@ -215,9 +216,10 @@
     }
     LogEvent(LogLevel::kInfo, "owner_over",
              {{"instance", instance},
+              {"epoch", std::to_string(epoch.value)},
               {"certain", certain ? "yes" : "no"},
               {"yields", answer->yields ? "yes" : "no"}});
-    this->lease.OnHolderOver(instance, certain);
+    this->lease.OnHolderOver(epoch, certain);
     this->Claim();
   });
 }
@@ -238,6 +240,12 @@
     return;
   }
   this->claiming = true;
+  LogEvent(LogLevel::kInfo, "owner_claims",
+           {{"holder", this->lease.Row().holder.value},
+            {"epoch", std::to_string(this->lease.Row().epoch.value)},
+            {"expires_ms", std::to_string(this->lease.Row().expires_ms)},
+            {"store_ms", std::to_string(this->StoreMs())},
+            {"row_version", std::to_string(this->lease.Version().value)}});
   const OwnerRow row = this->lease.NextRow(this->StoreMs(), false);
   const Instant sent = this->loop->Now();
   this->earlier_until = sent + this->lease.EarlierLeaseLeft(this->StoreMs());
