--- a/src/coordination/admission.h
+++ b/src/coordination/admission.h
@@ -31,9 +31,9 @@
 };
 
 struct OperatorConfig {
-  Revision version;                      // default: 0, none
-  std::vector<QueueRoute> routes;        // default: none
-  std::map<std::string, TeamId> keys;    // team of each key
+  Revision version;                    // default: 0, none
+  std::vector<QueueRoute> routes;      // default: none
+  std::map<std::string, TeamId> keys;  // team of each key
   FleetConfig fleet;
 };
 
--- a/src/coordination/host_planner.cc
+++ b/src/coordination/host_planner.cc
@@ -103,19 +103,18 @@
   host.target = ServiceId{};
 }
 
-HostPlan HostPlanner::Advance(
-    const std::vector<EndpointSummary>& endpoints,
-    const std::map<ServiceId, ServiceDemand>& demand,
-    const std::set<ZoneId>& zones_out,
-    bool may_order,
-    Instant now) {
+HostPlan HostPlanner::Advance(const std::vector<EndpointSummary>& endpoints,
+                              const std::map<ServiceId, ServiceDemand>& demand,
+                              const std::set<ZoneId>& zones_out,
+                              bool may_order,
+                              Instant now) {
   HostPlan plan;
-  const bool busy = std::any_of(
-      this->hosts.begin(), this->hosts.end(),
-      [](const auto& entry) { return entry.second.away; });
-  plan.read_hosts = !this->have_list ||
-                    now - this->list_sent > (busy ? kBusyListAge
-                                                  : kCalmListAge);
+  const bool busy =
+      std::any_of(this->hosts.begin(), this->hosts.end(),
+                  [](const auto& entry) { return entry.second.away; });
+  plan.read_hosts =
+      !this->have_list ||
+      now - this->list_sent > (busy ? kBusyListAge : kCalmListAge);
   if (!may_order || !this->have_list ||
       now - this->started < this->config.quiet_after_takeover) {
     return plan;
@@ -168,9 +167,9 @@
   host->ordered = now;
   host->target = pool;
   plan->orders.push_back(HostOrder{host->row.id, wave, pool});
-  this->decisions.push_back(
-      "decision=host_order host=" + host->row.id.value + " wave=" + wave +
-      " pool=" + pool.value + " from=" + host->row.pool.value);
+  this->decisions.push_back("decision=host_order host=" + host->row.id.value +
+                            " wave=" + wave + " pool=" + pool.value +
+                            " from=" + host->row.pool.value);
 }
 
 //-----------------------------------------------------------------------------
@@ -183,9 +182,8 @@
   for (auto& [name, wave] : this->waves) {
     this->PlanWave(name, &wave, endpoints, plan, now);
     const std::vector<HostId>& due = wave.wave.hosts;
-    const bool all_begun =
-        std::all_of(due.begin(), due.end(), [&, begun = &wave.begun](
-                                                const HostId& id) {
+    const bool all_begun = std::all_of(
+        due.begin(), due.end(), [&, begun = &wave.begun](const HostId& id) {
           return begun->contains(id) || !this->hosts.contains(id);
         });
     if (all_begun && !wave.reported_complete) {
@@ -235,11 +233,10 @@
                    [&](const HostRecord* a, const HostRecord* b) {
                      return cost(a) < cost(b);
                    });
-  const bool late =
-      now - wave->first_seen >
-      Milliseconds(static_cast<std::int64_t>(
-          this->config.patient_share *
-          static_cast<double>(wave->wave.length.count())));
+  const bool late = now - wave->first_seen >
+                    Milliseconds(static_cast<std::int64_t>(
+                        this->config.patient_share *
+                        static_cast<double>(wave->wave.length.count())));
   for (HostRecord* host : due) {
     const auto found = endpoints.find(host->row.endpoint);
     if (found == endpoints.end() || found->second->idle) {
@@ -263,8 +260,8 @@
         (late || lasts || this->CanGive(host->row.pool, cores))) {
       host->cordoned = true;
       ++used;
-      this->decisions.push_back("decision=cordon host=" +
-                                host->row.id.value + " wave=" + name);
+      this->decisions.push_back("decision=cordon host=" + host->row.id.value +
+                                " wave=" + name);
     }
     // Work that lasts does not end by itself. One host at a time: the next
     // look at the allowances sees it away.
@@ -288,8 +285,7 @@
 //-----------------------------------------------------------------------------
 
 const ServiceId& HostPlanner::PoolOf(const HostRecord& host) const {
-  return host.away && !host.target.value.empty() ? host.target
-                                                 : host.row.pool;
+  return host.away && !host.target.value.empty() ? host.target : host.row.pool;
 }
 
 bool HostPlanner::CanGive(const ServiceId& pool, double cores) const {
@@ -307,11 +303,10 @@
          !zones_out.contains(host.row.zone) && !this->InOpenWave(host.row.id);
 }
 
-void HostPlanner::MeasurePools(
-    const EndpointMap& endpoints,
-    const std::map<ServiceId, ServiceDemand>& demand,
-    const std::set<ZoneId>& zones_out,
-    Instant now) {
+void HostPlanner::MeasurePools(const EndpointMap& endpoints,
+                               const std::map<ServiceId, ServiceDemand>& demand,
+                               const std::set<ZoneId>& zones_out,
+                               Instant now) {
   this->pools.clear();
   for (const auto& [service, config] : this->services) {
     if (!config.spare) {
@@ -397,9 +392,8 @@
         "decision=pool_short service=" + service.value +
         " wanted_cores=" + std::to_string(pool.wanted) +
         " capacity_cores=" + std::to_string(pool.capacity) +
-        " rate_cores=" + std::to_string(pool.rate) +
-        " waiting_core_s=" + std::to_string(pool.waiting) +
-        " hosts=" + std::to_string(pool.hosts));
+        " rate_cores=" + std::to_string(pool.rate) + " waiting_core_s=" +
+        std::to_string(pool.waiting) + " hosts=" + std::to_string(pool.hosts));
     while (pool.wanted > pool.capacity) {
       // A host that stands idle in another pool costs as much to move as one
       // of the spare pool, and costs no more time afterwards.
@@ -408,8 +402,7 @@
         const double cores =
             static_cast<double>(host.row.capacity.milli_cores) / 1000;
         const bool spare = this->IsSpare(host.row.pool);
-        if (host.row.pool == service ||
-            !this->Movable(host, zones_out, now) ||
+        if (host.row.pool == service || !this->Movable(host, zones_out, now) ||
             (!spare && !this->CanGive(host.row.pool, cores))) {
           continue;
         }
@@ -481,8 +474,7 @@
   for (auto& [name, wave] : this->waves) {
     if (wave.changed) {
       wave.changed = false;
-      changed.push_back(
-          WaveProgress{name, wave.begun, wave.reported_complete});
+      changed.push_back(WaveProgress{name, wave.begun, wave.reported_complete});
     }
   }
   return changed;
--- a/src/coordination/host_planner.h
+++ b/src/coordination/host_planner.h
@@ -73,20 +73,20 @@
 
 // One row of the platform's list of hosts.
 struct FleetHost {
-  HostId id;                   // default: empty
-  ServiceId pool;              // default: empty
+  HostId id;                                     // default: empty
+  ServiceId pool;                                // default: empty
   FleetHostState state = FleetHostState::kDown;  // default: kDown
-  ZoneId zone;                 // default: empty
-  Resources capacity;          // default: none
-  EndpointId endpoint;         // default: empty; none
+  ZoneId zone;                                   // default: empty
+  Resources capacity;                            // default: none
+  EndpointId endpoint;                           // default: empty; none
 };
 
 // Hosts that are due for upkeep.
 struct UpkeepWave {
-  std::string name;              // default: empty; number of the wave
-  std::vector<HostId> hosts;     // default: none
-  std::size_t max_down = 1;      // default: 1; at the same time
-  Milliseconds length{0};        // default: 0; time given for all of them
+  std::string name;           // default: empty; number of the wave
+  std::vector<HostId> hosts;  // default: none
+  std::size_t max_down = 1;   // default: 1; at the same time
+  Milliseconds length{0};     // default: 0; time given for all of them
 };
 
 //-----------------------------------------------------------------------------
@@ -94,9 +94,9 @@
 //-----------------------------------------------------------------------------
 
 struct HostOrder {
-  HostId host;         // default: empty
-  std::string wave;    // default: empty; a move otherwise
-  ServiceId pool;      // default: empty; target of a move
+  HostId host;       // default: empty
+  std::string wave;  // default: empty; a move otherwise
+  ServiceId pool;    // default: empty; target of a move
 };
 
 enum class HostOrderReply { kDone, kBusy, kRefused, kNotSent, kUnknown };
@@ -108,9 +108,9 @@
 };
 
 struct WaveProgress {
-  std::string name;           // default: empty
-  std::set<HostId> begun;     // default: none
-  bool completed = false;     // default: false
+  std::string name;        // default: empty
+  std::set<HostId> begun;  // default: none
+  bool completed = false;  // default: false
 };
 
 //-----------------------------------------------------------------------------
@@ -147,11 +147,11 @@
   struct HostRecord {
     FleetHost row;
     bool cordoned = false;
-    ServiceId target;          // empty: no move is planned
-    bool order_open = false;   // sent and not answered
-    bool away = false;         // ordered; not seen up since
-    Instant ordered{};         // or answered, whichever came last
-    Instant not_before{};      // no order before; after a refusal
+    ServiceId target;         // empty: no move is planned
+    bool order_open = false;  // sent and not answered
+    bool away = false;        // ordered; not seen up since
+    Instant ordered{};        // or answered, whichever came last
+    Instant not_before{};     // no order before; after a refusal
     Instant idle_since{};
     Instant not_explained_before{};
     bool idle = false;
@@ -167,16 +167,16 @@
   struct PoolLoad {
     double capacity = 0;  // takes work, or will soon
     double wanted = 0;
-    double recent = 0;    // highest demand lately
-    double rate = 0;      // of arriving work
-    double waiting = 0;   // core-seconds
+    double recent = 0;   // highest demand lately
+    double rate = 0;     // of arriving work
+    double waiting = 0;  // core-seconds
     std::size_t hosts = 0;
     std::size_t coming = 0;  // of these, on their way
   };
   struct PoolHistory {
     std::deque<std::pair<Instant, double>> wanted;
     std::deque<std::pair<Instant, double>> arrived;  // core-seconds in all
-    Instant short_since{};  // zero: the pool has room
+    Instant short_since{};                           // zero: the pool has room
   };
   using EndpointMap = std::map<EndpointId, const EndpointSummary*>;
 
--- a/src/coordination/job.h
+++ b/src/coordination/job.h
@@ -29,8 +29,8 @@
 using JobId = StrongId<struct JobTag, std::string>;
 using ServiceId = StrongId<struct ServiceTag, std::string>;
 using OwnerEpoch = StrongId<struct OwnerEpochTag, std::uint64_t>;
-using RunNumber = std::uint64_t;            // starts of one task, from 1
-using EndNumber = std::uint64_t;            // ends of one endpoint, from 1
+using RunNumber = std::uint64_t;  // starts of one task, from 1
+using EndNumber = std::uint64_t;  // ends of one endpoint, from 1
 using Milliseconds = std::chrono::milliseconds;
 
 //-----------------------------------------------------------------------------
@@ -54,39 +54,39 @@
 //-----------------------------------------------------------------------------
 
 struct StepSpec {
-  int task_count = 1;          // default: 1
-  Resources per_task;          // default: none
-  Milliseconds estimate{0};    // default: 0; rough duration of a task
-  std::vector<int> after;      // default: none; steps that must be done first
-  bool checkpointing = false;  // default: false; a restart may resume
-  bool gang = false;           // default: false; tasks only work together
-  bool same_rack = false;      // default: false; slower across racks
-  bool speculative = false;    // default: false; copies may run in parallel
-  bool long_running = false;   // default: false; runs until cancelled
-  bool fills = false;          // default: false; uses processors left unused
-  std::string required_label;  // default: empty; any endpoint
-  std::string data_rack;       // default: empty; rack that holds the data
-  int max_per_endpoint = 0;    // default: 0, no limit
-  std::string image;           // default: empty; tasks of one image are alike
+  int task_count = 1;           // default: 1
+  Resources per_task;           // default: none
+  Milliseconds estimate{0};     // default: 0; rough duration of a task
+  std::vector<int> after;       // default: none; steps that must be done first
+  bool checkpointing = false;   // default: false; a restart may resume
+  bool gang = false;            // default: false; tasks only work together
+  bool same_rack = false;       // default: false; slower across racks
+  bool speculative = false;     // default: false; copies may run in parallel
+  bool long_running = false;    // default: false; runs until cancelled
+  bool fills = false;           // default: false; uses processors left unused
+  std::string required_label;   // default: empty; any endpoint
+  std::string data_rack;        // default: empty; rack that holds the data
+  int max_per_endpoint = 0;     // default: 0, no limit
+  std::string image;            // default: empty; tasks of one image are alike
   Milliseconds target_tail{0};  // default: 0; none. Tail latency to stay under
   int max_unavailable = -1;     // default: -1; no allowance is given
 };
 
 struct JobSpec {
-  std::string payload;           // default: empty; handed to every task
-  std::vector<StepSpec> steps;   // default: none
-  int occurrences = 0;           // default: 0; runs once, at once
+  std::string payload;            // default: empty; handed to every task
+  std::vector<StepSpec> steps;    // default: none
+  int occurrences = 0;            // default: 0; runs once, at once
   std::int64_t first_due_ms = 0;  // default: 0; Unix time of occurrence 0
   std::int64_t interval_ms = 0;   // default: 0; between occurrences
 };
 
 struct AcceptedJob {
-  JobId id;                       // default: empty
-  std::string queue;              // default: empty; name of the queue
-  ServiceId service;              // default: empty; at acceptance
-  TeamId team;                    // default: empty; none for open queues
-  std::int64_t accepted_ms = 0;   // default: 0; Unix time
-  JobSpec spec;                   // default: none
+  JobId id;                      // default: empty
+  std::string queue;             // default: empty; name of the queue
+  ServiceId service;             // default: empty; at acceptance
+  TeamId team;                   // default: empty; none for open queues
+  std::int64_t accepted_ms = 0;  // default: 0; Unix time
+  JobSpec spec;                  // default: none
 };
 
 struct TaskName {
@@ -111,14 +111,14 @@
 };
 
 struct QueueConfig {
-  std::string name;             // default: empty
-  ServiceId service;            // default: empty
-  int priority = 0;             // default: 0, which comes first
-  int max_attempts = 1;         // default: 1; failed runs of a task
-  double stretch = 1.0;         // default: 1; objective in chains of work
-  Milliseconds objective{0};    // default: 0; added to the stretched chain
-  bool needs_advice = false;    // default: false
-  AdviceSettings advice;        // default: none
+  std::string name;           // default: empty
+  ServiceId service;          // default: empty
+  int priority = 0;           // default: 0, which comes first
+  int max_attempts = 1;       // default: 1; failed runs of a task
+  double stretch = 1.0;       // default: 1; objective in chains of work
+  Milliseconds objective{0};  // default: 0; added to the stretched chain
+  bool needs_advice = false;  // default: false
+  AdviceSettings advice;      // default: none
 };
 
 struct TeamConfig {
@@ -132,7 +132,7 @@
 };
 
 struct FleetConfig {
-  std::map<std::string, QueueConfig> queues;     // by name
+  std::map<std::string, QueueConfig> queues;  // by name
   std::map<TeamId, TeamConfig> teams;
   std::map<ServiceId, ServiceConfig> services;
 };
@@ -161,11 +161,11 @@
 const char* EndKindName(EndKind kind);
 
 struct RunEnd {
-  EndNumber number = 0;               // default: 0, which no end has
-  TaskName task;                      // default: empty
-  RunNumber run = 0;                  // default: 0
-  EndKind kind = EndKind::kFailed;    // default: kFailed
-  std::string checkpoint;             // default: empty; none
+  EndNumber number = 0;             // default: 0, which no end has
+  TaskName task;                    // default: empty
+  RunNumber run = 0;                // default: 0
+  EndKind kind = EndKind::kFailed;  // default: kFailed
+  std::string checkpoint;           // default: empty; none
 };
 
 struct RunningTask {
@@ -180,10 +180,10 @@
 
 // What an endpoint says it runs and has ended.
 struct EndpointReportRows {
-  std::int64_t clock_ms = 0;          // default: 0; the endpoint's clock
-  std::int64_t born_ms = 0;           // default: 0; not said
-  std::vector<RunningTask> running;   // default: none
-  std::vector<RunEnd> ended;          // default: none; by number
+  std::int64_t clock_ms = 0;         // default: 0; the endpoint's clock
+  std::int64_t born_ms = 0;          // default: 0; not said
+  std::vector<RunningTask> running;  // default: none
+  std::vector<RunEnd> ended;         // default: none; by number
 };
 
 //-----------------------------------------------------------------------------
@@ -197,9 +197,9 @@
 
 // What must outlive the owner: written before an end is acknowledged.
 struct JobProgress {
-  JobId id;                              // default: empty
-  JobState state = JobState::kPending;   // default: kPending
-  std::set<TaskName> done;               // tasks that ended done
+  JobId id;                             // default: empty
+  JobState state = JobState::kPending;  // default: kPending
+  std::set<TaskName> done;              // tasks that ended done
   // Runs that ended "failed". An end is listed until it is acknowledged, so
   // that it is seen again by the next owner; a run counts once.
   std::map<TaskName, std::set<RunNumber>> failures;
--- a/src/coordination/job_scheduler.cc
+++ b/src/coordination/job_scheduler.cc
@@ -72,9 +72,9 @@
   this->state->config = config;
   this->state->started = now;
   const auto lease = std::min(config.endpoint_lease, config.endpoint_lease_max);
-  this->state->recovery_ends =
-      now + lease + lease * config.clock_drift_percent / 100 +
-      config.lapse_margin;
+  this->state->recovery_ends = now + lease +
+                               lease * config.clock_drift_percent / 100 +
+                               config.lapse_margin;
 }
 
 JobScheduler::~JobScheduler() = default;
@@ -154,9 +154,8 @@
 }
 
 void JobScheduler::OnWallClock(std::int64_t unix_ms, Instant now) {
-  const auto steady = std::chrono::duration_cast<Milliseconds>(
-                          now.time_since_epoch())
-                          .count();
+  const auto steady =
+      std::chrono::duration_cast<Milliseconds>(now.time_since_epoch()).count();
   this->state->wall_offset_ms = unix_ms - steady;
 }
 
@@ -183,8 +182,8 @@
     // Without a stated allowance, one task at a time.
     const int allowed = spec.max_unavailable >= 0 ? spec.max_unavailable : 1;
     const int away = state.UnavailableTasks(*task->step, now);
-    const bool at_work = task->phase == TaskPhase::kRunning &&
-                         task->percent >= 100;
+    const bool at_work =
+        task->phase == TaskPhase::kRunning && task->percent >= 100;
     if (away + (at_work ? 1 : 0) <= allowed) {
       state.RequestStop(task, "host_leaves", now);
     }
--- a/src/coordination/job_scheduler.h
+++ b/src/coordination/job_scheduler.h
@@ -75,7 +75,6 @@
   // Age up to which a report counts for allowances of unavailable tasks.
   Milliseconds fresh_report{1600};  // default: 1600 ms
 
-
   // A task whose progress does not change for this long, and for at least
   // stall_factor of its expected duration, is moved to another endpoint.
   Milliseconds stall{2200};   // default: 2200 ms
@@ -112,17 +111,17 @@
 
 // The address that an order goes to, and the life that it is meant for.
 struct OrderTarget {
-  EndpointId endpoint;        // default: empty
-  std::string address;        // default: empty; "ip:port"
+  EndpointId endpoint;  // default: empty
+  std::string address;  // default: empty; "ip:port"
 };
 
 struct StartRun {
   OrderTarget target;
   TaskName task;
-  RunNumber run = 0;             // default: 0
-  std::string payload;           // default: empty
-  std::string checkpoint;        // default: empty; start from the beginning
-  std::string ticket;            // default: empty; no advice needed
+  RunNumber run = 0;                // default: 0
+  std::string payload;              // default: empty
+  std::string checkpoint;           // default: empty; start from the beginning
+  std::string ticket;               // default: empty; no advice needed
   std::int64_t lease_until_ms = 0;  // default: 0; on the endpoint's clock
 };
 
@@ -135,8 +134,8 @@
 struct PaceRun {
   OrderTarget target;
   TaskName task;
-  RunNumber run = 0;   // default: 0
-  int percent = 100;   // default: 100
+  RunNumber run = 0;  // default: 0
+  int percent = 100;  // default: 100
 };
 
 // Reads the lists of an endpoint, renews its lease and acknowledges ends.
@@ -196,18 +195,18 @@
   EndpointId id;
   ServiceId service;
   ZoneId zone;
-  bool usable = false;        // takes new work
-  bool idle = false;          // nothing runs and nothing may start there
-  int long_running = 0;       // tasks of steps that last
-  int short_running = 0;      // all others
+  bool usable = false;    // takes new work
+  bool idle = false;      // nothing runs and nothing may start there
+  int long_running = 0;   // tasks of steps that last
+  int short_running = 0;  // all others
   Resources used;
   Resources capacity;
 };
 
 // An endpoint that may hold work, for the next owner.
 struct UsedEndpoint {
-  EndpointId id;      // default: empty
-  ServiceId service;  // default: empty
+  EndpointId id;       // default: empty
+  ServiceId service;   // default: empty
   Resources capacity;  // default: none
   // Time until its work has lapsed, for one that does not answer and whose
   // lease is not renewed any more; 0: its lease may be renewed.
@@ -242,7 +241,9 @@
 
   // A job that was stored `age` ago. `before_takeover` is true if an earlier
   // owner may have started tasks of it. Does nothing if the job is known.
-  void OnJob(AcceptedJob job, bool before_takeover, Milliseconds age,
+  void OnJob(AcceptedJob job,
+             bool before_takeover,
+             Milliseconds age,
              Instant now);
 
   // What an earlier owner recorded of a job. Requires that OnJob() follows.
--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -50,12 +50,12 @@
   Instant stop_sent{};                // last stop order
   bool stop_confirmed = false;        // the endpoint answered the stop
   Instant stop_answered{};
-  std::string checkpoint;             // newest that is known
-  EndpointId avoid;                   // where it failed last
-  int percent = -1;                   // as last listed
+  std::string checkpoint;  // newest that is known
+  EndpointId avoid;        // where it failed last
+  int percent = -1;        // as last listed
   Instant percent_changed{};
-  std::int64_t recent = 0;            // as last listed
-  int pace = 100;                     // percent, as last ordered
+  std::int64_t recent = 0;  // as last listed
+  int pace = 100;           // percent, as last ordered
   Instant paced{};
 };
 
@@ -73,9 +73,9 @@
   int done = 0;
   Instant ready_since = kNever;  // kNever: earlier steps are not done
   std::map<EndpointId, StepTicket> tickets;
-  bool advice_open = false;      // a call for advice is under way
-  Instant advice_after{};        // no call before this instant
-  RunNumber gang_run = 0;        // run number shared by the gang
+  bool advice_open = false;  // a call for advice is under way
+  Instant advice_after{};    // no call before this instant
+  RunNumber gang_run = 0;    // run number shared by the gang
 };
 
 struct ScheduledOccurrence {
@@ -89,15 +89,15 @@
   bool before_takeover = false;
   bool cancelled = false;
   bool any_started = false;
-  bool dirty = false;              // progress not recorded yet
-  JobState decided = JobState::kPending;   // what the owner knows
-  JobState recorded = JobState::kPending;  // what the store holds
-  Instant recorded_at{};           // of a final state
+  bool dirty = false;                           // progress not recorded yet
+  JobState decided = JobState::kPending;        // what the owner knows
+  JobState recorded = JobState::kPending;       // what the store holds
+  Instant recorded_at{};                        // of a final state
   std::deque<ScheduledOccurrence> occurrences;  // stable addresses
-  int next_occurrence = 0;         // first that has not been created
-  Milliseconds chain{0};           // estimate of the longest chain of work
-  double core_seconds = 0;         // estimate of all work
-  int open_tasks = 0;              // tasks that are not done
+  int next_occurrence = 0;  // first that has not been created
+  Milliseconds chain{0};    // estimate of the longest chain of work
+  double core_seconds = 0;  // estimate of all work
+  int open_tasks = 0;       // tasks that are not done
   std::map<TaskName, std::set<RunNumber>> failures;  // runs that failed
   std::set<TaskName> done;
   std::map<TaskName, std::string> checkpoints;
@@ -109,17 +109,17 @@
 
 struct EndpointState {
   EndpointRow row;
-  bool listed = false;   // in the newest list
-  bool fenced = false;   // has answered a look of this epoch
+  bool listed = false;  // in the newest list
+  bool fenced = false;  // has answered a look of this epoch
   bool has_clock = false;
   std::int64_t clock_ms = 0;  // the endpoint's clock at clock_read
   Instant clock_read{};
-  Instant lapse_at{};    // by then no run of an earlier order is left
+  Instant lapse_at{};  // by then no run of an earlier order is left
   Resources used;
   std::set<ScheduledTask*> tasks;  // runs that may exist
-  EndNumber processed = 0;  // ends up to here are in memory
-  EndNumber in_batch = 0;   // ends up to here are covered by the open batch
-  EndNumber recorded = 0;   // ends up to here may be acknowledged
+  EndNumber processed = 0;         // ends up to here are in memory
+  EndNumber in_batch = 0;  // ends up to here are covered by the open batch
+  EndNumber recorded = 0;  // ends up to here may be acknowledged
   bool look_open = false;
   Instant next_look{};
   int failed_looks = 0;
@@ -153,7 +153,7 @@
   std::int64_t wall_offset_ms = 0;  // Unix time less the steady clock
   bool fenced = false;
   std::size_t advice_open = 0;
-  std::uint64_t batch = 0;       // number of the open batch; 0: none
+  std::uint64_t batch = 0;  // number of the open batch; 0: none
   std::uint64_t last_batch = 0;
   std::vector<std::pair<JobId, JobState>> batch_jobs;
   Counters counters;
--- a/src/coordination/job_scheduler_place.cc
+++ b/src/coordination/job_scheduler_place.cc
@@ -57,8 +57,8 @@
       longest = std::max(longest, finish[i]);
     }
   }
-  return Milliseconds(static_cast<std::int64_t>(
-      static_cast<double>(longest.count()) * ratio));
+  return Milliseconds(
+      static_cast<std::int64_t>(static_cast<double>(longest.count()) * ratio));
 }
 
 // Work that is left, by the estimates.
@@ -67,9 +67,8 @@
   for (const ScheduledOccurrence& occurrence : job.occurrences) {
     for (const ScheduledStep& step : occurrence.steps) {
       const auto tasks = static_cast<double>(step.tasks.size()) - step.done;
-      left += tasks *
-              static_cast<double>(step.spec->per_task.milli_cores) / 1000 *
-              std::chrono::duration<double>(step.spec->estimate).count();
+      left += tasks * static_cast<double>(step.spec->per_task.milli_cores) /
+              1000 * std::chrono::duration<double>(step.spec->estimate).count();
     }
   }
   return left;
@@ -92,17 +91,15 @@
 }
 
 bool HoldsLastingWork(const EndpointState& endpoint) {
-  return std::any_of(endpoint.tasks.begin(), endpoint.tasks.end(),
-                     [](const ScheduledTask* task) {
-                       return task->step->spec->long_running;
-                     });
+  return std::any_of(
+      endpoint.tasks.begin(), endpoint.tasks.end(),
+      [](const ScheduledTask* task) { return task->step->spec->long_running; });
 }
 
 bool IsLasting(const ScheduledJob& job) {
   const std::vector<StepSpec>& steps = job.accepted.spec.steps;
-  return std::any_of(steps.begin(), steps.end(), [](const StepSpec& step) {
-    return step.long_running;
-  });
+  return std::any_of(steps.begin(), steps.end(),
+                     [](const StepSpec& step) { return step.long_running; });
 }
 
 }  // namespace
@@ -196,10 +193,10 @@
         (queue == nullptr ? Milliseconds{0} : queue->objective);
     const Instant finish = now + RemainingChain(*job, ratio);
     Rank rank;
-    rank.over_share = weights > 0 && static_cast<double>(use[team]) >
-                                         weight_of(team) / weights *
-                                             static_cast<double>(
-                                                 capacity.milli_cores);
+    rank.over_share =
+        weights > 0 && static_cast<double>(use[team]) >
+                           weight_of(team) / weights *
+                               static_cast<double>(capacity.milli_cores);
     rank.priority = queue == nullptr ? 0 : queue->priority;
     const auto weighted = [](Milliseconds time, double factor) {
       return Milliseconds(static_cast<std::int64_t>(
@@ -212,14 +209,14 @@
       rank.urgency = Urgency::kInTime;
       // The least work left first: it serves most jobs, and nearly the most
       // work, in time while there is too much for all.
-      rank.key = Instant{} + std::chrono::duration_cast<Duration>(
-                                 std::chrono::duration<double>(
-                                     RemainingCoreSeconds(*job)));
+      rank.key = Instant{} +
+                 std::chrono::duration_cast<Duration>(
+                     std::chrono::duration<double>(RemainingCoreSeconds(*job)));
     } else if (finish <=
                job->arrived + weighted(objective, this->config.late_factor)) {
       rank.urgency = Urgency::kLate;
-      rank.key = job->arrived + weighted(objective,
-                                         this->config.short_job_weight);
+      rank.key =
+          job->arrived + weighted(objective, this->config.short_job_weight);
     } else {
       rank.urgency = Urgency::kHopeless;
       rank.key = job->arrived;
@@ -347,8 +344,7 @@
     const bool lasts = step.spec->long_running;
     const std::tuple<int, int, int, bool, std::int64_t> score{
         avoided, far, lasts ? this->OthersOnEndpoint(step, *endpoint) : 0,
-        lasts && !HoldsLastingWork(*endpoint),
-        step.spec->fills ? -left : left};
+        lasts && !HoldsLastingWork(*endpoint), step.spec->fills ? -left : left};
     if (best == nullptr || score < best_score) {
       best = endpoint;
       best_score = score;
@@ -530,12 +526,11 @@
          " with_room=" + std::to_string(with_room) +
          " accepting=" + std::to_string(accepting) +
          " team=" + job->accepted.team.value + " team_milli_cores=" +
-         std::to_string(used == state.team_use.end()
-                            ? 0
-                            : used->second.milli_cores) +
-         " failures=" + std::to_string(failed == job->failures.end()
-                                           ? 0
-                                           : failed->second.size());
+         std::to_string(
+             used == state.team_use.end() ? 0 : used->second.milli_cores) +
+         " failures=" +
+         std::to_string(failed == job->failures.end() ? 0
+                                                      : failed->second.size());
 }
 
 std::vector<JobId> JobScheduler::WaitingSince(Instant instant) const {
@@ -562,16 +557,17 @@
     const QueueConfig& queue,
     const std::vector<EndpointState*>& usable,
     Instant now) {
-  const bool waiting = std::any_of(
-      step->tasks.begin(), step->tasks.end(), [](const ScheduledTask& task) {
-        return task.phase == TaskPhase::kWaiting;
-      });
+  const bool waiting = std::any_of(step->tasks.begin(), step->tasks.end(),
+                                   [](const ScheduledTask& task) {
+                                     return task.phase == TaskPhase::kWaiting;
+                                   });
   if (!waiting || step->advice_open || step->advice_after > now ||
       this->advice_open >= this->config.advice_calls) {
     return;
   }
   // Tickets of a later step would expire before the step is ready.
-  const bool soon = step->ready_since != kNever || queue.advice.valid.count() == 0;
+  const bool soon =
+      step->ready_since != kNever || queue.advice.valid.count() == 0;
   if (!soon) {
     return;
   }
@@ -635,8 +631,7 @@
     bool easy = true;
     for (const ScheduledTask* task : endpoint->tasks) {
       const Milliseconds target = task->step->spec->target_tail;
-      if (target.count() == 0 || task->percent < 0 ||
-          task->step->spec->fills) {
+      if (target.count() == 0 || task->percent < 0 || task->step->spec->fills) {
         continue;
       }
       const auto tail = static_cast<double>(task->recent);
@@ -663,8 +658,8 @@
       this->Decide("decision=pace task=" + TaskText(NameOf(*task)) +
                    " endpoint=" + id.value +
                    " percent=" + std::to_string(pace));
-      this->actions.paces.push_back(PaceRun{this->TargetOf(*endpoint),
-                                            NameOf(*task), task->run, pace});
+      this->actions.paces.push_back(
+          PaceRun{this->TargetOf(*endpoint), NameOf(*task), task->run, pace});
     }
   }
 }
@@ -736,12 +731,12 @@
   }
   const ServiceId service = this->ServiceOf(*step.job);
   const QueueConfig* queue = this->QueueOf(*step.job);
-  return std::none_of(
-      this->endpoints.begin(), this->endpoints.end(), [&](const auto& entry) {
-        return entry.second->row.service == service &&
-               this->Usable(*entry.second, now) &&
-               this->Accepts(*entry.second, step, queue, now);
-      });
+  return std::none_of(this->endpoints.begin(), this->endpoints.end(),
+                      [&](const auto& entry) {
+                        return entry.second->row.service == service &&
+                               this->Usable(*entry.second, now) &&
+                               this->Accepts(*entry.second, step, queue, now);
+                      });
 }
 
 }  // namespace peridot
--- a/src/coordination/job_scheduler_runs.cc
+++ b/src/coordination/job_scheduler_runs.cc
@@ -80,8 +80,7 @@
     const std::vector<UsedEndpoint>& endpoints,
     Instant now) {
   for (const UsedEndpoint& used : endpoints) {
-    std::unique_ptr<EndpointState>& endpoint =
-        this->state->endpoints[used.id];
+    std::unique_ptr<EndpointState>& endpoint = this->state->endpoints[used.id];
     if (endpoint == nullptr) {
       endpoint = std::make_unique<EndpointState>();
       endpoint->row.id = used.id;
@@ -99,23 +98,22 @@
 std::vector<UsedEndpoint> JobScheduler::UsedEndpoints(Instant now) const {
   std::vector<UsedEndpoint> used;
   for (const auto& [id, endpoint] : this->state->endpoints) {
-    UsedEndpoint& entry =
-        used.emplace_back(UsedEndpoint{
-            id, endpoint->row.service, endpoint->row.capacity});
+    UsedEndpoint& entry = used.emplace_back(
+        UsedEndpoint{id, endpoint->row.service, endpoint->row.capacity});
     const bool lapsing = !endpoint->listed || endpoint->failed_looks > 0;
     if (lapsing && endpoint->lapse_at > now) {
-      entry.lapse_ms = std::chrono::duration_cast<Milliseconds>(
-                           endpoint->lapse_at - now)
-                           .count();
+      entry.lapse_ms =
+          std::chrono::duration_cast<Milliseconds>(endpoint->lapse_at - now)
+              .count();
     }
   }
   return used;
 }
 
 void JobScheduler::State::StartNewLife(EndpointState* endpoint, Instant now) {
-  this->Decide("decision=endpoint_restarted endpoint=" +
-               endpoint->row.id.value +
-               " runs=" + std::to_string(endpoint->tasks.size()));
+  this->Decide(
+      "decision=endpoint_restarted endpoint=" + endpoint->row.id.value +
+      " runs=" + std::to_string(endpoint->tasks.size()));
   endpoint->fenced = false;
   endpoint->has_clock = false;
   endpoint->processed = endpoint->in_batch = endpoint->recorded = 0;
@@ -180,8 +178,7 @@
   task->step->job->any_started = true;
   endpoint->tasks.insert(task);
   endpoint->used += Reserved(*task->step->spec);
-  this->team_use[task->step->job->accepted.team] +=
-      task->step->spec->per_task;
+  this->team_use[task->step->job->accepted.team] += task->step->spec->per_task;
 }
 
 void JobScheduler::State::Detach(ScheduledTask* task) {
@@ -190,8 +187,7 @@
   }
   task->endpoint->tasks.erase(task);
   task->endpoint->used -= Reserved(*task->step->spec);
-  this->team_use[task->step->job->accepted.team] -=
-      task->step->spec->per_task;
+  this->team_use[task->step->job->accepted.team] -= task->step->spec->per_task;
   task->endpoint = nullptr;
   task->unanswered = false;
   task->stop_confirmed = false;
@@ -220,9 +216,8 @@
   }
   ++this->counters.stops_by_reason[reason];
   this->Decide("decision=stop task=" + TaskText(NameOf(*task)) +
-               " run=" + std::to_string(task->run) +
-               " endpoint=" + task->endpoint->row.id.value +
-               " reason=" + reason);
+               " run=" + std::to_string(task->run) + " endpoint=" +
+               task->endpoint->row.id.value + " reason=" + reason);
   task->phase = TaskPhase::kStopping;
   task->since = now;
   task->stop_confirmed = false;
@@ -237,8 +232,7 @@
 
 Milliseconds JobScheduler::State::ExpectedDuration(
     const ScheduledTask& task) const {
-  const auto found =
-      this->duration_ratio.find(task.step->job->accepted.queue);
+  const auto found = this->duration_ratio.find(task.step->job->accepted.queue);
   const double ratio = found == this->duration_ratio.end() ? 1 : found->second;
   return Milliseconds(static_cast<std::int64_t>(
       static_cast<double>(task.step->spec->estimate.count()) * ratio));
@@ -371,8 +365,7 @@
                                    Instant now) {
   ScheduledTask* task = this->FindTask(row.task);
   if (task == nullptr || task->phase == TaskPhase::kDone ||
-      (MayRun(*task) &&
-       (task->endpoint != endpoint || task->run != row.run))) {
+      (MayRun(*task) && (task->endpoint != endpoint || task->run != row.run))) {
     // A run that nobody needs: of a final job, or beside the current run.
     this->actions.stops.push_back(
         StopRun{this->TargetOf(*endpoint), row.task, row.run});
@@ -441,10 +434,10 @@
                                    Instant now) {
   ++this->counters.ends_by_kind[EndKindName(end.kind)];
   ScheduledTask* task = this->FindTask(end.task);
-  this->Decide("decision=end task=" + TaskText(end.task) +
-               " run=" + std::to_string(end.run) + " endpoint=" +
-               endpoint->row.id.value + " number=" +
-               std::to_string(end.number) + " kind=" + EndKindName(end.kind));
+  this->Decide("decision=end task=" + TaskText(end.task) + " run=" +
+               std::to_string(end.run) + " endpoint=" + endpoint->row.id.value +
+               " number=" + std::to_string(end.number) +
+               " kind=" + EndKindName(end.kind));
   if (task == nullptr || task->phase == TaskPhase::kDone) {
     return;
   }
@@ -474,8 +467,8 @@
       double& learned =
           this->duration_ratio.try_emplace(job->accepted.queue, 1.0)
               .first->second;
-      learned += (std::clamp(ratio, kMinRatio, kMaxRatio) - learned) *
-                 kRatioWeight;
+      learned +=
+          (std::clamp(ratio, kMinRatio, kMaxRatio) - learned) * kRatioWeight;
     }
     this->Detach(task);
     task->phase = PhaseAtRest(*task);
--- a/src/coordination/owner_lease.cc
+++ b/src/coordination/owner_lease.cc
@@ -33,7 +33,8 @@
                         this->row.holder == this->config.self ||
                         (this->HolderOver() && this->over_for_certain);
   return Milliseconds(
-      over_now ? 0 : std::max<std::int64_t>(0, this->row.expires_ms - store_ms));
+      over_now ? 0
+               : std::max<std::int64_t>(0, this->row.expires_ms - store_ms));
 }
 
 bool OwnerLease::ShouldClaim(std::int64_t store_ms) const {
@@ -49,8 +50,8 @@
 
 OwnerRow OwnerLease::NextRow(std::int64_t store_ms, bool release) const {
   OwnerRow next;
-  next.epoch = this->held ? this->row.epoch
-                          : OwnerEpoch(this->row.epoch.value + 1);
+  next.epoch =
+      this->held ? this->row.epoch : OwnerEpoch(this->row.epoch.value + 1);
   next.sequence = this->held ? this->row.sequence + 1 : 1;
   next.instance = this->config.instance;
   if (!release) {
--- a/src/coordination/owner_lease.h
+++ b/src/coordination/owner_lease.h
@@ -27,9 +27,9 @@
 //-----------------------------------------------------------------------------
 
 struct OwnerLeaseConfig {
-  DaemonId self;            // default: empty; name of this daemon's host
-  std::string instance;     // default: empty; unique for each process
-  std::string address;      // default: empty; "ip:port" for other daemons
+  DaemonId self;         // default: empty; name of this daemon's host
+  std::string instance;  // default: empty; unique for each process
+  std::string address;   // default: empty; "ip:port" for other daemons
   // Long enough for two renewals to be lost, short enough that work goes on
   // soon after the holder's host has lost power.
   Milliseconds length{2400};  // default: 2400 ms
@@ -41,12 +41,12 @@
 
 // The row as it is stored.
 struct OwnerRow {
-  DaemonId holder;               // default: empty; released
-  std::string instance;          // default: empty
-  std::string address;           // default: empty
-  OwnerEpoch epoch;              // default: 0
-  std::int64_t expires_ms = 0;   // default: 0; on the store's clock
-  std::uint64_t sequence = 0;    // default: 0; writes of this holder
+  DaemonId holder;              // default: empty; released
+  std::string instance;         // default: empty
+  std::string address;          // default: empty
+  OwnerEpoch epoch;             // default: 0
+  std::int64_t expires_ms = 0;  // default: 0; on the store's clock
+  std::uint64_t sequence = 0;   // default: 0; writes of this holder
 };
 
 //-----------------------------------------------------------------------------
--- a/src/daemon/entry_task.cc
+++ b/src/daemon/entry_task.cc
@@ -20,9 +20,8 @@
 
 bool IsJobId(std::string_view text) {
   return text.size() == kJobIdLength &&
-         std::all_of(text.begin(), text.end(), [](unsigned char c) {
-           return std::isxdigit(c) != 0;
-         });
+         std::all_of(text.begin(), text.end(),
+                     [](unsigned char c) { return std::isxdigit(c) != 0; });
 }
 
 std::int64_t UnixMs() {
@@ -134,8 +133,7 @@
                        const HttpServerRequest& request) {
   Result<JobSpec> spec = this->ports->decode_job(request.body);
   if (!spec) {
-    this->Answer(call, 400, "bad_job",
-                 "{\"error\":\"the job is not valid\"}");
+    this->Answer(call, 400, "bad_job", "{\"error\":\"the job is not valid\"}");
     LogError(LogLevel::kWarning, "job_rejected", spec.error());
     return;
   }
@@ -185,21 +183,20 @@
 }
 
 void EntryTask::ShowStored(const Call& call, const JobId& id) {
-  LookUpState(*this->ports, id,
-              [this, call](LookUpResult result, JobState state) {
-                switch (result) {
-                  case LookUpResult::kFound:
-                    this->Answer(call, 200, "stored",
-                                 this->ports->encode_state(state));
-                    return;
-                  case LookUpResult::kUnknownJob:
-                    this->Answer(call, 410, "unknown_job");
-                    return;
-                  case LookUpResult::kUnavailable:
-                    this->Answer(call, 503, "store_unavailable");
-                    return;
-                }
-              });
+  LookUpState(
+      *this->ports, id, [this, call](LookUpResult result, JobState state) {
+        switch (result) {
+          case LookUpResult::kFound:
+            this->Answer(call, 200, "stored", this->ports->encode_state(state));
+            return;
+          case LookUpResult::kUnknownJob:
+            this->Answer(call, 410, "unknown_job");
+            return;
+          case LookUpResult::kUnavailable:
+            this->Answer(call, 503, "store_unavailable");
+            return;
+        }
+      });
 }
 
 void EntryTask::ShowWaiting(const Call& call, const std::string& queue) {
--- a/src/daemon/entry_task.h
+++ b/src/daemon/entry_task.h
@@ -31,9 +31,9 @@
 
 // What the owner says about a job or a queue.
 struct OwnerReply {
-  bool answered = false;            // default: false; no owner answered
-  std::optional<JobState> state;    // of a job; none: the owner knows it not
-  std::optional<int> waiting;       // of a queue
+  bool answered = false;          // default: false; no owner answered
+  std::optional<JobState> state;  // of a job; none: the owner knows it not
+  std::optional<int> waiting;     // of a queue
 };
 
 //-----------------------------------------------------------------------------
--- a/src/daemon/fleet_node.cc
+++ b/src/daemon/fleet_node.cc
@@ -62,23 +62,25 @@
       settings(std::move(settings)),
       peers(loop, HttpClientOptions{}),
       view(loop, &this->ports),
-      owner(loop,
-            &this->ports,
-            &this->view,
-            &this->metrics,
-            this->settings,
-            OwnerTaskConfig{},
-            [this](const std::string& address,
-                   std::function<void(std::optional<OwnerTask::PeerAnswer>)>
-                       done) {
-              this->Probe(address, std::move(done));
-            }),
+      owner(
+          loop,
+          &this->ports,
+          &this->view,
+          &this->metrics,
+          this->settings,
+          OwnerTaskConfig{},
+          [this](
+              const std::string& address,
+              std::function<void(std::optional<OwnerTask::PeerAnswer>)> done) {
+            this->Probe(address, std::move(done));
+          }),
       entry(loop,
             &this->ports,
             &this->view,
             &this->owner,
             &this->metrics,
-            [this](const std::string& address, const JobId& job,
+            [this](const std::string& address,
+                   const JobId& job,
                    const std::string& queue,
                    std::function<void(OwnerReply)> done) {
               this->AskOwner(address, job, queue, std::move(done));
@@ -130,8 +132,8 @@
       HttpMethod::kGet, kInstancePath,
       [this](const HttpServerRequest&, const HttpResponder& responder) {
         const OwnerTask::PeerAnswer answer = this->owner.AnswerCandidate();
-        responder.Send(JsonAnswer(200, {{"instance", answer.instance},
-                                        {"yields", answer.yields}}));
+        responder.Send(JsonAnswer(
+            200, {{"instance", answer.instance}, {"yields", answer.yields}}));
       });
   this->internal->Route(
       HttpMethod::kGet, kJobPath,
@@ -139,9 +141,9 @@
         const JobId id(request.path.substr(std::string_view(kJobPath).size()));
         const std::optional<JobState> state =
             this->owner.Owns() ? this->owner.StateOf(id) : std::nullopt;
-        responder.Send(state ? JsonAnswer(200, {{"state",
-                                                 JobStateName(*state)}})
-                             : JsonAnswer(404, nlohmann::json::object()));
+        responder.Send(state
+                           ? JsonAnswer(200, {{"state", JobStateName(*state)}})
+                           : JsonAnswer(404, nlohmann::json::object()));
       });
   this->internal->Route(
       HttpMethod::kGet, kQueuePath,
@@ -231,8 +233,7 @@
           done(std::nullopt);
           return;
         }
-        const auto body =
-            nlohmann::json::parse(outcome.body, nullptr, false);
+        const auto body = nlohmann::json::parse(outcome.body, nullptr, false);
         if (!body.is_object() || !body.contains("instance")) {
           done(std::nullopt);
           return;
@@ -260,8 +261,7 @@
       [done = std::move(done)](const HttpOutcome& outcome) {
         OwnerReply reply;
         if (outcome.Answered() && outcome.status == 200) {
-          const auto body =
-              nlohmann::json::parse(outcome.body, nullptr, false);
+          const auto body = nlohmann::json::parse(outcome.body, nullptr, false);
           reply.answered = body.is_object();
           if (reply.answered && body.contains("state")) {
             reply.state = StateByName(body.value("state", std::string()));
--- a/src/daemon/fleet_ports.h
+++ b/src/daemon/fleet_ports.h
@@ -65,7 +65,7 @@
 struct StoreReply {
   StoreOutcome outcome = StoreOutcome::kUnknown;  // default: kUnknown
   std::vector<StoreRow> rows;                     // default: none
-  RowVersion version;        // default: 0; newest of the store, or written
+  RowVersion version;         // default: 0; newest of the store, or written
   std::int64_t store_ms = 0;  // default: 0; the store's steady clock
   bool more = false;          // default: false; a read has more rows
 };
@@ -99,8 +99,8 @@
   std::function<void(StopRun, OwnerEpoch, std::function<void(OrderReply)>)>
       stop;
   std::function<void(PaceRun, OwnerEpoch)> pace;
-  using LookCallback = std::function<void(std::optional<EndpointReportRows>,
-                                          OrderReply)>;
+  using LookCallback =
+      std::function<void(std::optional<EndpointReportRows>, OrderReply)>;
   std::function<void(LookAt, OwnerEpoch, LookCallback)> look;
   using AdviceCallback =
       std::function<void(std::optional<std::vector<AdviceTicket>>,
@@ -139,13 +139,13 @@
 
 // Where a daemon listens and what bounds it keeps.
 struct FleetNodeSettings {
-  DaemonId name;                   // default: empty
-  ZoneId zone;                     // default: empty
-  std::string caller_address;      // default: empty; "ip:port"
-  std::string readiness_address;   // default: empty; "ip:port"
-  std::string internal_address;    // default: empty; "ip:port"
-  std::string readiness_path;      // default: empty
-  Milliseconds drain{5000};        // default: 5000 ms; from SIGTERM to the end
+  DaemonId name;                  // default: empty
+  ZoneId zone;                    // default: empty
+  std::string caller_address;     // default: empty; "ip:port"
+  std::string readiness_address;  // default: empty; "ip:port"
+  std::string internal_address;   // default: empty; "ip:port"
+  std::string readiness_path;     // default: empty
+  Milliseconds drain{5000};       // default: 5000 ms; from SIGTERM to the end
   JobSchedulerConfig scheduler;
   OwnerLeaseConfig lease;
   HostPlannerConfig hosts;
--- a/src/daemon/job_store.cc
+++ b/src/daemon/job_store.cc
@@ -21,6 +21,7 @@
 
 std::vector<std::string> JobParts() {
   std::vector<std::string> parts;
+  parts.reserve(kJobParts);
   for (int i = 0; i < kJobParts; ++i) {
     parts.push_back(std::to_string(i));
   }
@@ -137,13 +138,13 @@
       case StoreOutcome::kNotDone:
         again = waited < this->config.patience;
         pause = true;
-        result = entry.uncertain ? AcceptResult::kUnknown
-                                 : AcceptResult::kNotRun;
+        result =
+            entry.uncertain ? AcceptResult::kUnknown : AcceptResult::kNotRun;
         break;
       case StoreOutcome::kRejected:
       case StoreOutcome::kHistoryLost:
-        result = entry.uncertain ? AcceptResult::kUnknown
-                                 : AcceptResult::kNotRun;
+        result =
+            entry.uncertain ? AcceptResult::kUnknown : AcceptResult::kNotRun;
         break;
       case StoreOutcome::kUnknown:
         entry.uncertain = true;
@@ -213,17 +214,16 @@
 void LookUpState(const FleetPorts& ports,
                  const JobId& id,
                  std::function<void(LookUpResult, JobState)> done) {
-  ports.read_one(
-      StoreKey{kJobTable, PartOf(id), id.value},
-      [&ports, id, done = std::move(done)](const StoreReply& reply) {
-        if (reply.outcome != StoreOutcome::kOk) {
-          done(LookUpResult::kUnavailable, JobState::kPending);
-        } else if (FindRow(reply, id.value) == nullptr) {
-          done(LookUpResult::kUnknownJob, JobState::kPending);
-        } else {
-          LookUpProgress(ports, id, done);
-        }
-      });
+  ports.read_one(StoreKey{kJobTable, PartOf(id), id.value},
+                 [&ports, id, done = std::move(done)](const StoreReply& reply) {
+                   if (reply.outcome != StoreOutcome::kOk) {
+                     done(LookUpResult::kUnavailable, JobState::kPending);
+                   } else if (FindRow(reply, id.value) == nullptr) {
+                     done(LookUpResult::kUnknownJob, JobState::kPending);
+                   } else {
+                     LookUpProgress(ports, id, done);
+                   }
+                 });
 }
 
 void StoreCancel(const FleetPorts& ports,
@@ -243,8 +243,8 @@
     }
     StoreTransaction transaction;
     transaction.conditions.emplace_back(job, row->version);
-    transaction.puts.emplace_back(
-        StoreKey{kCancelTable, PartOf(id), id.value}, "{}");
+    transaction.puts.emplace_back(StoreKey{kCancelTable, PartOf(id), id.value},
+                                  "{}");
     ports.transact(std::move(transaction), [done](const StoreReply& written) {
       if (written.outcome == StoreOutcome::kOk) {
         done(LookUpResult::kFound);
--- a/src/daemon/operator_view.cc
+++ b/src/daemon/operator_view.cc
@@ -9,13 +9,13 @@
 OperatorView::OperatorView(EventLoop* loop, const FleetPorts* ports)
     : ports(ports),
       config(std::make_shared<OperatorConfig>()),
-      follower(loop,
-               ports,
-               TableFollowerConfig{.table = ports->operator_table,
-                                   .parts = {""}},
-               {.on_row = [this](const StoreRow& row) { this->OnRow(row); },
-                .on_batch = [this] { this->on_change(); },
-                .on_synced = [this] { this->on_change(); }}) {}
+      follower(
+          loop,
+          ports,
+          TableFollowerConfig{.table = ports->operator_table, .parts = {""}},
+          {.on_row = [this](const StoreRow& row) { this->OnRow(row); },
+           .on_batch = [this] { this->on_change(); },
+           .on_synced = [this] { this->on_change(); }}) {}
 
 void OperatorView::Start(std::function<void()> changed) {
   this->on_change = std::move(changed);
@@ -55,8 +55,7 @@
               {"before", std::to_string(this->config->version.value)},
               {"queues", std::to_string(value.config->routes.size())},
               {"row_version", std::to_string(row.version.value)}});
-    this->config =
-        std::make_shared<OperatorConfig>(std::move(*value.config));
+    this->config = std::make_shared<OperatorConfig>(std::move(*value.config));
   }
 }
 
--- a/src/daemon/owner_task.cc
+++ b/src/daemon/owner_task.cc
@@ -87,13 +87,13 @@
 
 template <typename Action>
 auto OwnerTask::IfOwner(Action action) {
-  return [this, action = std::move(action), alive = this->alive,
-          weak = std::weak_ptr<Ownership>(this->owned)](
-             auto&&... args) mutable {
-    if (*alive && !weak.expired() && weak.lock() == this->owned) {
-      action(std::forward<decltype(args)>(args)...);
-    }
-  };
+  return
+      [this, action = std::move(action), alive = this->alive,
+       weak = std::weak_ptr<Ownership>(this->owned)](auto&&... args) mutable {
+        if (*alive && !weak.expired() && weak.lock() == this->owned) {
+          action(std::forward<decltype(args)>(args)...);
+        }
+      };
 }
 
 //-----------------------------------------------------------------------------
@@ -290,9 +290,9 @@
   LogEvent(LogLevel::kInfo, "ownership_began",
            {{"epoch", std::to_string(scheduler.epoch.value)},
             {"earlier_lease_left_ms",
-             std::to_string(std::chrono::duration_cast<Milliseconds>(
-                                others_until - now)
-                                .count())}});
+             std::to_string(
+                 std::chrono::duration_cast<Milliseconds>(others_until - now)
+                     .count())}});
   this->metrics->SetGauge("owner_epoch",
                           static_cast<double>(scheduler.epoch.value));
   this->ApplyView();
@@ -343,14 +343,13 @@
 // [SECTION] Loading
 //-----------------------------------------------------------------------------
 
-void OwnerTask::LoadProgress(std::string from) {
+void OwnerTask::LoadProgress(const std::string& from) {
   this->ports->read(
       StoreKey{kProgressTable, kOwnerPart, from},
       this->IfOwner([this, from](const StoreReply& reply) {
         this->NoteStore(reply);
         if (reply.outcome != StoreOutcome::kOk) {
-          this->loop->After(this->config.write_retry, this->IfOwner([=,
-                                                                        this] {
+          this->loop->After(this->config.write_retry, this->IfOwner([=, this] {
             this->LoadProgress(from);
           }));
           return;
@@ -400,9 +399,9 @@
       this->IfOwner([this](const StoreReply& reply) {
         this->NoteStore(reply);
         if (reply.outcome != StoreOutcome::kOk) {
-          this->loop->After(
-              this->config.write_retry,
-              this->IfOwner([this] { this->LoadUsedEndpoints(); }));
+          this->loop->After(this->config.write_retry, this->IfOwner([this] {
+            this->LoadUsedEndpoints();
+          }));
           return;
         }
         for (const StoreRow& row : reply.rows) {
@@ -440,32 +439,29 @@
   };
   owned.jobs = std::make_unique<TableFollower>(
       this->loop, this->ports,
-      TableFollowerConfig{.table = kJobTable,
-                          .parts = JobParts(),
-                          .report_removed = false},
+      TableFollowerConfig{
+          .table = kJobTable, .parts = JobParts(), .report_removed = false},
       TableFollower::Handlers{
           .on_row = [this](const StoreRow& row) { this->OnJobRow(row); },
           .on_batch = [this] { this->Wake(); },
           .on_synced = check_loaded});
   owned.cancels = std::make_unique<TableFollower>(
       this->loop, this->ports,
-      TableFollowerConfig{.table = kCancelTable,
-                          .parts = JobParts(),
-                          .report_removed = false},
-      TableFollower::Handlers{
-          .on_row =
-              [this](const StoreRow& row) {
-                if (!row.removed) {
-                  this->owned->scheduler.OnCancel(JobId(row.key.key),
-                                                  this->loop->Now());
-                }
-              },
-          .on_batch = [this] { this->Wake(); },
-          .on_synced = check_loaded});
+      TableFollowerConfig{
+          .table = kCancelTable, .parts = JobParts(), .report_removed = false},
+      TableFollower::Handlers{.on_row =
+                                  [this](const StoreRow& row) {
+                                    if (!row.removed) {
+                                      this->owned->scheduler.OnCancel(
+                                          JobId(row.key.key),
+                                          this->loop->Now());
+                                    }
+                                  },
+                              .on_batch = [this] { this->Wake(); },
+                              .on_synced = check_loaded});
   owned.endpoints = std::make_unique<TableFollower>(
       this->loop, this->ports,
-      TableFollowerConfig{.table = this->ports->endpoint_table,
-                          .parts = {""}},
+      TableFollowerConfig{.table = this->ports->endpoint_table, .parts = {""}},
       TableFollower::Handlers{
           .on_row = [this](const StoreRow& row) { this->OnEndpointRow(row); },
           .on_batch = [this] { this->Wake(); },
@@ -494,8 +490,7 @@
             {"queue", job.value().queue},
             {"age_ms", std::to_string(age)},
             {"row_version", std::to_string(row.version.value)}});
-  owned.scheduler.OnJob(std::move(job.value()), before, Milliseconds(age),
-                        now);
+  owned.scheduler.OnJob(std::move(job.value()), before, Milliseconds(age), now);
 }
 
 void OwnerTask::OnEndpointRow(const StoreRow& row) {
@@ -542,9 +537,8 @@
     return;
   }
   this->owned->round_due = true;
-  this->loop->After(this->config.gather, this->IfOwner([this] {
-    this->Round();
-  }));
+  this->loop->After(this->config.gather,
+                    this->IfOwner([this] { this->Round(); }));
 }
 
 void OwnerTask::Round() {
@@ -586,29 +580,25 @@
   Ownership& owned = *this->owned;
   const Instant now = this->loop->Now();
   this->loop->Cancel(owned.timer);
-  const Duration delay =
-      std::max<Duration>(this->config.gather,
-                         owned.scheduler.NextWake(now) - now);
+  const Duration delay = std::max<Duration>(
+      this->config.gather, owned.scheduler.NextWake(now) - now);
   owned.timer =
       this->loop->After(delay, this->IfOwner([this] { this->Wake(); }));
 }
 
-void OwnerTask::Carry(SchedulerActions actions) {
+void OwnerTask::Carry(const SchedulerActions& actions) {
   const OwnerEpoch epoch = this->lease.Epoch();
   const Instant sent = this->loop->Now();
-  for (StopRun& order : actions.stops) {
-    this->ports->stop(order, epoch,
-                      this->IfOwner([this, order](
-                                                    OrderReply reply) {
-                        this->owned->scheduler.OnStopReply(order, reply,
-                                                           this->loop->Now());
-                        this->Wake();
-                      }));
-  }
-  for (StartRun& order : actions.starts) {
+  for (const StopRun& order : actions.stops) {
+    this->ports->stop(
+        order, epoch, this->IfOwner([this, order](OrderReply reply) {
+          this->owned->scheduler.OnStopReply(order, reply, this->loop->Now());
+          this->Wake();
+        }));
+  }
+  for (const StartRun& order : actions.starts) {
     this->ports->start(
-        order, epoch,
-        this->IfOwner([this, order, sent](OrderReply reply) {
+        order, epoch, this->IfOwner([this, order, sent](OrderReply reply) {
           const Instant now = this->loop->Now();
           this->metrics->ObserveLatency("start_order", now - sent);
           if (reply != OrderReply::kDone) {
@@ -623,7 +613,7 @@
   }
   for (const LookAt& look : actions.looks) {
     std::function<void(std::optional<EndpointReportRows>, OrderReply)> done =
-        [this, look, sent](std::optional<EndpointReportRows> report,
+        [this, look, sent](const std::optional<EndpointReportRows>& report,
                            OrderReply reply) {
           if (reply == OrderReply::kFenced) {
             this->EndOwnership("fenced");
@@ -706,9 +696,9 @@
   for (UsedEndpoint& used : owned.used_writing) {
     if (used.lapse_ms > 0) {
       // Rounded up, so that the row does not change with every write.
-      used.lapse_ms = (used.lapse_ms + this->StoreMs()) / kLapseUnitMs *
-                          kLapseUnitMs +
-                      kLapseUnitMs;
+      used.lapse_ms =
+          (used.lapse_ms + this->StoreMs()) / kLapseUnitMs * kLapseUnitMs +
+          kLapseUnitMs;
     }
   }
   // Each write renews the lease and fails once another daemon holds it.
@@ -776,16 +766,15 @@
 }
 
 void OwnerTask::ResolveWrite(std::uint64_t batch) {
-  std::function<void(StoreReply)> done = [this, batch](
-                                             const StoreReply& reply) {
+  std::function<void(StoreReply)> done = [this,
+                                          batch](const StoreReply& reply) {
     Ownership& owned = *this->owned;
     const Instant now = this->loop->Now();
     this->NoteStore(reply);
     if (reply.outcome != StoreOutcome::kOk) {
-      this->loop->After(this->config.write_retry,
-                        this->IfOwner([this, batch] {
-                          this->ResolveWrite(batch);
-                        }));
+      this->loop->After(this->config.write_retry, this->IfOwner([this, batch] {
+        this->ResolveWrite(batch);
+      }));
       return;
     }
     for (const StoreRow& found : reply.rows) {
--- a/src/daemon/owner_task.h
+++ b/src/daemon/owner_task.h
@@ -60,14 +60,14 @@
  public:
   // What the daemon at an address says about itself.
   struct PeerAnswer {
-    bool refused = false;     // no process accepts connections there
-    std::string instance;     // of the process; empty if refused
-    bool yields = false;      // it owns nothing, whatever the lease says
+    bool refused = false;  // no process accepts connections there
+    std::string instance;  // of the process; empty if refused
+    bool yields = false;   // it owns nothing, whatever the lease says
   };
   // Asks it; none: no answer.
-  using ProbePeer = std::function<void(
-      const std::string& address,
-      std::function<void(std::optional<PeerAnswer>)>)>;
+  using ProbePeer =
+      std::function<void(const std::string& address,
+                         std::function<void(std::optional<PeerAnswer>)>)>;
 
   // The loop, the ports, the view and the metrics must outlive the task.
   OwnerTask(EventLoop* loop,
@@ -110,7 +110,7 @@
   void BeginOwnership();
   void EndOwnership(const char* reason);
 
-  void LoadProgress(std::string from);
+  void LoadProgress(const std::string& from);
   void LoadWaves();
   void LoadUsedEndpoints();
   void FollowTables();
@@ -121,7 +121,7 @@
   void Wake();
   void Round();
   void SetTimer();
-  void Carry(SchedulerActions actions);
+  void Carry(const SchedulerActions& actions);
   void PlanHosts();
   void Write();
   void OnWritten(const StoreReply& reply,
--- a/src/daemon/table_follower.cc
+++ b/src/daemon/table_follower.cc
@@ -39,17 +39,17 @@
   this->ReadNext();
 }
 
-StoreCallback TableFollower::Guard(void (TableFollower::*member)(StoreReply)) {
-  return [this, member, alive = this->alive](StoreReply reply) {
+StoreCallback TableFollower::Guard(
+    void (TableFollower::*member)(const StoreReply&)) {
+  return [this, member, alive = this->alive](const StoreReply& reply) {
     if (*alive) {
       this->last_answer = this->loop->Now();
-      (this->*member)(std::move(reply));
+      (this->*member)(reply);
     }
   };
 }
 
-void TableFollower::Later(Milliseconds delay,
-                          void (TableFollower::*action)()) {
+void TableFollower::Later(Milliseconds delay, void (TableFollower::*action)()) {
   this->loop->After(delay, [this, action, alive = this->alive] {
     if (*alive) {
       (this->*action)();
@@ -63,7 +63,7 @@
       this->Guard(&TableFollower::OnRead));
 }
 
-void TableFollower::OnRead(StoreReply reply) {
+void TableFollower::OnRead(const StoreReply& reply) {
   if (reply.outcome != StoreOutcome::kOk) {
     LogEvent(LogLevel::kWarning, "table_read_failed",
              {{"table", this->config.table},
@@ -74,7 +74,8 @@
   if (this->read_version == RowVersion{}) {
     this->read_version = reply.version;
   }
-  for (StoreRow& row : reply.rows) {
+  for (const StoreRow& read : reply.rows) {
+    StoreRow row = read;
     row.key.part = this->config.parts[this->part];
     this->read_now[KnownKey(row.key)] = row.version;
     this->Deliver(row);
@@ -102,8 +103,8 @@
       }
       StoreRow gone;
       const auto at = name.find(kSeparator);
-      gone.key = StoreKey{this->config.table, name.substr(0, at),
-                          name.substr(at + 1)};
+      gone.key =
+          StoreKey{this->config.table, name.substr(0, at), name.substr(at + 1)};
       gone.removed = true;
       gone.version = this->read_version;
       this->Deliver(gone);
@@ -133,7 +134,7 @@
                     this->Guard(&TableFollower::OnFeed));
 }
 
-void TableFollower::OnFeed(StoreReply reply) {
+void TableFollower::OnFeed(const StoreReply& reply) {
   if (reply.outcome == StoreOutcome::kHistoryLost) {
     LogEvent(LogLevel::kInfo, "table_history_lost",
              {{"table", this->config.table},
--- a/src/daemon/table_follower.h
+++ b/src/daemon/table_follower.h
@@ -25,8 +25,8 @@
 //-----------------------------------------------------------------------------
 
 struct TableFollowerConfig {
-  std::string table;                // default: empty
-  std::vector<std::string> parts;   // default: none; parts to read
+  std::string table;               // default: empty
+  std::vector<std::string> parts;  // default: none; parts to read
   // Pause after a call that failed, so that an outage costs few calls.
   Milliseconds retry{150};  // default: 150 ms
   // Least time between two calls of the feed: changes that come in quick
@@ -64,14 +64,14 @@
 
  private:
   void ReadNext();
-  void OnRead(StoreReply reply);
+  void OnRead(const StoreReply& reply);
   void FinishRead();
   void Follow();
-  void OnFeed(StoreReply reply);
+  void OnFeed(const StoreReply& reply);
   void Later(Milliseconds delay, void (TableFollower::*action)());
   void Deliver(const StoreRow& row);
   // Wraps a member so that it is not called after destruction.
-  StoreCallback Guard(void (TableFollower::*member)(StoreReply));
+  StoreCallback Guard(void (TableFollower::*member)(const StoreReply&));
 
   EventLoop* loop;
   const FleetPorts* ports;
@@ -79,10 +79,10 @@
   Handlers handlers;
   std::shared_ptr<bool> alive;
   bool synced = false;
-  std::size_t part = 0;       // of the whole read
-  std::string from;           // next key of the whole read
-  RowVersion read_version;    // of the first answer of the whole read
-  RowVersion version;         // the feed goes on from here
+  std::size_t part = 0;     // of the whole read
+  std::string from;         // next key of the whole read
+  RowVersion read_version;  // of the first answer of the whole read
+  RowVersion version;       // the feed goes on from here
   Instant last_answer{};
   std::map<std::string, RowVersion> known;     // by part and key
   std::map<std::string, RowVersion> read_now;  // of the whole read under way
--- a/src/protocol/job_json.cc
+++ b/src/protocol/job_json.cc
@@ -224,8 +224,8 @@
 }
 
 std::string EncodeOwner(const OwnerRow& row) {
-  return Json{{"holder", row.holder.value},  {"instance", row.instance},
-              {"address", row.address},      {"epoch", row.epoch.value},
+  return Json{{"holder", row.holder.value},   {"instance", row.instance},
+              {"address", row.address},       {"epoch", row.epoch.value},
               {"expires_ms", row.expires_ms}, {"sequence", row.sequence}}
       .dump();
 }
@@ -247,8 +247,7 @@
   Json out = Json::array();
   for (const UsedEndpoint& endpoint : endpoints) {
     out.push_back(Json::array({endpoint.id.value, endpoint.service.value,
-                               endpoint.lapse_ms,
-                               endpoint.capacity.milli_cores,
+                               endpoint.lapse_ms, endpoint.capacity.milli_cores,
                                endpoint.capacity.memory_mb,
                                endpoint.capacity.accelerators}));
   }
--- a/stand_ins/worker_model.cc
+++ b/stand_ins/worker_model.cc
@@ -15,8 +15,7 @@
 }
 
 void WorkerModel::Extend(std::int64_t lease_until_ms, Instant now) {
-  const std::int64_t most =
-      this->Clock(now) + this->settings.lease_max.count();
+  const std::int64_t most = this->Clock(now) + this->settings.lease_max.count();
   this->lease_until =
       std::max(this->lease_until, std::min(lease_until_ms, most));
 }
@@ -35,14 +34,12 @@
   }
   this->Extend(order.lease_until_ms, now);
   const auto present = this->running.find(order.task);
-  if (present != this->running.end() &&
-      present->second.number == order.run) {
+  if (present != this->running.end() && present->second.number == order.run) {
     return OrderReply::kDone;
   }
   const auto highest_run = this->highest.find(order.task);
-  if (present != this->running.end() ||
-      (highest_run != this->highest.end() &&
-       order.run <= highest_run->second)) {
+  if (present != this->running.end() || (highest_run != this->highest.end() &&
+                                         order.run <= highest_run->second)) {
     return OrderReply::kOldRun;
   }
   Resources room = this->settings.row.capacity;
@@ -50,9 +47,9 @@
   if (!task.needs.FitsIn(room)) {
     return OrderReply::kNoRoom;
   }
-  this->running[order.task] = Run{
-      order.run, task,
-      task.long_running ? Instant::max() : now + task.duration, false};
+  this->running[order.task] =
+      Run{order.run, task,
+          task.long_running ? Instant::max() : now + task.duration, false};
   return OrderReply::kDone;
 }
 
--- a/stand_ins/worker_model.h
+++ b/stand_ins/worker_model.h
@@ -25,7 +25,7 @@
 //-----------------------------------------------------------------------------
 
 struct WorkerSettings {
-  EndpointRow row;               // default: empty; capacity and labels included
+  EndpointRow row;  // default: empty; capacity and labels included
   Milliseconds lease_max{10000};  // default: 10000 ms
   Milliseconds stop_time{300};    // default: 300 ms from a stop to its end
   double clock_rate = 1.0;        // default: 1; down to 0.98
@@ -33,10 +33,10 @@
 
 // What a task needs and how its runs end.
 struct WorkerTask {
-  Resources needs;                  // default: none
-  Milliseconds duration{500};       // default: 500 ms
-  EndKind ends = EndKind::kDone;    // default: kDone
-  bool long_running = false;        // default: false; never ends by itself
+  Resources needs;                // default: none
+  Milliseconds duration{500};     // default: 500 ms
+  EndKind ends = EndKind::kDone;  // default: kDone
+  bool long_running = false;      // default: false; never ends by itself
 };
 
 //-----------------------------------------------------------------------------
@@ -68,9 +68,7 @@
   Resources Used() const;
   const EndpointRow& Row() const { return this->settings.row; }
   // Ends that were acknowledged while the lease had not lapsed since.
-  const std::vector<RunEnd>& Acknowledged() const {
-    return this->acknowledged;
-  }
+  const std::vector<RunEnd>& Acknowledged() const { return this->acknowledged; }
   // All ends of all lives.
   const std::vector<RunEnd>& AllEnds() const { return this->all_ends; }
 
--- a/tests/host_planner_test.cc
+++ b/tests/host_planner_test.cc
@@ -55,8 +55,8 @@
 };
 
 UpkeepWave Wave(int hosts, std::size_t max_down) {
-  UpkeepWave wave{.name = "1", .max_down = max_down,
-                  .length = std::chrono::seconds(20)};
+  UpkeepWave wave{
+      .name = "1", .max_down = max_down, .length = std::chrono::seconds(20)};
   for (int i = 0; i < hosts; ++i) {
     wave.hosts.emplace_back("h" + std::to_string(i));
   }
--- a/tests/job_scheduler_test.cc
+++ b/tests/job_scheduler_test.cc
@@ -41,9 +41,8 @@
 
 FleetConfig Fleet() {
   FleetConfig fleet;
-  fleet.queues["q"] = QueueConfig{.name = "q",
-                                  .service = ServiceId("s"),
-                                  .max_attempts = 2};
+  fleet.queues["q"] =
+      QueueConfig{.name = "q", .service = ServiceId("s"), .max_attempts = 2};
   fleet.services[ServiceId("s")] = ServiceConfig{};
   return fleet;
 }
@@ -240,8 +239,7 @@
   const std::vector<StartRun> starts = bench.Starts();
   REQUIRE(starts.size() == 1);
   bench.Confirm(starts[0]);
-  bench.Look(EndpointId("e1"),
-             {.ended = {End(1, starts[0], EndKind::kDone)}});
+  bench.Look(EndpointId("e1"), {.ended = {End(1, starts[0], EndKind::kDone)}});
   CHECK(bench.scheduler.StateOf(JobId("j")) == JobState::kRunning);
   const RecordBatch batch = bench.scheduler.TakeBatch(10);
   REQUIRE(batch.number != 0);
@@ -260,8 +258,7 @@
   bench.scheduler.OnJob(Job("j", 1), false, milliseconds(0), bench.now);
   const std::vector<StartRun> starts = bench.Starts();
   bench.Confirm(starts.at(0));
-  bench.Look(EndpointId("e1"),
-             {.ended = {End(1, starts[0], EndKind::kDone)}});
+  bench.Look(EndpointId("e1"), {.ended = {End(1, starts[0], EndKind::kDone)}});
   bench.now += std::chrono::seconds(1);
   SchedulerActions before = bench.scheduler.Advance(true, bench.now);
   REQUIRE(before.looks.size() == 1);
@@ -293,9 +290,9 @@
   for (const auto& [id, report] : reports) {
     bench.Look(id, report);
   }
-  const EndpointId crowded =
-      reports[EndpointId("e1")].running.size() > 1 ? EndpointId("e1")
-                                                   : EndpointId("e2");
+  const EndpointId crowded = reports[EndpointId("e1")].running.size() > 1
+                                 ? EndpointId("e1")
+                                 : EndpointId("e2");
   bench.scheduler.Evict(crowded, bench.now);
   CHECK(bench.Stops().size() == 1);
   bench.scheduler.Evict(crowded, bench.now);
--- a/tests/owner_lease_test.cc
+++ b/tests/owner_lease_test.cc
@@ -12,17 +12,16 @@
 const Instant kStart = Instant{} + std::chrono::seconds(100);
 
 OwnerLease Lease(const std::string& host, const std::string& instance) {
-  return OwnerLease(OwnerLeaseConfig{.self = DaemonId(host),
-                                     .instance = instance,
-                                     .address = host + ":1"});
+  return OwnerLease(OwnerLeaseConfig{
+      .self = DaemonId(host), .instance = instance, .address = host + ":1"});
 }
 
 OwnerRow Row(const std::string& host,
              const std::string& instance,
              std::uint64_t epoch,
              std::int64_t expires_ms) {
-  return OwnerRow{DaemonId(host), instance, host + ":1", OwnerEpoch(epoch),
-                  expires_ms, 1};
+  return OwnerRow{DaemonId(host),    instance,   host + ":1",
+                  OwnerEpoch(epoch), expires_ms, 1};
 }
 
 TEST_CASE("a lease is claimed when it is free or over", "[owner_lease]") {
@@ -75,8 +74,7 @@
   lease.OnRow(OwnerRow{}, RowVersion(0));
   const OwnerRow row = lease.NextRow(1000, false);
   lease.OnWritten(row, RowVersion(7), kStart);
-  CHECK(lease.Valid(kStart + config.length - config.margin -
-                    milliseconds(1)));
+  CHECK(lease.Valid(kStart + config.length - config.margin - milliseconds(1)));
   CHECK_FALSE(lease.Valid(kStart + config.length - config.margin));
   CHECK(lease.RenewalDue(kStart + config.renew_after));
 }
--- a/tests/platform_wire_test.cc
+++ b/tests/platform_wire_test.cc
@@ -120,8 +120,8 @@
   REQUIRE(reply);
   CHECK(reply.value().rows.at(0).value == "node-1");
   CHECK(reply.value().version == RowVersion(530));
-  CHECK_FALSE(DecodeStoreReply(
-      R"({"rows":[{"Key":"k","Value":"***"}],"Ver":1})"));
+  CHECK_FALSE(
+      DecodeStoreReply(R"({"rows":[{"Key":"k","Value":"***"}],"Ver":1})"));
 }
 
 TEST_CASE("hosts are read page by page", "[platform_wire]") {
--- a/tests/support/job_world.cc
+++ b/tests/support/job_world.cc
@@ -26,10 +26,11 @@
 
 JobWorld::JobWorld(JobWorldOptions options)
     : options(options), random(options.seed) {
-  this->fleet.queues["q"] =
-      QueueConfig{.name = "q", .service = ServiceId("s"),
-                  .max_attempts = kMaxAttempts, .stretch = 1.6,
-                  .objective = Milliseconds(600)};
+  this->fleet.queues["q"] = QueueConfig{.name = "q",
+                                        .service = ServiceId("s"),
+                                        .max_attempts = kMaxAttempts,
+                                        .stretch = 1.6,
+                                        .objective = Milliseconds(600)};
   this->fleet.services[ServiceId("s")] = ServiceConfig{};
   this->fleet.teams[TeamId("large")] =
       TeamConfig{.weight = 3, .limit = Resources{kLargeTeamLimit, 0, 0}};
@@ -60,10 +61,10 @@
 }
 
 void JobWorld::Break(const std::string& what) {
-  const auto at = std::chrono::duration_cast<Milliseconds>(this->now -
-                                                           this->start);
-  this->broken.push_back("seed " + std::to_string(this->options.seed) +
-                         " at " + std::to_string(at.count()) + " ms: " + what);
+  const auto at =
+      std::chrono::duration_cast<Milliseconds>(this->now - this->start);
+  this->broken.push_back("seed " + std::to_string(this->options.seed) + " at " +
+                         std::to_string(at.count()) + " ms: " + what);
 }
 
 void JobWorld::MakeJobs() {
@@ -77,9 +78,8 @@
     for (int step = 0; step < steps; ++step) {
       StepSpec spec;
       spec.task_count = 1 + static_cast<int>(this->random() % 4);
-      spec.per_task = Resources{500 + 250 * static_cast<int>(
-                                          this->random() % 4),
-                                500, 0};
+      spec.per_task =
+          Resources{500 + 250 * static_cast<int>(this->random() % 4), 500, 0};
       spec.estimate = Milliseconds(400);
       if (step > 0) {
         spec.after = {step - 1};
@@ -258,8 +258,7 @@
             return OrderReply::kUnknown;
           }
           const bool before = worker.Runs(order.task);
-          const OrderReply reply =
-              worker.Start(order, sender, task, this->now);
+          const OrderReply reply = worker.Start(order, sender, task, this->now);
           if (!before && worker.Runs(order.task)) {
             this->CheckStart(order, worker);
           }
@@ -275,8 +274,7 @@
         look.target.endpoint,
         [=, this](WorkerModel& worker,
                   bool reached) -> std::optional<EndpointReportRows> {
-          return reached ? worker.Look(look, sender, this->now)
-                         : std::nullopt;
+          return reached ? worker.Look(look, sender, this->now) : std::nullopt;
         },
         [=, this](const std::optional<EndpointReportRows>& report) {
           this->owner->OnLook(look, report, sent, this->now);
@@ -285,8 +283,8 @@
   for (const std::string& text : this->owner->TakeDecisions()) {
     if (!this->options.trace.empty() &&
         text.find(this->options.trace) != std::string::npos) {
-      const auto at = std::chrono::duration_cast<Milliseconds>(this->now -
-                                                               this->start);
+      const auto at =
+          std::chrono::duration_cast<Milliseconds>(this->now - this->start);
       this->trace.push_back(std::to_string(at.count()) + " ms owner " +
                             std::to_string(this->owner_number) + " " + text);
     }
@@ -297,8 +295,7 @@
 
 void JobWorld::Record() {
   const RecordBatch batch = this->owner->TakeBatch(10);
-  const std::vector<UsedEndpoint> used =
-      this->owner->UsedEndpoints(this->now);
+  const std::vector<UsedEndpoint> used = this->owner->UsedEndpoints(this->now);
   const std::uint64_t sender = this->owner_number;
   const bool refused = this->Uniform() < 0.05;
   const Instant sent = this->now;
@@ -312,11 +309,11 @@
       }
       this->used_record = used;
       for (UsedEndpoint& endpoint : this->used_record) {
-        endpoint.lapse_ms += endpoint.lapse_ms > 0
-                                 ? std::chrono::duration_cast<Milliseconds>(
-                                       sent - this->now)
-                                       .count()
-                                 : 0;
+        endpoint.lapse_ms +=
+            endpoint.lapse_ms > 0
+                ? std::chrono::duration_cast<Milliseconds>(sent - this->now)
+                      .count()
+                : 0;
       }
     }
     this->owner->OnRecorded(batch.number, !refused, this->now);
--- a/tests/support/job_world.h
+++ b/tests/support/job_world.h
@@ -23,8 +23,8 @@
   unsigned seed = 1;
   int workers = 6;
   int jobs = 30;
-  double lost_orders = 0.03;   // share of orders without an answer
-  double late_orders = 0.3;    // of these, carried out 2 to 12 s later
+  double lost_orders = 0.03;  // share of orders without an answer
+  double late_orders = 0.3;   // of these, carried out 2 to 12 s later
   double faults_a_second = 0.7;
   bool change_owners = true;
   Milliseconds trouble{20000};  // faults end after this time
@@ -85,7 +85,7 @@
   Instant start = this->now;
   std::map<EndpointId, Worker> workers;
   std::vector<AcceptedJob> accepted;
-  std::map<JobId, JobProgress> record;     // what the store holds
+  std::map<JobId, JobProgress> record;  // what the store holds
   std::vector<UsedEndpoint> used_record;
   std::map<TaskName, std::set<RunNumber>> acked_failures;
   std::unique_ptr<JobScheduler> owner;
