--- a/src/coordination/owner_lease.h
+++ b/src/coordination/owner_lease.h
@@ -86,8 +86,6 @@
   // True while no other daemon can hold the lease.
   bool Valid(Instant now) const;
   bool RenewalDue(Instant now) const;
-  // When the last renewal that succeeded was sent.
-  Instant Renewed() const { return this->renewed; }
   OwnerEpoch Epoch() const { return this->row.epoch; }
   RowVersion Version() const { return this->version; }
   // Owner as last read or written; empty holder if there is none.
--- a/src/daemon/owner_task.cc
+++ b/src/daemon/owner_task.cc
@@ -228,7 +228,7 @@
   PeerAnswer answer;
   answer.instance = this->settings.lease.instance;
   if (this->owned != nullptr &&
-      this->loop->Now() - this->lease.Renewed() > this->config.yield_after) {
+      this->loop->Now() - this->write_answered > this->config.yield_after) {
     this->EndOwnership("yield");
   }
   answer.yields = this->owned == nullptr && !this->claiming;
@@ -282,6 +282,7 @@
   scheduler.epoch = this->lease.Epoch();
   const Instant now = this->loop->Now();
   const Instant others_until = std::max(now, this->earlier_until);
+  this->write_answered = now;
   this->owned = std::make_shared<Ownership>(
       Ownership{JobScheduler(scheduler, others_until),
                 HostPlanner(this->settings.hosts, now)});
@@ -739,6 +740,7 @@
   if (reply.outcome == StoreOutcome::kOk) {
     owned.writing = false;
     this->lease.OnWritten(row, reply.version, sent);
+    this->write_answered = now;
     if (owned.loaded) {
       owned.used_written = owned.used_writing;
     }
--- a/src/daemon/owner_task.h
+++ b/src/daemon/owner_task.h
@@ -41,8 +41,8 @@
   // Least time between two writes of progress; ends in between share a write.
   Milliseconds write_spacing{20};  // default: 20 ms
   Milliseconds write_retry{60};    // default: 60 ms, after a refusal
-  // An owner without a successful write for this long yields to a candidate
-  // that reaches the store.
+  // An owner whose last write was answered this long ago yields to a candidate
+  // that reaches the store. A store that is slow for all answers sooner.
   Milliseconds yield_after{1100};  // default: 1100 ms
   std::size_t max_batch = 80;      // default: 80 jobs; a call takes 100 rows
   // Time a final job stays readable: the longest promise to callers.
@@ -161,6 +161,7 @@
   std::int64_t store_ms = 0;  // store's clock at store_read
   Instant store_read{};
   Instant store_answered{};
+  Instant write_answered{};  // last write of this ownership that succeeded
   std::string refused_by;  // instance that refused the last probe
 };
 
