Load the state of a new owner with parallel reads

Cause: eleven reads one after another took 1 to 2 s with a slow store, and work stood still meanwhile.

--- a/src/daemon/owner_task.cc
+++ b/src/daemon/owner_task.cc
@@ -49,7 +49,9 @@
   bool endpoints_changed = false;
   Instant began{};
   Instant others_until{};  // an earlier owner may act until then
-  bool loaded = false;     // all jobs and endpoints have been read
+  int loads_open = 3;      // reads of progress, waves and used endpoints
+  std::vector<StoreRow> held_jobs;  // jobs read before these have ended
+  bool loaded = false;              // all jobs and endpoints have been read
   bool round_due = false;
   bool writing = false;
   Instant next_write{};
@@ -298,6 +300,9 @@
                           static_cast<double>(scheduler.epoch.value));
   this->ApplyView();
   this->LoadProgress("");
+  this->LoadWaves();
+  this->LoadUsedEndpoints();
+  this->FollowTables();
 }
 
 void OwnerTask::EndOwnership(const char* reason) {
@@ -366,7 +371,7 @@
         if (reply.more && !reply.rows.empty()) {
           this->LoadProgress(reply.rows.back().key.key + '\x01');
         } else {
-          this->LoadWaves();
+          this->OnLoaded();
         }
       }));
 }
@@ -390,7 +395,7 @@
           }
         }
         this->owned->planner.OnWaves(this->view->Waves(), this->loop->Now());
-        this->LoadUsedEndpoints();
+        this->OnLoaded();
       }));
 }
 
@@ -420,24 +425,37 @@
             LogError(LogLevel::kError, "used_endpoints_row", used.error());
           }
         }
-        this->FollowTables();
+        this->OnLoaded();
       }));
 }
 
+void OwnerTask::OnLoaded() {
+  Ownership& owned = *this->owned;
+  if (--owned.loads_open > 0) {
+    return;
+  }
+  for (const StoreRow& row : std::exchange(owned.held_jobs, {})) {
+    this->TakeJob(row);
+  }
+  this->CheckLoaded();
+}
+
+void OwnerTask::CheckLoaded() {
+  Ownership& owned = *this->owned;
+  if (!owned.loaded && owned.loads_open == 0 && owned.jobs->Synced() &&
+      owned.cancels->Synced() && owned.endpoints->Synced()) {
+    owned.loaded = true;
+    LogEvent(LogLevel::kInfo, "ownership_loaded",
+             {{"ms", std::to_string(std::chrono::duration_cast<Milliseconds>(
+                                        this->loop->Now() - owned.began)
+                                        .count())}});
+  }
+  this->Wake();
+}
+
 void OwnerTask::FollowTables() {
   Ownership& owned = *this->owned;
-  const auto check_loaded = [this] {
-    Ownership& now_owned = *this->owned;
-    if (!now_owned.loaded && now_owned.jobs->Synced() &&
-        now_owned.cancels->Synced() && now_owned.endpoints->Synced()) {
-      now_owned.loaded = true;
-      LogEvent(LogLevel::kInfo, "ownership_loaded",
-               {{"ms", std::to_string(std::chrono::duration_cast<Milliseconds>(
-                                          this->loop->Now() - now_owned.began)
-                                          .count())}});
-    }
-    this->Wake();
-  };
+  const auto check_loaded = [this] { this->CheckLoaded(); };
   owned.jobs = std::make_unique<TableFollower>(
       this->loop, this->ports,
       TableFollowerConfig{
@@ -476,6 +494,15 @@
   if (row.removed) {
     return;
   }
+  // A job needs the progress that an earlier owner has recorded.
+  if (this->owned->loads_open > 0) {
+    this->owned->held_jobs.push_back(row);
+  } else {
+    this->TakeJob(row);
+  }
+}
+
+void OwnerTask::TakeJob(const StoreRow& row) {
   Result<AcceptedJob> job = DecodeJob(row.value);
   if (!job) {
     LogError(LogLevel::kError, "job_row", job.error());
@@ -516,7 +543,7 @@
     return;
   }
   this->ApplyView();
-  if (this->owned->loaded) {
+  if (this->owned->loads_open == 0) {
     this->owned->planner.OnWaves(this->view->Waves(), this->loop->Now());
   }
   this->Wake();
--- a/src/daemon/owner_task.h
+++ b/src/daemon/owner_task.h
@@ -113,6 +113,10 @@
   void LoadProgress(const std::string& from);
   void LoadWaves();
   void LoadUsedEndpoints();
+  // One of the reads that jobs have to wait for has ended.
+  void OnLoaded();
+  void TakeJob(const StoreRow& row);
+  void CheckLoaded();
   void FollowTables();
   void OnJobRow(const StoreRow& row);
   void OnEndpointRow(const StoreRow& row);
@@ -162,7 +166,7 @@
   Instant store_read{};
   Instant store_answered{};
   Instant write_answered{};  // last write of this ownership that succeeded
-  std::string refused_by;  // instance that refused the last probe
+  std::string refused_by;    // instance that refused the last probe
 };
 
 }  // namespace peridot
--- a/src/daemon/table_follower.cc
+++ b/src/daemon/table_follower.cc
@@ -31,67 +31,65 @@
   *this->alive = false;
 }
 
-void TableFollower::Start() {
-  this->part = 0;
-  this->from.clear();
-  this->read_version = RowVersion{};
-  this->read_now.clear();
-  this->ReadNext();
-}
-
-StoreCallback TableFollower::Guard(
-    void (TableFollower::*member)(const StoreReply&)) {
-  return [this, member, alive = this->alive](const StoreReply& reply) {
-    if (*alive) {
-      this->last_answer = this->loop->Now();
-      (this->*member)(reply);
+template <typename Action>
+auto TableFollower::Guard(Action action) {
+  return [this, action = std::move(action), alive = this->alive,
+          number = this->read](auto&&... args) {
+    if (*alive && number == this->read) {
+      action(std::forward<decltype(args)>(args)...);
     }
   };
 }
 
-void TableFollower::Later(Milliseconds delay, void (TableFollower::*action)()) {
-  this->loop->After(delay, [this, action, alive = this->alive] {
-    if (*alive) {
-      (this->*action)();
-    }
-  });
+void TableFollower::Start() {
+  ++this->read;
+  this->read_version = RowVersion{};
+  this->read_now.clear();
+  this->open_parts = this->config.parts.size();
+  for (std::size_t part = 0; part < this->config.parts.size(); ++part) {
+    this->ReadPart(part, "");
+  }
 }
 
-void TableFollower::ReadNext() {
+void TableFollower::ReadPart(std::size_t part, const std::string& from) {
   this->ports->read(
-      StoreKey{this->config.table, this->config.parts[this->part], this->from},
-      this->Guard(&TableFollower::OnRead));
+      StoreKey{this->config.table, this->config.parts[part], from},
+      this->Guard([this, part, from](const StoreReply& reply) {
+        this->last_answer = this->loop->Now();
+        this->OnRead(part, from, reply);
+      }));
 }
 
-void TableFollower::OnRead(const StoreReply& reply) {
+void TableFollower::OnRead(std::size_t part,
+                           const std::string& from,
+                           const StoreReply& reply) {
   if (reply.outcome != StoreOutcome::kOk) {
     LogEvent(LogLevel::kWarning, "table_read_failed",
              {{"table", this->config.table},
+              {"part", this->config.parts[part]},
               {"outcome", StoreOutcomeName(reply.outcome)}});
-    this->Later(this->config.retry, &TableFollower::ReadNext);
+    this->loop->After(this->config.retry, this->Guard([this, part, from] {
+      this->ReadPart(part, from);
+    }));
     return;
   }
-  if (this->read_version == RowVersion{}) {
-    this->read_version = reply.version;
-  }
-  for (const StoreRow& read : reply.rows) {
-    StoreRow row = read;
-    row.key.part = this->config.parts[this->part];
+  this->read_version = this->read_version == RowVersion{}
+                           ? reply.version
+                           : std::min(this->read_version, reply.version);
+  for (const StoreRow& found : reply.rows) {
+    StoreRow row = found;
+    row.key.part = this->config.parts[part];
     this->read_now[KnownKey(row.key)] = row.version;
     this->Deliver(row);
   }
   if (reply.more && !reply.rows.empty()) {
     // The smallest key above the last one.
-    this->from = reply.rows.back().key.key + '\x01';
-    this->ReadNext();
+    this->ReadPart(part, reply.rows.back().key.key + '\x01');
     return;
   }
-  this->from.clear();
-  if (++this->part < this->config.parts.size()) {
-    this->ReadNext();
-    return;
+  if (--this->open_parts == 0) {
+    this->FinishRead();
   }
-  this->FinishRead();
 }
 
 void TableFollower::FinishRead() {
@@ -131,7 +129,10 @@
 
 void TableFollower::Follow() {
   this->ports->feed(this->config.table, this->version,
-                    this->Guard(&TableFollower::OnFeed));
+                    this->Guard([this](const StoreReply& reply) {
+                      this->last_answer = this->loop->Now();
+                      this->OnFeed(reply);
+                    }));
 }
 
 void TableFollower::OnFeed(const StoreReply& reply) {
@@ -146,7 +147,8 @@
     LogEvent(LogLevel::kWarning, "table_feed_failed",
              {{"table", this->config.table},
               {"outcome", StoreOutcomeName(reply.outcome)}});
-    this->Later(this->config.retry, &TableFollower::Follow);
+    this->loop->After(this->config.retry,
+                      this->Guard([this] { this->Follow(); }));
     return;
   }
   for (const StoreRow& row : reply.rows) {
@@ -158,7 +160,8 @@
     this->handlers.on_batch();
   }
   if (this->config.spacing.count() > 0 && !reply.rows.empty()) {
-    this->Later(this->config.spacing, &TableFollower::Follow);
+    this->loop->After(this->config.spacing,
+                      this->Guard([this] { this->Follow(); }));
   } else {
     this->Follow();
   }
--- a/src/daemon/table_follower.h
+++ b/src/daemon/table_follower.h
@@ -63,15 +63,19 @@
   RowVersion Version() const { return this->version; }
 
  private:
-  void ReadNext();
-  void OnRead(const StoreReply& reply);
+  // The whole read: all parts at the same time.
+  void ReadPart(std::size_t part, const std::string& from);
+  void OnRead(std::size_t part,
+              const std::string& from,
+              const StoreReply& reply);
   void FinishRead();
   void Follow();
   void OnFeed(const StoreReply& reply);
-  void Later(Milliseconds delay, void (TableFollower::*action)());
   void Deliver(const StoreRow& row);
-  // Wraps a member so that it is not called after destruction.
-  StoreCallback Guard(void (TableFollower::*member)(const StoreReply&));
+  // Wraps an action so that it does not run after destruction or for a read
+  // that has been started again.
+  template <typename Action>
+  auto Guard(Action action);
 
   EventLoop* loop;
   const FleetPorts* ports;
@@ -79,10 +83,10 @@
   Handlers handlers;
   std::shared_ptr<bool> alive;
   bool synced = false;
-  std::size_t part = 0;     // of the whole read
-  std::string from;         // next key of the whole read
-  RowVersion read_version;  // of the first answer of the whole read
-  RowVersion version;       // the feed goes on from here
+  std::uint64_t read = 0;      // number of the whole read
+  std::size_t open_parts = 0;  // of the whole read under way
+  RowVersion read_version;     // lowest version of its answers
+  RowVersion version;          // the feed goes on from here
   Instant last_answer{};
   std::map<std::string, RowVersion> known;     // by part and key
   std::map<std::string, RowVersion> read_now;  // of the whole read under way
