--- a/src/coordination/job_scheduler.h
+++ b/src/coordination/job_scheduler.h
@@ -55,8 +55,9 @@
   Milliseconds look_retry{400};  // default: 400 ms
   // Looks in a row without an answer before no more work is sent.
   int looks_to_unreachable = 2;  // default: 2
-  // Pause before ends that are not recorded yet are listed again.
-  Milliseconds unrecorded_look{500};  // default: 500 ms
+  // Pause before an endpoint with ends that are not recorded yet is read again:
+  // it may list them at once, and a slow store must not hide further ends.
+  Milliseconds unrecorded_look{80};  // default: 80 ms
 
   // An order without an answer for this long counts as lost; endpoints answer
   // within a few milliseconds.
--- a/src/coordination/job_scheduler_place.cc
+++ b/src/coordination/job_scheduler_place.cc
@@ -687,8 +687,7 @@
         renew && endpoint->listed && endpoint->failed_looks == 0
             ? this->LeaseUntil(endpoint.get(), now)
             : 0;
-    if (endpoint->fenced && !asks &&
-        endpoint->processed <= endpoint->recorded) {
+    if (endpoint->fenced && !asks) {
       look.wait = fills && serves ? this->config.paced_look_wait
                                   : this->config.look_wait;
     }
