--- a/src/coordination/host_planner.h
+++ b/src/coordination/host_planner.h
@@ -46,20 +46,20 @@
 
   // Time a host may stand idle in its pool before it moves to the spare pool:
   // two moves cost about as much as this time in a pool.
-  Milliseconds idle_before_spare{2500};  // default: 2500 ms
+  Milliseconds idle_before_spare{1200};  // default: 1200 ms
   // A pool that lacks room for this long gets hosts; shorter peaks pass.
   Milliseconds shortage{150};  // default: 150 ms
   // Time in which the hosts of a pool should work its backlog off.
   Milliseconds catch_up{3000};  // default: 3000 ms
   // Time over which the rate of arriving work is measured.
-  Milliseconds arrival_window{1000};  // default: 1000 ms
+  Milliseconds arrival_window{1500};  // default: 1500 ms
   // Room that packing tasks on hosts leaves unused.
   double packing_loss = 0.1;  // default: 0.1
   // Demand is watched for this long before a pool gives hosts away: an owner
   // that has just begun does not know its rhythm.
   Milliseconds observe{12000};  // default: 12 s
   // A pool gives hosts away only if it did not need them in this time.
-  Milliseconds recent{2500};  // default: 2500 ms
+  Milliseconds recent{1500};  // default: 1500 ms
   // Hosts that stay in each pool, so that the next peak starts at once.
   std::size_t pool_floor = 2;  // default: 2
   bool moves_enabled = true;   // default: true
