Learn durations by queue instead of a ratio of noisy estimates

Cause: the average of actual by declared durations overstated the load about twofold, since the declared ones scatter; pools took every host at each peak. Change: averages of both, and the square root of a single estimate.

--- /dev/null
+++ b/src/coordination/duration_model.cc
@@ -0,0 +1,37 @@
+#include "src/coordination/duration_model.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace peridot {
+
+namespace {
+
+// Runs before the averages replace the estimates.
+constexpr int kMinSeen = 10;
+
+// Weight of the newest run, once as many have been seen.
+constexpr double kNewestWeight = 0.03;
+
+}  // namespace
+
+void DurationModel::OnDone(Milliseconds declared, Milliseconds actual) {
+  ++this->seen;
+  const double weight = std::max(kNewestWeight, 1.0 / this->seen);
+  this->declared_ms +=
+      (static_cast<double>(declared.count()) - this->declared_ms) * weight;
+  this->actual_ms +=
+      (static_cast<double>(actual.count()) - this->actual_ms) * weight;
+}
+
+DurationModel::Milliseconds DurationModel::Expect(Milliseconds declared) const {
+  if (this->seen < kMinSeen || declared.count() <= 0) {
+    return declared;
+  }
+  const double relative =
+      static_cast<double>(declared.count()) / this->declared_ms;
+  return Milliseconds(
+      static_cast<std::int64_t>(this->actual_ms * std::sqrt(relative)));
+}
+
+}  // namespace peridot
--- a/src/coordination/host_planner.h
+++ b/src/coordination/host_planner.h
@@ -50,11 +50,11 @@
   // A pool that lacks room for this long gets hosts; shorter peaks pass.
   Milliseconds shortage{150};  // default: 150 ms
   // Time in which the hosts of a pool should work its backlog off.
-  Milliseconds catch_up{3000};  // default: 3000 ms
+  Milliseconds catch_up{2500};  // default: 2500 ms
   // Time over which the rate of arriving work is measured.
   Milliseconds arrival_window{1500};  // default: 1500 ms
   // Room that packing tasks on hosts leaves unused.
-  double packing_loss = 0.1;  // default: 0.1
+  double packing_loss = 0.15;  // default: 0.15
   // Demand is watched for this long before a pool gives hosts away: an owner
   // that has just begun does not know its rhythm.
   Milliseconds observe{12000};  // default: 12 s
--- a/src/coordination/job_scheduler.cc
+++ b/src/coordination/job_scheduler.cc
@@ -120,10 +120,8 @@
   state.AddDueOccurrences(added, now);
   // What an earlier owner has taken is not arriving now.
   if (!before_takeover) {
-    const auto ratio = state.duration_ratio.find(added->accepted.queue);
     state.arrived_core_seconds[state.ServiceOf(*added)] +=
-        added->core_seconds *
-        (ratio == state.duration_ratio.end() ? 1 : ratio->second);
+        state.CoreSeconds(*added, false);
   }
   if (state.cancelled_early.erase(id) > 0) {
     this->OnCancel(id, now);
@@ -251,7 +249,6 @@
   occurrence.number = job->next_occurrence++;
   const std::vector<StepSpec>& specs = job->accepted.spec.steps;
   occurrence.steps.resize(specs.size());
-  std::vector<Milliseconds> finish(specs.size());
   for (std::size_t i = 0; i < specs.size(); ++i) {
     ScheduledStep& step = occurrence.steps[i];
     step.job = job;
@@ -277,18 +274,6 @@
         task.checkpoint = found->second;
       }
     }
-    Milliseconds begin{0};
-    for (const int earlier : specs[i].after) {
-      begin = std::max(begin, finish[earlier]);
-    }
-    finish[i] = begin + specs[i].estimate;
-    job->chain = std::max(job->chain, finish[i]);
-    if (!specs[i].long_running) {
-      job->core_seconds +=
-          static_cast<double>(specs[i].per_task.milli_cores) / 1000 *
-          specs[i].task_count *
-          std::chrono::duration<double>(specs[i].estimate).count();
-    }
   }
   this->UpdateReadySteps(job, now);
 }
@@ -556,7 +541,7 @@
             service.used_cores += cores;
             service.lasting_cores += cores;
           } else if (task.phase != TaskPhase::kDone) {
-            const auto expected = this->state->ExpectedDuration(task);
+            const auto expected = this->state->ExpectedDuration(step);
             service.waiting_core_seconds +=
                 cores * std::chrono::duration<double>(expected).count();
           }
--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -16,6 +16,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "src/coordination/duration_model.h"
 #include "src/coordination/job_scheduler.h"
 
 namespace peridot {
@@ -95,8 +96,6 @@
   Instant recorded_at{};                        // of a final state
   std::deque<ScheduledOccurrence> occurrences;  // stable addresses
   int next_occurrence = 0;  // first that has not been created
-  Milliseconds chain{0};    // estimate of the longest chain of work
-  double core_seconds = 0;  // estimate of all work
   int open_tasks = 0;       // tasks that are not done
   std::map<TaskName, std::set<RunNumber>> failures;  // runs that failed
   std::set<TaskName> done;
@@ -145,7 +144,7 @@
   std::set<ZoneId> zones_out;
   std::set<EndpointId> cordoned;
   std::map<TeamId, Resources> team_use;
-  std::map<std::string, double> duration_ratio;  // actual by estimated, queue
+  std::map<std::string, DurationModel> durations;  // by queue
   std::map<ServiceId, double> arrived_core_seconds;
   std::set<ServiceId> unrecovered;  // services with unseen endpoints
   Resources unseen;                 // capacity of these endpoints
@@ -194,7 +193,11 @@
   void StartNewLife(EndpointState* endpoint, Instant now);
   void ReleaseLapsed(EndpointState* endpoint, const char* reason, Instant now);
   void RemoveStalled(EndpointState* endpoint, Instant now);
-  Milliseconds ExpectedDuration(const ScheduledTask& task) const;
+  Milliseconds ExpectedDuration(const ScheduledStep& step) const;
+  // Longest chain of work: all of it, and what is left.
+  Milliseconds Chain(const ScheduledJob& job, bool left) const;
+  // Work of a job that does not last, in core-seconds.
+  double CoreSeconds(const ScheduledJob& job, bool left) const;
   OrderTarget TargetOf(const EndpointState& endpoint) const;
   std::int64_t LeaseUntil(EndpointState* endpoint, Instant now);
 
--- a/src/coordination/job_scheduler_place.cc
+++ b/src/coordination/job_scheduler_place.cc
@@ -41,39 +41,6 @@
                                      : endpoint.row.labels.back();
 }
 
-// Longest chain of work that is left, by the estimates.
-Milliseconds RemainingChain(const ScheduledJob& job, double ratio) {
-  Milliseconds longest{0};
-  for (const ScheduledOccurrence& occurrence : job.occurrences) {
-    std::vector<Milliseconds> finish(occurrence.steps.size());
-    for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
-      const ScheduledStep& step = occurrence.steps[i];
-      Milliseconds begin{0};
-      for (const int earlier : step.spec->after) {
-        begin = std::max(begin, finish[earlier]);
-      }
-      const bool done = step.done == static_cast<int>(step.tasks.size());
-      finish[i] = begin + (done ? Milliseconds{0} : step.spec->estimate);
-      longest = std::max(longest, finish[i]);
-    }
-  }
-  return Milliseconds(
-      static_cast<std::int64_t>(static_cast<double>(longest.count()) * ratio));
-}
-
-// Work that is left, by the estimates.
-double RemainingCoreSeconds(const ScheduledJob& job) {
-  double left = 0;
-  for (const ScheduledOccurrence& occurrence : job.occurrences) {
-    for (const ScheduledStep& step : occurrence.steps) {
-      const auto tasks = static_cast<double>(step.tasks.size()) - step.done;
-      left += tasks * static_cast<double>(step.spec->per_task.milli_cores) /
-              1000 * std::chrono::duration<double>(step.spec->estimate).count();
-    }
-  }
-  return left;
-}
-
 bool HasWaitingTask(const ScheduledJob& job) {
   for (const ScheduledOccurrence& occurrence : job.occurrences) {
     for (const ScheduledStep& step : occurrence.steps) {
@@ -183,15 +150,12 @@
   for (ScheduledJob* job : *waiting) {
     const QueueConfig* queue = this->QueueOf(*job);
     const TeamId& team = job->accepted.team;
-    const auto found = this->duration_ratio.find(job->accepted.queue);
-    const double ratio =
-        found == this->duration_ratio.end() ? 1 : found->second;
-    const auto chain = static_cast<double>(job->chain.count()) * ratio;
+    const auto chain = static_cast<double>(this->Chain(*job, false).count());
     const Milliseconds objective =
         Milliseconds(static_cast<std::int64_t>(
             chain * (queue == nullptr ? 1 : queue->stretch))) +
         (queue == nullptr ? Milliseconds{0} : queue->objective);
-    const Instant finish = now + RemainingChain(*job, ratio);
+    const Instant finish = now + this->Chain(*job, true);
     Rank rank;
     rank.over_share =
         weights > 0 && static_cast<double>(use[team]) >
@@ -209,9 +173,10 @@
       rank.urgency = Urgency::kInTime;
       // The least work left first: it serves most jobs, and nearly the most
       // work, in time while there is too much for all.
-      rank.key = Instant{} +
-                 std::chrono::duration_cast<Duration>(
-                     std::chrono::duration<double>(RemainingCoreSeconds(*job)));
+      rank.key =
+          Instant{} +
+          std::chrono::duration_cast<Duration>(
+              std::chrono::duration<double>(this->CoreSeconds(*job, true)));
     } else if (finish <=
                job->arrived + weighted(objective, this->config.late_factor)) {
       rank.urgency = Urgency::kLate;
--- a/src/coordination/job_scheduler_runs.cc
+++ b/src/coordination/job_scheduler_runs.cc
@@ -10,13 +10,6 @@
 
 namespace {
 
-// Weight of the newest run in the learned ratio of actual to estimated time.
-constexpr double kRatioWeight = 0.15;
-
-// Bounds of that ratio, so that one odd run does not spoil the order of work.
-constexpr double kMinRatio = 0.2;
-constexpr double kMaxRatio = 5.0;
-
 // The phase of a task without a run. An earlier run may have ended done while
 // a later one was being stopped.
 TaskPhase PhaseAtRest(const ScheduledTask& task) {
@@ -231,11 +224,49 @@
 }
 
 Milliseconds JobScheduler::State::ExpectedDuration(
-    const ScheduledTask& task) const {
-  const auto found = this->duration_ratio.find(task.step->job->accepted.queue);
-  const double ratio = found == this->duration_ratio.end() ? 1 : found->second;
-  return Milliseconds(static_cast<std::int64_t>(
-      static_cast<double>(task.step->spec->estimate.count()) * ratio));
+    const ScheduledStep& step) const {
+  const auto found = this->durations.find(step.job->accepted.queue);
+  return found == this->durations.end()
+             ? step.spec->estimate
+             : found->second.Expect(step.spec->estimate);
+}
+
+Milliseconds JobScheduler::State::Chain(const ScheduledJob& job,
+                                        bool left) const {
+  Milliseconds longest{0};
+  for (const ScheduledOccurrence& occurrence : job.occurrences) {
+    std::vector<Milliseconds> finish(occurrence.steps.size());
+    for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+      const ScheduledStep& step = occurrence.steps[i];
+      Milliseconds begin{0};
+      for (const int earlier : step.spec->after) {
+        begin = std::max(begin, finish[earlier]);
+      }
+      const bool done = step.done == static_cast<int>(step.tasks.size());
+      finish[i] = begin + (left && done ? Milliseconds{0}
+                                        : this->ExpectedDuration(step));
+      longest = std::max(longest, finish[i]);
+    }
+  }
+  return longest;
+}
+
+double JobScheduler::State::CoreSeconds(const ScheduledJob& job,
+                                        bool left) const {
+  double sum = 0;
+  for (const ScheduledOccurrence& occurrence : job.occurrences) {
+    for (const ScheduledStep& step : occurrence.steps) {
+      if (step.spec->long_running) {
+        continue;
+      }
+      const auto tasks =
+          static_cast<double>(step.tasks.size()) - (left ? step.done : 0);
+      sum +=
+          tasks * static_cast<double>(step.spec->per_task.milli_cores) / 1000 *
+          std::chrono::duration<double>(this->ExpectedDuration(step)).count();
+    }
+  }
+  return sum;
 }
 
 //-----------------------------------------------------------------------------
@@ -461,14 +492,9 @@
   if (current) {
     if (end.kind == EndKind::kDone && !task->step->spec->long_running &&
         task->answered != Instant{} && task->step->spec->estimate.count() > 0) {
-      const double ratio =
-          std::chrono::duration<double, std::milli>(now - task->since).count() /
-          static_cast<double>(task->step->spec->estimate.count());
-      double& learned =
-          this->duration_ratio.try_emplace(job->accepted.queue, 1.0)
-              .first->second;
-      learned +=
-          (std::clamp(ratio, kMinRatio, kMaxRatio) - learned) * kRatioWeight;
+      this->durations[job->accepted.queue].OnDone(
+          task->step->spec->estimate,
+          std::chrono::duration_cast<Milliseconds>(now - task->since));
     }
     this->Detach(task);
     task->phase = PhaseAtRest(*task);
@@ -555,7 +581,7 @@
         this->config.stall,
         Milliseconds(static_cast<std::int64_t>(
             this->config.stall_factor *
-            static_cast<double>(this->ExpectedDuration(*task).count()))));
+            static_cast<double>(this->ExpectedDuration(*task->step).count()))));
     if (now - task->percent_changed > this->config.stall &&
         now - task->since > limit) {
       task->avoid = endpoint->row.id;
