--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -201,7 +201,7 @@
   OrderTarget TargetOf(const EndpointState& endpoint) const;
   std::int64_t LeaseUntil(EndpointState* endpoint, Instant now);
 
-  // Placement (job_scheduler_place.cc) --------------------------------------
+  // Placement and looks (job_scheduler_place.cc, job_scheduler_looks.cc) -----
   bool Usable(const EndpointState& endpoint, Instant now) const;
   void Place(Instant now);
   void PlaceService(const ServiceId& service,
@@ -256,6 +256,11 @@
   return task.endpoint != nullptr;
 }
 
+// What is left of the endpoint's capacity.
+Resources Room(const EndpointState& endpoint);
+
+bool HasLabel(const EndpointState& endpoint, const std::string& label);
+
 // Returns "ID.OCCURRENCE.STEP.INDEX", for logs.
 std::string TaskText(const TaskName& name);
 
--- /dev/null
+++ b/src/coordination/job_scheduler_looks.cc
@@ -0,0 +1,308 @@
+// What JobScheduler asks and tells besides placement: why a job waits, advice,
+// pace and looks.
+
+#include <algorithm>
+#include <utility>
+
+#include "src/coordination/job_scheduler.h"
+#include "src/coordination/job_scheduler_internal.h"
+
+namespace peridot {
+
+Resources Room(const EndpointState& endpoint) {
+  Resources room = endpoint.row.capacity;
+  room -= endpoint.used;
+  return room;
+}
+
+bool HasLabel(const EndpointState& endpoint, const std::string& label) {
+  return std::find(endpoint.row.labels.begin(), endpoint.row.labels.end(),
+                   label) != endpoint.row.labels.end();
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Why a job waits
+//-----------------------------------------------------------------------------
+
+namespace {
+
+const ScheduledTask* FirstReadyTask(const ScheduledJob& job) {
+  for (const ScheduledOccurrence& occurrence : job.occurrences) {
+    for (const ScheduledStep& step : occurrence.steps) {
+      if (step.ready_since == kNever) {
+        continue;
+      }
+      for (const ScheduledTask& task : step.tasks) {
+        if (task.phase == TaskPhase::kWaiting) {
+          return &task;
+        }
+      }
+    }
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+std::string JobScheduler::WhyWaiting(const JobId& id, Instant now) const {
+  const State& state = *this->state;
+  const ScheduledJob* job = this->state->FindJob(id);
+  const ScheduledTask* task = job == nullptr ? nullptr : FirstReadyTask(*job);
+  if (task == nullptr || IsFinal(job->decided)) {
+    return {};
+  }
+  const ScheduledStep& step = *task->step;
+  const QueueConfig* queue = state.QueueOf(*job);
+  const ServiceId service = state.ServiceOf(*job);
+  int listed = 0;
+  int usable = 0;
+  int with_room = 0;
+  int accepting = 0;
+  for (const auto& [name, endpoint] : state.endpoints) {
+    if (endpoint->row.service != service) {
+      continue;
+    }
+    ++listed;
+    if (!state.Usable(*endpoint, now)) {
+      continue;
+    }
+    ++usable;
+    with_room += Reserved(*step.spec).FitsIn(Room(*endpoint)) ? 1 : 0;
+    accepting += state.Accepts(*endpoint, step, queue, now) ? 1 : 0;
+  }
+  const bool within_limit =
+      state.WithinTeamLimit(job->accepted.team, step.spec->per_task);
+  const char* constraint = "order";
+  if (job->before_takeover && state.unrecovered.contains(service)) {
+    constraint = "takeover";
+  } else if (!within_limit) {
+    constraint = "team_limit";
+  } else if (usable == 0) {
+    constraint = "no_usable_endpoint";
+  } else if (with_room == 0) {
+    constraint = "room";
+  } else if (accepting == 0) {
+    constraint = "placement";
+  }
+  const auto used = state.team_use.find(job->accepted.team);
+  const auto failed = job->failures.find(NameOf(*task));
+  return "job=" + id.value + " task=" + TaskText(NameOf(*task)) +
+         " constraint=" + constraint + " queue=" + job->accepted.queue +
+         " service=" + service.value + " endpoints=" + std::to_string(listed) +
+         " usable=" + std::to_string(usable) +
+         " with_room=" + std::to_string(with_room) +
+         " accepting=" + std::to_string(accepting) +
+         " team=" + job->accepted.team.value + " team_milli_cores=" +
+         std::to_string(
+             used == state.team_use.end() ? 0 : used->second.milli_cores) +
+         " failures=" +
+         std::to_string(failed == job->failures.end() ? 0
+                                                      : failed->second.size());
+}
+
+std::vector<JobId> JobScheduler::WaitingSince(Instant instant) const {
+  std::vector<JobId> waiting;
+  for (const auto& [id, job] : this->state->jobs) {
+    if (IsFinal(job->decided)) {
+      continue;
+    }
+    const ScheduledTask* task = FirstReadyTask(*job);
+    if (task != nullptr &&
+        std::max(task->step->ready_since, task->since) < instant) {
+      waiting.push_back(id);
+    }
+  }
+  return waiting;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Advice
+//-----------------------------------------------------------------------------
+
+void JobScheduler::State::AskForAdvice(
+    ScheduledStep* step,
+    const QueueConfig& queue,
+    const std::vector<EndpointState*>& usable,
+    Instant now) {
+  const bool waiting = std::any_of(step->tasks.begin(), step->tasks.end(),
+                                   [](const ScheduledTask& task) {
+                                     return task.phase == TaskPhase::kWaiting;
+                                   });
+  if (!waiting || step->advice_open || step->advice_after > now ||
+      this->advice_open >= this->config.advice_calls) {
+    return;
+  }
+  // Tickets of a later step would expire before the step is ready.
+  const bool soon =
+      step->ready_since != kNever || queue.advice.valid.count() == 0;
+  if (!soon) {
+    return;
+  }
+  AskAdvice call;
+  call.step = NameOf(step->tasks.front());
+  call.step.index = 0;
+  for (const EndpointState* endpoint : usable) {
+    const auto ticket = step->tickets.find(endpoint->row.id);
+    const bool valid =
+        ticket != step->tickets.end() && ticket->second.expires > now;
+    const bool suitable = step->spec->required_label.empty() ||
+                          HasLabel(*endpoint, step->spec->required_label);
+    if (!valid && suitable &&
+        call.endpoints.size() < this->config.advice_endpoints) {
+      call.endpoints.push_back(endpoint->row.id);
+    }
+  }
+  if (call.endpoints.empty()) {
+    return;
+  }
+  step->advice_open = true;
+  ++this->advice_open;
+  this->actions.advice.push_back(std::move(call));
+}
+
+void JobScheduler::OnAdvice(
+    const AskAdvice& call,
+    const std::optional<std::vector<AdviceTicket>>& tickets,
+    Milliseconds valid,
+    Instant now) {
+  State& state = *this->state;
+  if (state.advice_open > 0) {
+    --state.advice_open;
+  }
+  ScheduledTask* task = state.FindTask(call.step);
+  if (task == nullptr) {
+    return;
+  }
+  ScheduledStep* step = task->step;
+  step->advice_open = false;
+  // Endpoints that were refused are asked about again only with a new ticket
+  // period: the answer does not change.
+  step->advice_after =
+      now + (tickets ? std::max(valid, state.config.unhealthy_pause)
+                     : state.config.full_pause);
+  if (!tickets) {
+    return;
+  }
+  for (const AdviceTicket& ticket : *tickets) {
+    step->tickets[ticket.endpoint] = StepTicket{ticket.ticket, now + valid};
+  }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Pace and looks
+//-----------------------------------------------------------------------------
+
+void JobScheduler::State::AdjustPace(Instant now) {
+  for (auto& [id, endpoint] : this->endpoints) {
+    bool harmed = false;
+    bool easy = true;
+    for (const ScheduledTask* task : endpoint->tasks) {
+      const Milliseconds target = task->step->spec->target_tail;
+      if (target.count() == 0 || task->percent < 0 || task->step->spec->fills) {
+        continue;
+      }
+      const auto tail = static_cast<double>(task->recent);
+      const auto goal = static_cast<double>(target.count());
+      harmed = harmed || tail > this->config.pace_down_at * goal;
+      easy = easy && tail < this->config.pace_up_at * goal;
+    }
+    for (ScheduledTask* task : endpoint->tasks) {
+      if (!task->step->spec->fills || task->phase != TaskPhase::kRunning ||
+          now - task->paced < this->config.pace_interval) {
+        continue;
+      }
+      int pace = task->pace;
+      if (harmed) {
+        pace = pace > 25 ? pace / 2 : 0;
+      } else if (easy) {
+        pace = std::min(100, pace + 20);
+      }
+      if (pace == task->pace) {
+        continue;
+      }
+      task->pace = pace;
+      task->paced = now;
+      this->Decide("decision=pace task=" + TaskText(NameOf(*task)) +
+                   " endpoint=" + id.value +
+                   " percent=" + std::to_string(pace));
+      this->actions.paces.push_back(
+          PaceRun{this->TargetOf(*endpoint), NameOf(*task), task->run, pace});
+    }
+  }
+}
+
+void JobScheduler::State::SendLooks(bool renew, Instant now) {
+  for (auto& [id, endpoint] : this->endpoints) {
+    const bool needed = endpoint->listed || !endpoint->tasks.empty();
+    if (endpoint->look_open || !needed || endpoint->next_look > now) {
+      continue;
+    }
+    bool fills = false;
+    bool serves = false;
+    bool asks = false;
+    for (const ScheduledTask* task : endpoint->tasks) {
+      fills = fills || task->step->spec->fills;
+      serves = serves || task->step->spec->target_tail.count() > 0;
+      asks = asks || task->unanswered || task->stop_confirmed;
+    }
+    LookAt look;
+    look.target = this->TargetOf(*endpoint);
+    look.acknowledged = endpoint->recorded;
+    // Work on an endpoint that left the list or does not answer has to lapse,
+    // so that it can start again elsewhere.
+    look.lease_until_ms =
+        renew && endpoint->listed && endpoint->failed_looks == 0
+            ? this->LeaseUntil(endpoint.get(), now)
+            : 0;
+    if (endpoint->fenced && !asks) {
+      look.wait = fills && serves ? this->config.paced_look_wait
+                                  : this->config.look_wait;
+    }
+    endpoint->look_open = true;
+    this->actions.looks.push_back(look);
+  }
+}
+
+int JobScheduler::State::UnavailableTasks(const ScheduledStep& step,
+                                          Instant now) const {
+  int away = 0;
+  for (const ScheduledTask& task : step.tasks) {
+    // An endpoint that has not answered lately may have lost its work.
+    const bool at_work =
+        task.phase == TaskPhase::kRunning && task.percent >= 100 &&
+        task.endpoint->failed_looks == 0 && task.endpoint->listed &&
+        now - task.endpoint->clock_read < this->config.fresh_report;
+    away += at_work ? 0 : 1;
+  }
+  return away;
+}
+
+bool JobScheduler::State::IsStarved(const ScheduledStep& step,
+                                    Instant now) const {
+  if (step.ready_since == kNever) {
+    return false;
+  }
+  const ScheduledTask* waiting = nullptr;
+  for (const ScheduledTask& task : step.tasks) {
+    if (task.phase == TaskPhase::kWaiting) {
+      waiting = &task;
+      break;
+    }
+  }
+  if (waiting == nullptr ||
+      now - std::max(step.ready_since, waiting->since) <
+          this->config.starved_after ||
+      !this->WithinTeamLimit(step.job->accepted.team, step.spec->per_task)) {
+    return false;
+  }
+  const ServiceId service = this->ServiceOf(*step.job);
+  const QueueConfig* queue = this->QueueOf(*step.job);
+  return std::none_of(this->endpoints.begin(), this->endpoints.end(),
+                      [&](const auto& entry) {
+                        return entry.second->row.service == service &&
+                               this->Usable(*entry.second, now) &&
+                               this->Accepts(*entry.second, step, queue, now);
+                      });
+}
+
+}  // namespace peridot
--- a/src/daemon/entry_task.cc
+++ b/src/daemon/entry_task.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <utility>
 
+#include "src/daemon/wall_time.h"
 #include "src/protocol/job_json.h"
 #include "src/transport/log.h"
 
@@ -24,12 +25,6 @@
                      [](unsigned char c) { return std::isxdigit(c) != 0; });
 }
 
-std::int64_t UnixMs() {
-  return std::chrono::duration_cast<Milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 }  // namespace
 
 EntryTask::EntryTask(EventLoop* loop,
--- /dev/null
+++ b/src/daemon/owner_load.cc
@@ -0,0 +1,228 @@
+// How a new owner loads what earlier owners and callers have stored.
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "src/daemon/job_store.h"
+#include "src/daemon/owner_task_internal.h"
+#include "src/daemon/wall_time.h"
+#include "src/protocol/job_json.h"
+#include "src/transport/log.h"
+
+namespace peridot {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Loading
+//-----------------------------------------------------------------------------
+
+void OwnerTask::LoadProgress(const std::string& from) {
+  this->ports->read(
+      StoreKey{kProgressTable, kOwnerPart, from},
+      this->IfOwner([this, from](const StoreReply& reply) {
+        this->NoteStore(reply);
+        if (reply.outcome != StoreOutcome::kOk) {
+          this->loop->After(this->config.write_retry, this->IfOwner([=, this] {
+            this->LoadProgress(from);
+          }));
+          return;
+        }
+        for (const StoreRow& row : reply.rows) {
+          Result<JobProgress> progress = DecodeProgress(row.value);
+          if (progress) {
+            this->owned->scheduler.OnProgress(std::move(progress.value()));
+          } else {
+            LogError(LogLevel::kError, "progress_row", progress.error());
+          }
+        }
+        if (reply.more && !reply.rows.empty()) {
+          this->LoadProgress(reply.rows.back().key.key + '\x01');
+        } else {
+          this->OnLoaded();
+        }
+      }));
+}
+
+void OwnerTask::LoadWaves() {
+  this->ports->read(
+      StoreKey{kWaveTable, kOwnerPart, ""},
+      this->IfOwner([this](const StoreReply& reply) {
+        this->NoteStore(reply);
+        if (reply.outcome != StoreOutcome::kOk) {
+          this->loop->After(this->config.write_retry,
+                            this->IfOwner([this] { this->LoadWaves(); }));
+          return;
+        }
+        for (const StoreRow& row : reply.rows) {
+          const Result<WaveProgress> progress = DecodeWaveProgress(row.value);
+          if (progress) {
+            this->owned->planner.OnWaveProgress(progress.value());
+          } else {
+            LogError(LogLevel::kError, "wave_row", progress.error());
+          }
+        }
+        this->owned->planner.OnWaves(this->view->Waves(), this->loop->Now());
+        this->OnLoaded();
+      }));
+}
+
+void OwnerTask::LoadUsedEndpoints() {
+  this->ports->read(
+      StoreKey{kUsedTable, kOwnerPart, ""},
+      this->IfOwner([this](const StoreReply& reply) {
+        this->NoteStore(reply);
+        if (reply.outcome != StoreOutcome::kOk) {
+          this->loop->After(this->config.write_retry, this->IfOwner([this] {
+            this->LoadUsedEndpoints();
+          }));
+          return;
+        }
+        for (const StoreRow& row : reply.rows) {
+          auto used = DecodeUsedEndpoints(row.value);
+          if (used) {
+            for (UsedEndpoint& endpoint : used.value()) {
+              if (endpoint.lapse_ms > 0) {
+                endpoint.lapse_ms = std::max<std::int64_t>(
+                    1, endpoint.lapse_ms - this->StoreMs());
+              }
+            }
+            this->owned->scheduler.OnEarlierEndpoints(used.value(),
+                                                      this->loop->Now());
+          } else {
+            LogError(LogLevel::kError, "used_endpoints_row", used.error());
+          }
+        }
+        this->OnLoaded();
+      }));
+}
+
+void OwnerTask::OnLoaded() {
+  Ownership& owned = *this->owned;
+  if (--owned.loads_open > 0) {
+    return;
+  }
+  for (const StoreRow& row : std::exchange(owned.held_jobs, {})) {
+    this->TakeJob(row);
+  }
+  this->CheckLoaded();
+}
+
+void OwnerTask::CheckLoaded() {
+  Ownership& owned = *this->owned;
+  if (!owned.loaded && owned.loads_open == 0 && owned.jobs->Synced() &&
+      owned.cancels->Synced() && owned.endpoints->Synced()) {
+    owned.loaded = true;
+    LogEvent(LogLevel::kInfo, "ownership_loaded",
+             {{"ms", std::to_string(std::chrono::duration_cast<Milliseconds>(
+                                        this->loop->Now() - owned.began)
+                                        .count())}});
+  }
+  this->Wake();
+}
+
+void OwnerTask::FollowTables() {
+  Ownership& owned = *this->owned;
+  const auto check_loaded = [this] { this->CheckLoaded(); };
+  owned.jobs = std::make_unique<TableFollower>(
+      this->loop, this->ports,
+      TableFollowerConfig{
+          .table = kJobTable, .parts = JobParts(), .report_removed = false},
+      TableFollower::Handlers{
+          .on_row = [this](const StoreRow& row) { this->OnJobRow(row); },
+          .on_batch = [this] { this->Wake(); },
+          .on_synced = check_loaded});
+  owned.cancels = std::make_unique<TableFollower>(
+      this->loop, this->ports,
+      TableFollowerConfig{
+          .table = kCancelTable, .parts = JobParts(), .report_removed = false},
+      TableFollower::Handlers{.on_row =
+                                  [this](const StoreRow& row) {
+                                    if (!row.removed) {
+                                      this->owned->scheduler.OnCancel(
+                                          JobId(row.key.key),
+                                          this->loop->Now());
+                                    }
+                                  },
+                              .on_batch = [this] { this->Wake(); },
+                              .on_synced = check_loaded});
+  owned.endpoints = std::make_unique<TableFollower>(
+      this->loop, this->ports,
+      TableFollowerConfig{.table = this->ports->endpoint_table, .parts = {""}},
+      TableFollower::Handlers{
+          .on_row = [this](const StoreRow& row) { this->OnEndpointRow(row); },
+          .on_batch = [this] { this->Wake(); },
+          .on_synced = check_loaded});
+  owned.jobs->Start();
+  owned.cancels->Start();
+  owned.endpoints->Start();
+}
+
+void OwnerTask::OnJobRow(const StoreRow& row) {
+  if (row.removed) {
+    return;
+  }
+  // A job needs the progress that an earlier owner has recorded.
+  if (this->owned->loads_open > 0) {
+    this->owned->held_jobs.push_back(row);
+  } else {
+    this->TakeJob(row);
+  }
+}
+
+void OwnerTask::TakeJob(const StoreRow& row) {
+  Result<AcceptedJob> job = DecodeJob(row.value);
+  if (!job) {
+    LogError(LogLevel::kError, "job_row", job.error());
+    return;
+  }
+  Ownership& owned = *this->owned;
+  const Instant now = this->loop->Now();
+  const bool before = !owned.loaded || now < owned.others_until;
+  const std::int64_t age =
+      std::clamp<std::int64_t>(UnixMs() - job.value().accepted_ms, 0, 120000);
+  LogEvent(LogLevel::kInfo, "job_taken",
+           {{"job", job.value().id.value},
+            {"queue", job.value().queue},
+            {"age_ms", std::to_string(age)},
+            {"row_version", std::to_string(row.version.value)}});
+  owned.scheduler.OnJob(std::move(job.value()), before, Milliseconds(age), now);
+}
+
+void OwnerTask::OnEndpointRow(const StoreRow& row) {
+  Ownership& owned = *this->owned;
+  owned.endpoints_changed = true;
+  const EndpointId id(row.key.key);
+  if (row.removed) {
+    owned.endpoint_rows.erase(id);
+    return;
+  }
+  const Result<EndpointRow> endpoint = this->ports->decode_endpoint(row);
+  if (!endpoint) {
+    LogError(LogLevel::kWarning, "endpoint_row_skipped", endpoint.error());
+    owned.endpoint_rows.erase(id);
+    return;
+  }
+  owned.endpoint_rows[id] = endpoint.value();
+}
+
+void OwnerTask::OnViewChanged() {
+  if (this->owned == nullptr) {
+    return;
+  }
+  this->ApplyView();
+  if (this->owned->loads_open == 0) {
+    this->owned->planner.OnWaves(this->view->Waves(), this->loop->Now());
+  }
+  this->Wake();
+}
+
+void OwnerTask::ApplyView() {
+  const FleetConfig& fleet = this->view->Config().fleet;
+  this->owned->scheduler.OnFleetConfig(fleet);
+  this->owned->scheduler.OnZonesOut(this->view->ZonesOut());
+  this->owned->planner.OnServices(fleet.services);
+}
+
+}  // namespace peridot
--- /dev/null
+++ b/src/daemon/owner_rounds.cc
@@ -0,0 +1,398 @@
+// The owner at work: rounds of decisions, their orders, and writes.
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "src/daemon/job_store.h"
+#include "src/daemon/owner_task_internal.h"
+#include "src/daemon/wall_time.h"
+#include "src/protocol/job_json.h"
+#include "src/transport/log.h"
+
+namespace peridot {
+
+namespace {
+
+// Time between two sweeps of final jobs.
+constexpr Milliseconds kSweep{5000};
+
+// Resolution of the lapse that is recorded for an endpoint, in ms.
+constexpr std::int64_t kLapseUnitMs = 200;
+
+// Time between two explanations of waiting jobs.
+constexpr Milliseconds kExplain{1000};
+
+// Jobs removed in one call: three rows each, of the 100 that a call takes.
+constexpr std::size_t kRemoveBatch = 30;
+
+}  // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Rounds
+//-----------------------------------------------------------------------------
+
+void OwnerTask::Wake() {
+  if (this->owned == nullptr || this->owned->round_due) {
+    return;
+  }
+  this->owned->round_due = true;
+  this->loop->After(this->config.gather,
+                    this->IfOwner([this] { this->Round(); }));
+}
+
+void OwnerTask::Round() {
+  Ownership& owned = *this->owned;
+  owned.round_due = false;
+  if (this->releasing) {
+    if (!owned.writing) {
+      this->WriteRelease();
+    }
+    return;
+  }
+  const Instant now = this->loop->Now();
+  owned.scheduler.OnWallClock(UnixMs(), now);
+  if (owned.endpoints_changed) {
+    owned.endpoints_changed = false;
+    std::vector<EndpointRow> rows;
+    for (const auto& [id, row] : owned.endpoint_rows) {
+      rows.push_back(row);
+    }
+    owned.scheduler.OnEndpoints(rows, now);
+  }
+  if (owned.loaded) {
+    owned.scheduler.OnCordoned(owned.planner.Cordoned());
+    this->Carry(owned.scheduler.Advance(this->lease.Valid(now), now));
+    this->PlanHosts();
+  }
+  if (owned.scheduler.Fenced()) {
+    this->EndOwnership("fenced");
+    return;
+  }
+  this->Write();
+  this->RemoveOldJobs();
+  this->ExplainWaiting();
+  this->LogDecisions();
+  this->SetTimer();
+}
+
+void OwnerTask::SetTimer() {
+  Ownership& owned = *this->owned;
+  const Instant now = this->loop->Now();
+  this->loop->Cancel(owned.timer);
+  const Duration delay = std::max<Duration>(
+      this->config.gather, owned.scheduler.NextWake(now) - now);
+  owned.timer =
+      this->loop->After(delay, this->IfOwner([this] { this->Wake(); }));
+}
+
+void OwnerTask::Carry(const SchedulerActions& actions) {
+  const OwnerEpoch epoch = this->lease.Epoch();
+  const Instant sent = this->loop->Now();
+  for (const StopRun& order : actions.stops) {
+    this->ports->stop(
+        order, epoch, this->IfOwner([this, order](OrderReply reply) {
+          this->owned->scheduler.OnStopReply(order, reply, this->loop->Now());
+          this->Wake();
+        }));
+  }
+  for (const StartRun& order : actions.starts) {
+    this->ports->start(
+        order, epoch, this->IfOwner([this, order, sent](OrderReply reply) {
+          const Instant now = this->loop->Now();
+          this->metrics->ObserveLatency("start_order", now - sent);
+          if (reply != OrderReply::kDone) {
+            this->metrics->CountRetry(OrderReplyName(reply));
+          }
+          this->owned->scheduler.OnStartReply(order, reply, now);
+          this->Wake();
+        }));
+  }
+  for (const PaceRun& order : actions.paces) {
+    this->ports->pace(order, epoch);
+  }
+  for (const LookAt& look : actions.looks) {
+    std::function<void(std::optional<EndpointReportRows>, OrderReply)> done =
+        [this, look, sent](const std::optional<EndpointReportRows>& report,
+                           OrderReply reply) {
+          if (reply == OrderReply::kFenced) {
+            this->EndOwnership("fenced");
+            return;
+          }
+          this->owned->scheduler.OnLook(look, report, sent, this->loop->Now());
+          this->Wake();
+        };
+    this->ports->look(look, epoch, this->IfOwner(std::move(done)));
+  }
+  for (const AskAdvice& call : actions.advice) {
+    std::function<void(std::optional<std::vector<AdviceTicket>>, Milliseconds)>
+        done = [this, call](
+                   const std::optional<std::vector<AdviceTicket>>& tickets,
+                   Milliseconds valid) {
+          this->owned->scheduler.OnAdvice(call, tickets, valid,
+                                          this->loop->Now());
+          this->Wake();
+        };
+    this->ports->advise(call, this->IfOwner(std::move(done)));
+  }
+}
+
+void OwnerTask::PlanHosts() {
+  Ownership& owned = *this->owned;
+  const Instant now = this->loop->Now();
+  const HostPlan plan = owned.planner.Advance(
+      owned.scheduler.Endpoints(now), owned.scheduler.Demand(now),
+      this->view->ZonesOut(), this->lease.Valid(now), now);
+  for (const EndpointId& endpoint : plan.evict) {
+    owned.scheduler.Evict(endpoint, now);
+  }
+  for (const HostOrder& order : plan.orders) {
+    this->ports->order_host(
+        order, this->settings.name, this->lease.Epoch(),
+        this->IfOwner([this, order](HostOrderReply reply) {
+          LogEvent(LogLevel::kInfo, "host_order",
+                   {{"host", order.host.value},
+                    {"wave", order.wave},
+                    {"pool", order.pool.value},
+                    {"reply", std::to_string(static_cast<int>(reply))}});
+          this->owned->planner.OnReply(order, reply, this->loop->Now());
+          this->Wake();
+        }));
+  }
+  for (const WaveProgress& progress : owned.planner.TakeProgress()) {
+    owned.waves_to_write[progress.name] = progress;
+  }
+  if (plan.read_hosts && !owned.reading_hosts) {
+    owned.reading_hosts = true;
+    std::function<void(std::optional<std::vector<FleetHost>>)> done =
+        [this, now](std::optional<std::vector<FleetHost>> hosts) {
+          this->owned->reading_hosts = false;
+          if (hosts) {
+            this->owned->planner.OnHosts(std::move(*hosts), now,
+                                         this->loop->Now());
+          }
+          this->Wake();
+        };
+    this->ports->read_hosts(this->IfOwner(std::move(done)));
+  }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Writes
+//-----------------------------------------------------------------------------
+
+void OwnerTask::Write() {
+  Ownership& owned = *this->owned;
+  const Instant now = this->loop->Now();
+  if (owned.writing || now < owned.next_write) {
+    return;
+  }
+  const RecordBatch batch = owned.scheduler.TakeBatch(this->config.max_batch);
+  if (batch.number == 0 && owned.waves_to_write.empty() &&
+      !this->lease.RenewalDue(now)) {
+    return;
+  }
+  owned.used_writing = owned.scheduler.UsedEndpoints(now);
+  for (UsedEndpoint& used : owned.used_writing) {
+    if (used.lapse_ms > 0) {
+      // Rounded up, so that the row does not change with every write.
+      used.lapse_ms =
+          (used.lapse_ms + this->StoreMs()) / kLapseUnitMs * kLapseUnitMs +
+          kLapseUnitMs;
+    }
+  }
+  // Each write renews the lease and fails once another daemon holds it.
+  const OwnerRow row = this->lease.NextRow(this->StoreMs(), false);
+  StoreTransaction transaction;
+  transaction.conditions.emplace_back(this->LeaseKey(), this->lease.Version());
+  transaction.puts.emplace_back(this->LeaseKey(), EncodeOwner(row));
+  for (const JobProgress& progress : batch.progress) {
+    transaction.puts.emplace_back(
+        StoreKey{kProgressTable, kOwnerPart, progress.id.value},
+        EncodeProgress(progress));
+  }
+  if (owned.loaded && owned.used_writing != owned.used_written) {
+    transaction.puts.emplace_back(StoreKey{kUsedTable, kOwnerPart, kUsedKey},
+                                  EncodeUsedEndpoints(owned.used_writing));
+  }
+  for (const auto& [name, progress] : owned.waves_to_write) {
+    transaction.puts.emplace_back(StoreKey{kWaveTable, kOwnerPart, name},
+                                  EncodeWaveProgress(progress));
+  }
+  owned.writing = true;
+  owned.next_write = now + this->config.write_spacing;
+  std::function<void(StoreReply)> done =
+      [this, row, now, number = batch.number](const StoreReply& reply) {
+        this->OnWritten(reply, row, now, number);
+      };
+  this->ports->transact(std::move(transaction), this->IfOwner(std::move(done)));
+}
+
+void OwnerTask::OnWritten(const StoreReply& reply,
+                          const OwnerRow& row,
+                          Instant sent,
+                          std::uint64_t batch) {
+  Ownership& owned = *this->owned;
+  const Instant now = this->loop->Now();
+  this->NoteStore(reply);
+  this->metrics->ObserveLatency("record", now - sent);
+  if (reply.outcome == StoreOutcome::kOk) {
+    owned.writing = false;
+    this->lease.OnWritten(row, reply.version, sent);
+    this->write_answered = now;
+    if (owned.loaded) {
+      owned.used_written = owned.used_writing;
+    }
+    owned.scheduler.OnRecorded(batch, true, now);
+    for (const auto& [name, progress] : owned.waves_to_write) {
+      this->ReportWave(progress);
+    }
+    owned.waves_to_write.clear();
+    this->Wake();
+    return;
+  }
+  LogEvent(LogLevel::kWarning, "record_failed",
+           {{"outcome", StoreOutcomeName(reply.outcome)},
+            {"batch", std::to_string(batch)},
+            {"lease_valid", this->lease.Valid(now) ? "yes" : "no"}});
+  if (reply.outcome == StoreOutcome::kNotDone ||
+      reply.outcome == StoreOutcome::kRejected) {
+    owned.writing = false;
+    owned.next_write = now + this->config.write_retry;
+    owned.scheduler.OnRecorded(batch, false, now);
+    this->Wake();
+    return;
+  }
+  this->ResolveWrite(batch);
+}
+
+void OwnerTask::ResolveWrite(std::uint64_t batch) {
+  std::function<void(StoreReply)> done = [this,
+                                          batch](const StoreReply& reply) {
+    Ownership& owned = *this->owned;
+    const Instant now = this->loop->Now();
+    this->NoteStore(reply);
+    if (reply.outcome != StoreOutcome::kOk) {
+      this->loop->After(this->config.write_retry, this->IfOwner([this, batch] {
+        this->ResolveWrite(batch);
+      }));
+      return;
+    }
+    for (const StoreRow& found : reply.rows) {
+      const Result<OwnerRow> row = DecodeOwner(found.value);
+      if (found.key.key != kOwnerKey || !row) {
+        continue;
+      }
+      if (!this->lease.OnRow(row.value(), found.version)) {
+        this->EndOwnership("lease_taken");
+        return;
+      }
+    }
+    // The batch is written again on top of the row as it is now; a repeated
+    // record of progress is harmless.
+    owned.writing = false;
+    owned.scheduler.OnRecorded(batch, false, now);
+    this->Wake();
+  };
+  this->ports->read_one(this->LeaseKey(), this->IfOwner(std::move(done)));
+}
+
+void OwnerTask::ReportWave(const WaveProgress& progress) {
+  StoreTransaction transaction;
+  transaction.puts.push_back(this->ports->encode_wave_report(progress));
+  std::function<void(StoreReply)> done = [this,
+                                          progress](const StoreReply& reply) {
+    LogEvent(LogLevel::kInfo, "wave_report",
+             {{"wave", progress.name},
+              {"begun", std::to_string(progress.begun.size())},
+              {"completed", progress.completed ? "yes" : "no"},
+              {"outcome", StoreOutcomeName(reply.outcome)}});
+    if (reply.outcome != StoreOutcome::kOk) {
+      this->owned->waves_to_write.try_emplace(progress.name, progress);
+    }
+  };
+  this->ports->transact(std::move(transaction), this->IfOwner(std::move(done)));
+}
+
+void OwnerTask::RemoveOldJobs() {
+  Ownership& owned = *this->owned;
+  const Instant now = this->loop->Now();
+  if (now < owned.next_sweep) {
+    return;
+  }
+  owned.next_sweep = now + kSweep;
+  std::vector<JobId> old =
+      owned.scheduler.FinalBefore(now - this->config.keep_final);
+  if (old.empty()) {
+    return;
+  }
+  old.resize(std::min(old.size(), kRemoveBatch));
+  StoreTransaction transaction;
+  transaction.across_parts = true;
+  for (const JobId& id : old) {
+    transaction.removals.push_back(StoreKey{kJobTable, PartOf(id), id.value});
+    transaction.removals.push_back(
+        StoreKey{kCancelTable, PartOf(id), id.value});
+    transaction.removals.push_back(
+        StoreKey{kProgressTable, kOwnerPart, id.value});
+  }
+  std::function<void(StoreReply)> done = [this, old](const StoreReply& reply) {
+    LogEvent(LogLevel::kInfo, "jobs_removed",
+             {{"count", std::to_string(old.size())},
+              {"outcome", StoreOutcomeName(reply.outcome)}});
+    if (reply.outcome == StoreOutcome::kOk) {
+      for (const JobId& id : old) {
+        this->owned->scheduler.Forget(id);
+      }
+    }
+  };
+  this->ports->transact(std::move(transaction), this->IfOwner(std::move(done)));
+}
+
+void OwnerTask::ExplainWaiting() {
+  Ownership& owned = *this->owned;
+  const Instant now = this->loop->Now();
+  if (now < owned.next_explanation) {
+    return;
+  }
+  owned.next_explanation = now + kExplain;
+  this->PublishCounts();
+  std::size_t explained = 0;
+  for (const JobId& id :
+       owned.scheduler.WaitingSince(now - this->config.explain_after)) {
+    if (explained++ == this->config.explain_most) {
+      break;
+    }
+    LogLine(LogLevel::kInfo, "job_waits", owned.scheduler.WhyWaiting(id, now));
+  }
+}
+
+void OwnerTask::PublishCounts() {
+  const JobScheduler::Counters& counts = this->owned->scheduler.Counts();
+  const auto publish = [this](const char* prefix, const auto& values) {
+    for (const auto& [name, value] : values) {
+      this->metrics->SetGauge(std::string(prefix) + "_" + name + "_count",
+                              static_cast<double>(value));
+    }
+  };
+  publish("owner_starts", counts.starts_by_reply);
+  publish("owner_ends", counts.ends_by_kind);
+  publish("owner_stops", counts.stops_by_reason);
+  this->metrics->SetGauge("owner_looks_count",
+                          static_cast<double>(counts.looks));
+  this->metrics->SetGauge("owner_looks_failed_count",
+                          static_cast<double>(counts.looks_failed));
+}
+
+void OwnerTask::LogDecisions() {
+  for (const std::string& text : this->owned->scheduler.TakeDecisions()) {
+    LogLine(LogLevel::kInfo, "schedule", text);
+  }
+  for (const std::string& text : this->owned->planner.TakeDecisions()) {
+    LogLine(LogLevel::kInfo, "hosts", text);
+  }
+}
+
+}  // namespace peridot
--- a/src/daemon/owner_task.h
+++ b/src/daemon/owner_task.h
@@ -136,6 +136,7 @@
   void ReportWave(const WaveProgress& progress);
   void RemoveOldJobs();
   void ExplainWaiting();
+  void PublishCounts();
   void WriteRelease();
   void LogDecisions();
 
--- /dev/null
+++ b/src/daemon/owner_task_internal.h
@@ -0,0 +1,67 @@
+// The state of an owner and what the files of OwnerTask share.
+//
+// Index:
+//   [SECTION] Ownership
+//   [SECTION] Helpers
+
+#ifndef SRC_DAEMON_OWNER_TASK_INTERNAL_H_
+#define SRC_DAEMON_OWNER_TASK_INTERNAL_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "src/daemon/owner_task.h"
+
+namespace peridot {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Ownership
+//-----------------------------------------------------------------------------
+
+// What exists only while this daemon owns the fleet.
+struct OwnerTask::Ownership {
+  JobScheduler scheduler;
+  HostPlanner planner;
+  std::unique_ptr<TableFollower> jobs;
+  std::unique_ptr<TableFollower> cancels;
+  std::unique_ptr<TableFollower> endpoints;
+  std::map<EndpointId, EndpointRow> endpoint_rows;
+  bool endpoints_changed = false;
+  Instant began{};
+  Instant others_until{};  // an earlier owner may act until then
+  int loads_open = 3;      // reads of progress, waves and used endpoints
+  std::vector<StoreRow> held_jobs;  // jobs read before these have ended
+  bool loaded = false;              // all jobs and endpoints have been read
+  bool round_due = false;
+  bool writing = false;
+  Instant next_write{};
+  Instant next_sweep{};
+  Instant next_explanation{};
+  std::vector<UsedEndpoint> used_written;  // as the store holds them
+  std::vector<UsedEndpoint> used_writing;
+  WatchId timer = kNoWatch;
+  bool reading_hosts = false;
+  std::map<std::string, WaveProgress> waves_to_write;
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Helpers
+//-----------------------------------------------------------------------------
+
+template <typename Action>
+auto OwnerTask::IfOwner(Action action) {
+  return
+      [this, action = std::move(action), alive = this->alive,
+       weak = std::weak_ptr<Ownership>(this->owned)](auto&&... args) mutable {
+        if (*alive && !weak.expired() && weak.lock() == this->owned) {
+          action(std::forward<decltype(args)>(args)...);
+        }
+      };
+}
+
+}  // namespace peridot
+
+#endif  // SRC_DAEMON_OWNER_TASK_INTERNAL_H_
--- /dev/null
+++ b/src/daemon/wall_time.h
@@ -0,0 +1,29 @@
+// The time of day, for what callers state as Unix time.
+//
+// Index:
+//   [SECTION] UnixMs
+//
+// It may jump: nothing that must hold depends on it.
+
+#ifndef SRC_DAEMON_WALL_TIME_H_
+#define SRC_DAEMON_WALL_TIME_H_
+
+#include <chrono>
+#include <cstdint>
+
+namespace peridot {
+
+//-----------------------------------------------------------------------------
+// [SECTION] UnixMs
+//-----------------------------------------------------------------------------
+
+// Milliseconds since 1970. Thread-safe.
+inline std::int64_t UnixMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+}  // namespace peridot
+
+#endif  // SRC_DAEMON_WALL_TIME_H_
--- a/src/transport/log.cc
+++ b/src/transport/log.cc
@@ -7,7 +7,10 @@
 
 #include <algorithm>
 #include <atomic>
+#include <chrono>
 #include <memory>
+#include <mutex>
+#include <string>
 #include <utility>
 
 namespace peridot {
@@ -82,8 +85,57 @@
   return logger;
 }
 
+// Counts the lines of the current second.
+struct LogLimiter {
+  std::mutex mutex;
+  std::size_t per_second = 0;  // guarded by mutex; 0: no limit
+  std::size_t written = 0;     // guarded by mutex
+  std::size_t dropped = 0;     // guarded by mutex
+  std::chrono::steady_clock::time_point second{};  // guarded by mutex
+};
+
+LogLimiter& Limiter() {
+  static LogLimiter limiter;
+  return limiter;
+}
+
+// Returns whether the line may be written; reports what was dropped before.
+bool TakeLine(LogLevel level) {
+  if (level != LogLevel::kDebug && level != LogLevel::kInfo) {
+    return true;
+  }
+  LogLimiter& limiter = Limiter();
+  std::size_t dropped = 0;
+  bool allowed = true;
+  {
+    const std::lock_guard<std::mutex> lock(limiter.mutex);
+    if (limiter.per_second == 0) {
+      return true;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    if (now - limiter.second >= std::chrono::seconds(1)) {
+      limiter.second = now;
+      limiter.written = 0;
+      dropped = std::exchange(limiter.dropped, 0);
+    }
+    allowed = limiter.written < limiter.per_second;
+    ++(allowed ? limiter.written : limiter.dropped);
+  }
+  if (dropped > 0) {
+    EventLogger().log(log4cplus::WARN_LOG_LEVEL,
+                      "event=log_dropped lines=" + std::to_string(dropped));
+  }
+  return allowed;
+}
+
 }  // namespace
 
+void LimitLog(std::size_t lines_per_second) {
+  LogLimiter& limiter = Limiter();
+  const std::lock_guard<std::mutex> lock(limiter.mutex);
+  limiter.per_second = lines_per_second;
+}
+
 void StartLog(LogLevel lowest, LogTarget target) {
   static const log4cplus::Initializer initializer;
   log4cplus::SharedAppenderPtr appender(
@@ -102,14 +154,16 @@
 void LogEvent(LogLevel level,
               std::string_view event,
               std::initializer_list<LogField> fields) {
-  if (!log_started || !EventLogger().isEnabledFor(ToLibrary(level))) {
+  if (!log_started || !EventLogger().isEnabledFor(ToLibrary(level)) ||
+      !TakeLine(level)) {
     return;
   }
   EventLogger().log(ToLibrary(level), FormatEvent(event, fields));
 }
 
 void LogLine(LogLevel level, std::string_view event, std::string_view fields) {
-  if (!log_started || !EventLogger().isEnabledFor(ToLibrary(level))) {
+  if (!log_started || !EventLogger().isEnabledFor(ToLibrary(level)) ||
+      !TakeLine(level)) {
     return;
   }
   std::string line = "event=";
--- a/src/transport/log.h
+++ b/src/transport/log.h
@@ -11,6 +11,7 @@
 #ifndef SRC_TRANSPORT_LOG_H_
 #define SRC_TRANSPORT_LOG_H_
 
+#include <cstddef>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -40,6 +41,10 @@
 // the first event and before other threads start.
 void StartLog(LogLevel lowest, LogTarget target = LogTarget::kStandardError);
 
+// Lines of level info and below that are written in a second; the rest is
+// dropped and counted in an event "log_dropped". 0: no limit. Default: 0.
+void LimitLog(std::size_t lines_per_second);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Events
 //-----------------------------------------------------------------------------
