Tell the next owner which jobs have not begun

Cause: after a takeover every job that was accepted before it waited up to 5.4 s for endpoints behind a cut, also jobs that the cut-off owner had never seen. Change: the lease row names the newest job that may have been started; the owner starts a job only after that has been written. Ruled out: writing each start.

--- a/src/coordination/job_scheduler.cc
+++ b/src/coordination/job_scheduler.cc
@@ -90,10 +90,12 @@
 }
 
 void JobScheduler::OnJob(AcceptedJob job,
+                         RowVersion version,
                          bool before_takeover,
                          Milliseconds age,
                          Instant now) {
   State& state = *this->state;
+  state.newest_job = std::max(state.newest_job, version);
   if (state.FindJob(job.id) != nullptr) {
     return;
   }
@@ -101,6 +103,7 @@
   auto owned = std::make_unique<ScheduledJob>();
   ScheduledJob* added = owned.get();
   added->accepted = std::move(job);
+  added->version = version;
   added->arrived = now - age;
   added->before_takeover = before_takeover;
   state.jobs.emplace(id, std::move(owned));
@@ -129,6 +132,18 @@
   state.FinishIfDone(added);
 }
 
+void JobScheduler::OnStartable(RowVersion up_to) {
+  this->state->startable = std::max(this->state->startable, up_to);
+}
+
+RowVersion JobScheduler::NewestJob() const {
+  return this->state->newest_job;
+}
+
+bool JobScheduler::HoldsJobs() const {
+  return this->state->newest_job > this->state->startable;
+}
+
 void JobScheduler::OnProgress(JobProgress progress) {
   const JobId id = progress.id;
   this->state->earlier[id] = std::move(progress);
--- a/src/coordination/job_scheduler.h
+++ b/src/coordination/job_scheduler.h
@@ -240,13 +240,20 @@
 
   void OnFleetConfig(FleetConfig config);
 
-  // A job that was stored `age` ago. `before_takeover` is true if an earlier
-  // owner may have started tasks of it. Does nothing if the job is known.
+  // A job that was stored `age` ago in a row of this version.
+  // `before_takeover` is true if an earlier owner may have started tasks of
+  // it. Does nothing if the job is known.
   void OnJob(AcceptedJob job,
+             RowVersion version,
              bool before_takeover,
              Milliseconds age,
              Instant now);
 
+  // The owner's row in the store says that jobs up to this version may have
+  // been started. Later ones wait for it, so that the next owner knows which
+  // jobs have surely not begun.
+  void OnStartable(RowVersion up_to);
+
   // What an earlier owner recorded of a job. Requires that OnJob() follows.
   void OnProgress(JobProgress progress);
 
@@ -315,6 +322,10 @@
   std::vector<JobId> WaitingSince(Instant instant) const;
   // Accepted jobs of a queue of which no task has started.
   int WaitingIn(const std::string& queue) const;
+  // Newest version of a job's row that has been seen.
+  RowVersion NewestJob() const;
+  // True if a job waits for OnStartable().
+  bool HoldsJobs() const;
   // True once an endpoint has reported a higher epoch than this owner's.
   bool Fenced() const;
   // Instant by which a decision is due again without any input.
--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -86,6 +86,7 @@
 
 struct ScheduledJob {
   AcceptedJob accepted;
+  RowVersion version;  // of its row
   Instant arrived{};
   bool before_takeover = false;
   bool cancelled = false;
@@ -150,6 +151,8 @@
   Resources unseen;                 // capacity of these endpoints
   Instant recovery_ends{};          // earlier owners' work has lapsed by then
   std::int64_t wall_offset_ms = 0;  // Unix time less the steady clock
+  RowVersion newest_job;            // version of a job's row
+  RowVersion startable;             // jobs up to this version may start
   bool fenced = false;
   std::size_t advice_open = 0;
   std::uint64_t batch = 0;  // number of the open batch; 0: none
--- a/src/coordination/job_scheduler_place.cc
+++ b/src/coordination/job_scheduler_place.cc
@@ -87,7 +87,8 @@
   }
   std::map<ServiceId, std::vector<ScheduledJob*>> waiting;
   for (const auto& [id, job] : this->jobs) {
-    if (IsFinal(job->decided) || !HasWaitingTask(*job)) {
+    if (IsFinal(job->decided) || job->version > this->startable ||
+        !HasWaitingTask(*job)) {
       continue;
     }
     const ServiceId service = this->ServiceOf(*job);
--- a/src/coordination/owner_lease.cc
+++ b/src/coordination/owner_lease.cc
@@ -54,6 +54,7 @@
       this->held ? this->row.epoch : OwnerEpoch(this->row.epoch.value + 1);
   next.sequence = this->held ? this->row.sequence + 1 : 1;
   next.instance = this->config.instance;
+  next.jobs_version = this->row.jobs_version;
   if (!release) {
     next.holder = this->config.self;
     next.address = this->config.address;
--- a/src/coordination/owner_lease.h
+++ b/src/coordination/owner_lease.h
@@ -47,6 +47,9 @@
   OwnerEpoch epoch;             // default: 0
   std::int64_t expires_ms = 0;  // default: 0; on the store's clock
   std::uint64_t sequence = 0;   // default: 0; writes of this holder
+  // Newest version of a job\'s row of which any owner may have started a task.
+  // A job of a later version is free for the next owner at once.
+  RowVersion jobs_version;  // default: 0
 };
 
 //-----------------------------------------------------------------------------
--- a/src/daemon/owner_load.cc
+++ b/src/daemon/owner_load.cc
@@ -179,7 +179,7 @@
   }
   Ownership& owned = *this->owned;
   const Instant now = this->loop->Now();
-  const bool before = !owned.loaded || now < owned.others_until;
+  const bool before = row.version <= this->earlier_jobs;
   const std::int64_t age =
       std::clamp<std::int64_t>(UnixMs() - job.value().accepted_ms, 0, 120000);
   LogEvent(LogLevel::kInfo, "job_taken",
@@ -187,7 +187,8 @@
             {"queue", job.value().queue},
             {"age_ms", std::to_string(age)},
             {"row_version", std::to_string(row.version.value)}});
-  owned.scheduler.OnJob(std::move(job.value()), before, Milliseconds(age), now);
+  owned.scheduler.OnJob(std::move(job.value()), row.version, before,
+                        Milliseconds(age), now);
 }
 
 void OwnerTask::OnEndpointRow(const StoreRow& row) {
--- a/src/daemon/owner_rounds.cc
+++ b/src/daemon/owner_rounds.cc
@@ -191,7 +191,8 @@
   }
   const RecordBatch batch = owned.scheduler.TakeBatch(this->config.max_batch);
   if (batch.number == 0 && owned.waves_to_write.empty() &&
-      !this->lease.RenewalDue(now)) {
+      !this->lease.RenewalDue(now) &&
+      !(owned.loaded && owned.scheduler.HoldsJobs())) {
     return;
   }
   owned.used_writing = owned.scheduler.UsedEndpoints(now);
@@ -204,7 +205,10 @@
     }
   }
   // Each write renews the lease and fails once another daemon holds it.
-  const OwnerRow row = this->lease.NextRow(this->StoreMs(), false);
+  OwnerRow row = this->lease.NextRow(this->StoreMs(), false);
+  if (owned.loaded) {
+    row.jobs_version = std::max(row.jobs_version, owned.scheduler.NewestJob());
+  }
   StoreTransaction transaction;
   transaction.conditions.emplace_back(this->LeaseKey(), this->lease.Version());
   transaction.puts.emplace_back(this->LeaseKey(), EncodeOwner(row));
@@ -242,6 +246,7 @@
     owned.writing = false;
     this->lease.OnWritten(row, reply.version, sent);
     this->write_answered = now;
+    owned.scheduler.OnStartable(row.jobs_version);
     if (owned.loaded) {
       owned.used_written = owned.used_writing;
     }
--- a/src/daemon/owner_task.cc
+++ b/src/daemon/owner_task.cc
@@ -196,6 +196,7 @@
             {"row_version", std::to_string(this->lease.Version().value)}});
   const OwnerRow row = this->lease.NextRow(this->StoreMs(), false);
   const Instant sent = this->loop->Now();
+  this->earlier_jobs = this->lease.Row().jobs_version;
   this->earlier_until = sent + this->lease.EarlierLeaseLeft(this->StoreMs());
   StoreTransaction transaction;
   transaction.conditions.emplace_back(this->LeaseKey(), this->lease.Version());
@@ -235,7 +236,7 @@
       Ownership{JobScheduler(scheduler, others_until),
                 HostPlanner(this->settings.hosts, now)});
   this->owned->began = now;
-  this->owned->others_until = others_until;
+  this->owned->scheduler.OnStartable(this->earlier_jobs);
   LogEvent(LogLevel::kInfo, "ownership_began",
            {{"epoch", std::to_string(scheduler.epoch.value)},
             {"earlier_lease_left_ms",
--- a/src/daemon/owner_task.h
+++ b/src/daemon/owner_task.h
@@ -162,6 +162,8 @@
   bool releasing = false;
   bool claiming = false;
   Instant earlier_until{};  // the holder before the claim may act until then
+  RowVersion
+      earlier_jobs;  // newest job that an earlier holder may have started
   std::function<void()> on_released;
   std::int64_t store_ms = 0;  // store's clock at store_read
   Instant store_read{};
--- a/src/daemon/owner_task_internal.h
+++ b/src/daemon/owner_task_internal.h
@@ -31,8 +31,7 @@
   std::map<EndpointId, EndpointRow> endpoint_rows;
   bool endpoints_changed = false;
   Instant began{};
-  Instant others_until{};  // an earlier owner may act until then
-  int loads_open = 3;      // reads of progress, waves and used endpoints
+  int loads_open = 3;  // reads of progress, waves and used endpoints
   std::vector<StoreRow> held_jobs;  // jobs read before these have ended
   bool loaded = false;              // all jobs and endpoints have been read
   bool round_due = false;
--- a/src/protocol/job_json.cc
+++ b/src/protocol/job_json.cc
@@ -226,7 +226,8 @@
 std::string EncodeOwner(const OwnerRow& row) {
   return Json{{"holder", row.holder.value},   {"instance", row.instance},
               {"address", row.address},       {"epoch", row.epoch.value},
-              {"expires_ms", row.expires_ms}, {"sequence", row.sequence}}
+              {"expires_ms", row.expires_ms}, {"sequence", row.sequence},
+              {"jobs_version", row.jobs_version.value}}
       .dump();
 }
 
@@ -239,6 +240,7 @@
     row.epoch = OwnerEpoch(in.at("epoch").get<std::uint64_t>());
     row.expires_ms = in.at("expires_ms").get<std::int64_t>();
     row.sequence = in.at("sequence").get<std::uint64_t>();
+    row.jobs_version = RowVersion(in.at("jobs_version").get<std::uint64_t>());
     return row;
   });
 }
--- a/tests/job_scheduler_test.cc
+++ b/tests/job_scheduler_test.cc
@@ -130,7 +130,8 @@
   // Guards against a task that fails its job after one failure less than
   // allowed because an end was listed again.
   Bench bench({Endpoint("e1")});
-  bench.scheduler.OnJob(Job("j", 1), false, milliseconds(0), bench.now);
+  bench.scheduler.OnJob(Job("j", 1), RowVersion(0), false, milliseconds(0),
+                        bench.now);
   const std::vector<StartRun> starts = bench.Starts();
   REQUIRE(starts.size() == 1);
   bench.Confirm(starts[0]);
@@ -152,7 +153,8 @@
   // Guards against one attempt too many after a takeover: the new owner adopts
   // the later run before it reads the end of the earlier one.
   Bench bench({Endpoint("e1"), Endpoint("e2")}, OwnerEpoch(2));
-  bench.scheduler.OnJob(Job("j", 1), true, milliseconds(0), bench.now);
+  bench.scheduler.OnJob(Job("j", 1), RowVersion(0), true, milliseconds(0),
+                        bench.now);
   const TaskName task{JobId("j"), 0, 0, 0};
   bench.Look(EndpointId("e2"), {.running = {RunningTask{task, 2, "", 10, 0}}});
   bench.Look(EndpointId("e1"),
@@ -170,7 +172,8 @@
   // Guards against a third run of a task whose first run ended done behind a
   // cut while a second one had been started.
   Bench bench({Endpoint("e1"), Endpoint("e2")}, OwnerEpoch(2));
-  bench.scheduler.OnJob(Job("j", 1), true, milliseconds(0), bench.now);
+  bench.scheduler.OnJob(Job("j", 1), RowVersion(0), true, milliseconds(0),
+                        bench.now);
   const TaskName task{JobId("j"), 0, 0, 0};
   bench.Look(EndpointId("e2"), {.running = {RunningTask{task, 2, "", 10, 0}}});
   bench.Look(EndpointId("e1"),
@@ -189,8 +192,10 @@
   bench.scheduler.OnEarlierEndpoints(
       {UsedEndpoint{EndpointId("e9"), ServiceId("s"), Resources{4000, 0, 0}}},
       bench.now);
-  bench.scheduler.OnJob(Job("old", 1), true, milliseconds(0), bench.now);
-  bench.scheduler.OnJob(Job("new", 1), false, milliseconds(0), bench.now);
+  bench.scheduler.OnJob(Job("old", 1), RowVersion(0), true, milliseconds(0),
+                        bench.now);
+  bench.scheduler.OnJob(Job("new", 1), RowVersion(0), false, milliseconds(0),
+                        bench.now);
   const std::vector<StartRun> starts = bench.Starts();
   REQUIRE(starts.size() == 1);
   CHECK(starts[0].task.job == JobId("new"));
@@ -203,7 +208,8 @@
           "[job_scheduler]") {
   // Guards against starts by an owner that was paused past its lease.
   Bench bench({Endpoint("e1")});
-  bench.scheduler.OnJob(Job("j", 2), false, milliseconds(0), bench.now);
+  bench.scheduler.OnJob(Job("j", 2), RowVersion(0), false, milliseconds(0),
+                        bench.now);
   const SchedulerActions actions = bench.scheduler.Advance(false, bench.now);
   CHECK(actions.starts.empty());
   for (const LookAt& look : actions.looks) {
@@ -215,7 +221,8 @@
           "[job_scheduler]") {
   // Guards the last check before a start.
   Bench bench({Endpoint("e1")});
-  bench.scheduler.OnJob(Job("j", 1), false, milliseconds(0), bench.now);
+  bench.scheduler.OnJob(Job("j", 1), RowVersion(0), false, milliseconds(0),
+                        bench.now);
   SECTION("zone out") {
     bench.scheduler.OnZonesOut({ZoneId("z1")});
     CHECK(bench.Starts().empty());
@@ -235,7 +242,8 @@
           "[job_scheduler]") {
   // Guards against an answer that a new owner could take back.
   Bench bench({Endpoint("e1")});
-  bench.scheduler.OnJob(Job("j", 1), false, milliseconds(0), bench.now);
+  bench.scheduler.OnJob(Job("j", 1), RowVersion(0), false, milliseconds(0),
+                        bench.now);
   const std::vector<StartRun> starts = bench.Starts();
   REQUIRE(starts.size() == 1);
   bench.Confirm(starts[0]);
@@ -255,7 +263,8 @@
   // Guards against an end that is forgotten by the endpoint and unknown to the
   // next owner.
   Bench bench({Endpoint("e1")});
-  bench.scheduler.OnJob(Job("j", 1), false, milliseconds(0), bench.now);
+  bench.scheduler.OnJob(Job("j", 1), RowVersion(0), false, milliseconds(0),
+                        bench.now);
   const std::vector<StartRun> starts = bench.Starts();
   bench.Confirm(starts.at(0));
   bench.Look(EndpointId("e1"), {.ended = {End(1, starts[0], EndKind::kDone)}});
@@ -280,7 +289,7 @@
   AcceptedJob job = Job("j", 3);
   job.spec.steps[0].long_running = true;
   job.spec.steps[0].max_unavailable = 1;
-  bench.scheduler.OnJob(job, false, milliseconds(0), bench.now);
+  bench.scheduler.OnJob(job, RowVersion(0), false, milliseconds(0), bench.now);
   std::map<EndpointId, EndpointReportRows> reports;
   for (const StartRun& start : bench.Starts()) {
     bench.Confirm(start);
@@ -304,7 +313,8 @@
   Bench bench({Endpoint("e1")});
   AcceptedJob large = Job("j", 1);
   large.spec.steps[0].per_task = Resources{9000, 0, 0};
-  bench.scheduler.OnJob(large, false, milliseconds(0), bench.now);
+  bench.scheduler.OnJob(large, RowVersion(0), false, milliseconds(0),
+                        bench.now);
   bench.Starts();
   CHECK(bench.scheduler.WhyWaiting(JobId("j"), bench.now)
             .find("constraint=room") != std::string::npos);
--- a/tests/support/job_world.cc
+++ b/tests/support/job_world.cc
@@ -89,7 +89,9 @@
     this->accepted.push_back(job);
     this->After(this->Between(0, 12000), [this, job] {
       this->record.try_emplace(job.id, JobProgress{job.id});
-      this->owner->OnJob(job, false, Milliseconds(0), this->now);
+      const RowVersion version(this->versions.size() + 1);
+      this->versions[job.id] = version;
+      this->owner->OnJob(job, version, false, Milliseconds(0), this->now);
     });
   }
 }
@@ -118,11 +120,14 @@
   for (const auto& [id, progress] : this->record) {
     this->owner->OnProgress(progress);
   }
+  this->owner->OnStartable(this->jobs_record);
   this->owner->OnEarlierEndpoints(this->used_record, this->now);
   this->ListWorkers();
   for (const AcceptedJob& job : this->accepted) {
     if (this->record.contains(job.id)) {
-      this->owner->OnJob(job, true, Milliseconds(0), this->now);
+      const RowVersion version = this->versions[job.id];
+      this->owner->OnJob(job, version, version <= this->jobs_record,
+                         Milliseconds(0), this->now);
     }
   }
 }
@@ -298,6 +303,7 @@
   const std::vector<UsedEndpoint> used = this->owner->UsedEndpoints(this->now);
   const std::uint64_t sender = this->owner_number;
   const bool refused = this->Uniform() < 0.05;
+  const RowVersion newest = this->owner->NewestJob();
   const Instant sent = this->now;
   this->After(this->Between(4, 40), [=, this] {
     if (sender != this->owner_number) {
@@ -308,6 +314,8 @@
         this->record[progress.id] = progress;
       }
       this->used_record = used;
+      this->jobs_record = std::max(this->jobs_record, newest);
+      this->owner->OnStartable(newest);
       for (UsedEndpoint& endpoint : this->used_record) {
         endpoint.lapse_ms +=
             endpoint.lapse_ms > 0
--- a/tests/support/job_world.h
+++ b/tests/support/job_world.h
@@ -87,6 +87,8 @@
   std::vector<AcceptedJob> accepted;
   std::map<JobId, JobProgress> record;  // what the store holds
   std::vector<UsedEndpoint> used_record;
+  RowVersion jobs_record;  // newest job that may have been started
+  std::map<JobId, RowVersion> versions;  // of the jobs' rows
   std::map<TaskName, std::set<RunNumber>> acked_failures;
   std::unique_ptr<JobScheduler> owner;
   OwnerEpoch epoch;
