--- a/tests/mutations/guards.sh
+++ b/tests/mutations/guards.sh
@@ -91,3 +91,42 @@
   's/envelope\.incarnation\(\) < registered->value/false/'
 guard envelope_body "${envelope}" "[envelope]" \
   's/if \(!valid\)/if (!valid \&\& envelope.protocol_version() == 0)/'
+
+# JobScheduler
+readonly runs=src/coordination/job_scheduler_runs.cc
+readonly place=src/coordination/job_scheduler_place.cc
+readonly jobs="[job_scheduler]"
+guard jobs_failed_run_once "${runs}" "${jobs}" \
+  's/if \(!failed\.insert\(run\)\.second\)/failed.insert(run); if (false)/'
+guard jobs_done_stays_done "${runs}" "${jobs}" \
+  's/return task\.step->job->done\.contains\(NameOf\(task\)\) \? TaskPhase::kDone\s*: TaskPhase::kWaiting/return TaskPhase::kWaiting/'
+guard jobs_wait_for_unseen "${place}" "${jobs}" \
+  's/job->before_takeover && this->unrecovered/false \&\& this->unrecovered/'
+guard jobs_zone_out "${place}" "${jobs}" \
+  's/!this->zones_out\.contains\(endpoint\.row\.zone\) &&/true \&\&/'
+guard jobs_draining "${place}" "${jobs}" \
+  's/endpoint\.listed && endpoint\.row\.ready &&/endpoint.listed \&\&/'
+guard jobs_cordoned "${place}" "${jobs}" \
+  's/!this->cordoned\.contains\(endpoint\.row\.id\)/true/'
+guard jobs_recorded_before_shown src/coordination/job_scheduler.cc "${jobs}" \
+  's/IsFinal\(job->recorded\)\) \{\s*return job->cancelled/IsFinal(job->decided)) {\n    return !job->cancelled ? job->decided : job->cancelled/'
+guard jobs_lease_before_start src/coordination/job_scheduler.cc "${jobs}" \
+  's/if \(may_start && !state\.fenced\) \{/if (!state.fenced) {/'
+
+# OwnerLease
+readonly owner=src/coordination/owner_lease.cc
+guard owner_over_by_epoch "${owner}" "[owner_lease]" \
+  's/return this->row\.epoch == this->over && /return /'
+guard owner_counts_from_sending "${owner}" "[owner_lease]" \
+  's/ - this->config\.margin//'
+guard owner_lost "${owner}" "[owner_lease]" \
+  's/if \(this->held && !mine\)/if (false \&\& !mine)/'
+
+# HostPlanner
+readonly hosts=src/coordination/host_planner.cc
+guard hosts_list_after_answer "${hosts}" "[host_planner]" \
+  's/  host\.ordered = now;\n  if \(reply == HostOrderReply::kDone/  if (reply == HostOrderReply::kDone/'
+guard hosts_quiet_after_takeover "${hosts}" "[host_planner]" \
+  's/now - this->started < this->config\.quiet_after_takeover/false/'
+guard hosts_idle_only "${hosts}" "[host_planner]" \
+  's/found == endpoints\.end\(\) \|\| found->second->idle\) \{\s*if \(down/true) {\n      if (down/'
