--- a/src/protocol/job_json.cc
+++ b/src/protocol/job_json.cc
@@ -224,9 +224,12 @@
 }
 
 std::string EncodeOwner(const OwnerRow& row) {
-  return Json{{"holder", row.holder.value},   {"instance", row.instance},
-              {"address", row.address},       {"epoch", row.epoch.value},
-              {"expires_ms", row.expires_ms}, {"sequence", row.sequence},
+  return Json{{"holder", row.holder.value},
+              {"instance", row.instance},
+              {"address", row.address},
+              {"epoch", row.epoch.value},
+              {"expires_ms", row.expires_ms},
+              {"sequence", row.sequence},
               {"jobs_version", row.jobs_version.value}}
       .dump();
 }
