--- a/src/coordination/job_scheduler.h
+++ b/src/coordination/job_scheduler.h
@@ -89,9 +89,9 @@
 
   // Late work is worth something up to this multiple of the objective.
   double late_factor = 3.0;  // default: 3
-  // Weight of the objective against age in the order of work; 0 is first come
-  // first served, higher values prefer short jobs.
-  double short_job_weight = 1.0;  // default: 1.0
+  // Work that is late already goes by age plus this share of its objective:
+  // 0 is first come first served, higher values prefer short jobs.
+  double late_objective_weight = 1.0;  // default: 1.0
 
   // Endpoints named in one call for advice.
   std::size_t advice_endpoints = 30;  // default: 30
--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -259,6 +259,9 @@
   return task.endpoint != nullptr;
 }
 
+// The first task of the job that waits for a place and may start; null if none.
+const ScheduledTask* FirstReadyTask(const ScheduledJob& job);
+
 // What is left of the endpoint's capacity.
 Resources Room(const EndpointState& endpoint);
 
--- a/src/coordination/job_scheduler_looks.cc
+++ b/src/coordination/job_scheduler_looks.cc
@@ -24,8 +24,6 @@
 // [SECTION] Why a job waits
 //-----------------------------------------------------------------------------
 
-namespace {
-
 const ScheduledTask* FirstReadyTask(const ScheduledJob& job) {
   for (const ScheduledOccurrence& occurrence : job.occurrences) {
     for (const ScheduledStep& step : occurrence.steps) {
@@ -42,8 +40,6 @@
   return nullptr;
 }
 
-}  // namespace
-
 std::string JobScheduler::WhyWaiting(const JobId& id, Instant now) const {
   const State& state = *this->state;
   const ScheduledJob* job = this->state->FindJob(id);
--- a/src/coordination/job_scheduler_place.cc
+++ b/src/coordination/job_scheduler_place.cc
@@ -29,22 +29,6 @@
                                      : endpoint.row.labels.back();
 }
 
-bool HasWaitingTask(const ScheduledJob& job) {
-  for (const ScheduledOccurrence& occurrence : job.occurrences) {
-    for (const ScheduledStep& step : occurrence.steps) {
-      if (step.ready_since == kNever) {
-        continue;
-      }
-      for (const ScheduledTask& task : step.tasks) {
-        if (task.phase == TaskPhase::kWaiting) {
-          return true;
-        }
-      }
-    }
-  }
-  return false;
-}
-
 bool HoldsLastingWork(const EndpointState& endpoint) {
   return std::any_of(
       endpoint.tasks.begin(), endpoint.tasks.end(),
@@ -88,7 +72,7 @@
   std::map<ServiceId, std::vector<ScheduledJob*>> waiting;
   for (const auto& [id, job] : this->jobs) {
     if (IsFinal(job->decided) || job->version > this->startable ||
-        !HasWaitingTask(*job)) {
+        FirstReadyTask(*job) == nullptr) {
       continue;
     }
     const ServiceId service = this->ServiceOf(*job);
@@ -169,8 +153,8 @@
     } else if (finish <=
                job->arrived + weighted(objective, this->config.late_factor)) {
       rank.urgency = Urgency::kLate;
-      rank.key =
-          job->arrived + weighted(objective, this->config.short_job_weight);
+      rank.key = job->arrived +
+                 weighted(objective, this->config.late_objective_weight);
     } else {
       rank.urgency = Urgency::kHopeless;
       rank.key = job->arrived;
--- a/src/daemon/entry_task.cc
+++ b/src/daemon/entry_task.cc
@@ -177,20 +177,26 @@
             });
 }
 
+void EntryTask::AnswerFromStore(const Call& call,
+                                LookUpResult result,
+                                std::string body) const {
+  switch (result) {
+    case LookUpResult::kFound:
+      this->Answer(call, 200, "stored", std::move(body));
+      return;
+    case LookUpResult::kUnknownJob:
+      this->Answer(call, 410, "unknown_job");
+      return;
+    case LookUpResult::kUnavailable:
+      this->Answer(call, 503, "store_unavailable");
+      return;
+  }
+}
+
 void EntryTask::ShowStored(const Call& call, const JobId& id) {
   LookUpState(
       *this->ports, id, [this, call](LookUpResult result, JobState state) {
-        switch (result) {
-          case LookUpResult::kFound:
-            this->Answer(call, 200, "stored", this->ports->encode_state(state));
-            return;
-          case LookUpResult::kUnknownJob:
-            this->Answer(call, 410, "unknown_job");
-            return;
-          case LookUpResult::kUnavailable:
-            this->Answer(call, 503, "store_unavailable");
-            return;
-        }
+        this->AnswerFromStore(call, result, this->ports->encode_state(state));
       });
 }
 
@@ -213,17 +219,7 @@
 
 void EntryTask::Cancel(const Call& call, const JobId& id) {
   StoreCancel(*this->ports, id, [this, call](LookUpResult result) {
-    switch (result) {
-      case LookUpResult::kFound:
-        this->Answer(call, 200, "stored");
-        return;
-      case LookUpResult::kUnknownJob:
-        this->Answer(call, 410, "unknown_job");
-        return;
-      case LookUpResult::kUnavailable:
-        this->Answer(call, 503, "store_unavailable");
-        return;
-    }
+    this->AnswerFromStore(call, result, {});
   });
 }
 
--- a/src/daemon/entry_task.h
+++ b/src/daemon/entry_task.h
@@ -72,6 +72,9 @@
               const HttpServerRequest& request);
   void ShowState(const Call& call, const JobId& id);
   void ShowStored(const Call& call, const JobId& id);
+  void AnswerFromStore(const Call& call,
+                       LookUpResult result,
+                       std::string body) const;
   void ShowWaiting(const Call& call, const std::string& queue);
   void Cancel(const Call& call, const JobId& id);
   void Answer(const Call& call,
