Make two mutations of the scheduler's guards real

Cause: the mutation of jobs_failed_run_once still inserted into the set that is the guard, so it changed nothing and survived; that of jobs_done_stays_done did not compile.

--- a/tests/mutations/guards.sh
+++ b/tests/mutations/guards.sh
@@ -97,9 +97,9 @@
 readonly place=src/coordination/job_scheduler_place.cc
 readonly jobs="[job_scheduler]"
 guard jobs_failed_run_once "${runs}" "${jobs}" \
-  's/if \(!failed\.insert\(run\)\.second\)/failed.insert(run); if (false)/'
+  's/failed\.insert\(run\)\.second/failed.insert(run + 5000 + failed.size()).second/'
 guard jobs_done_stays_done "${runs}" "${jobs}" \
-  's/return task\.step->job->done\.contains\(NameOf\(task\)\) \? TaskPhase::kDone\s*: TaskPhase::kWaiting/return TaskPhase::kWaiting/'
+  's/return task\.step->job->done\.contains\(NameOf\(task\)\) \? TaskPhase::kDone\s*: TaskPhase::kWaiting/return static_cast<void>(task), TaskPhase::kWaiting/'
 guard jobs_wait_for_unseen "${place}" "${jobs}" \
   's/job->before_takeover && this->unrecovered/false \&\& this->unrecovered/'
 guard jobs_zone_out "${place}" "${jobs}" \
