Load a new owner in pages, close the rows of finished jobs, count starts that were confirmed

Jobs whose start had no answer counted as begun (MIXED). Ruled out: the store (4 ms answers), the owner's lease (held throughout). Change: pages of 100 rows, halved when one gets no answer; rows of jobs recorded as final shrink to that state; rounds look at active jobs; hosts are planned every 40 ms; a job waits until an endpoint has confirmed a start.

--- a/src/coordination/job.h
+++ b/src/coordination/job.h
@@ -17,6 +17,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -80,6 +81,11 @@
   std::int64_t interval_ms = 0;   // default: 0; between occurrences
 };
 
+enum class JobState { kPending, kRunning, kCompleted, kFailed, kCancelled };
+
+// Returns whether no task of the job starts any more.
+bool IsFinal(JobState state);
+
 struct AcceptedJob {
   JobId id;                      // default: empty
   std::string queue;             // default: empty; name of the queue
@@ -87,6 +93,9 @@
   TeamId team;                   // default: empty; none for open queues
   std::int64_t accepted_ms = 0;  // default: 0; Unix time
   JobSpec spec;                  // default: none
+  // Final state of a job whose row holds nothing else any more; none while
+  // the row holds the whole job.
+  std::optional<JobState> closed_as;  // default: none
 };
 
 struct TaskName {
@@ -190,11 +199,6 @@
 // [SECTION] Progress of a job
 //-----------------------------------------------------------------------------
 
-enum class JobState { kPending, kRunning, kCompleted, kFailed, kCancelled };
-
-// Returns whether no task of the job starts any more.
-bool IsFinal(JobState state);
-
 // What must outlive the owner: written before an end is acknowledged.
 struct JobProgress {
   JobId id;                             // default: empty
--- a/src/coordination/job_scheduler.cc
+++ b/src/coordination/job_scheduler.cc
@@ -95,7 +95,9 @@
                          Milliseconds age,
                          Instant now) {
   State& state = *this->state;
-  state.newest_job = std::max(state.newest_job, version);
+  if (!job.closed_as) {
+    state.newest_job = std::max(state.newest_job, version);
+  }
   if (state.FindJob(job.id) != nullptr) {
     return;
   }
@@ -115,11 +117,21 @@
     added->checkpoints = std::move(earlier->second.checkpoints);
     state.earlier.erase(earlier);
   }
+  if (added->accepted.closed_as) {
+    added->decided = added->recorded = *added->accepted.closed_as;
+    added->closed = true;
+  }
   if (IsFinal(added->decided)) {
+    added->active = false;
     added->recorded_at = now;
     added->accepted.spec = JobSpec{};
+    if (!added->closed) {
+      state.closable.push_back(added);
+    }
     return;
   }
+  added->begun = !added->done.empty() || !added->failures.empty();
+  state.active.push_back(added);
   state.AddDueOccurrences(added, now);
   // What an earlier owner has taken is not arriving now.
   if (!before_takeover) {
@@ -337,7 +349,35 @@
 }
 
 void JobScheduler::State::MarkDirty(ScheduledJob* job) {
-  job->dirty = true;
+  if (!job->dirty) {
+    job->dirty = true;
+    this->dirty.push_back(job);
+  }
+}
+
+void JobScheduler::State::RetireJobs() {
+  std::erase_if(this->active, [&](ScheduledJob* job) {
+    if (!IsFinal(job->recorded) || job->dirty) {
+      return false;
+    }
+    for (const ScheduledOccurrence& occurrence : job->occurrences) {
+      for (const ScheduledStep& step : occurrence.steps) {
+        for (const ScheduledTask& task : step.tasks) {
+          if (MayRun(task) || step.advice_open) {
+            return false;
+          }
+        }
+      }
+    }
+    job->active = false;
+    job->occurrences.clear();
+    job->accepted.spec = JobSpec{};
+    job->done.clear();
+    job->failures.clear();
+    job->checkpoints.clear();
+    this->closable.push_back(job);
+    return true;
+  });
 }
 
 JobProgress JobScheduler::State::ProgressOf(const ScheduledJob& job) const {
@@ -366,9 +406,10 @@
 
 SchedulerActions JobScheduler::Advance(bool may_start, Instant now) {
   State& state = *this->state;
-  for (auto& [id, job] : state.jobs) {
+  state.RetireJobs();
+  for (ScheduledJob* job : state.active) {
     if (job->accepted.spec.occurrences > 0 && !IsFinal(job->decided)) {
-      state.AddDueOccurrences(job.get(), now);
+      state.AddDueOccurrences(job, now);
     }
   }
   std::vector<EndpointId> gone;
@@ -409,19 +450,16 @@
   }
   state.batch_jobs.clear();
   bool covers_ends = false;
-  bool all = true;
-  for (auto& [id, job] : state.jobs) {
-    if (!job->dirty) {
-      continue;
-    }
-    if (batch.progress.size() == limit) {
-      all = false;
-      break;
-    }
+  const std::size_t count = std::min(limit, state.dirty.size());
+  const bool all = count == state.dirty.size();
+  for (std::size_t i = 0; i < count; ++i) {
+    ScheduledJob* job = state.dirty[i];
     batch.progress.push_back(state.ProgressOf(*job));
-    state.batch_jobs.emplace_back(id, job->decided);
+    state.batch_jobs.emplace_back(job->accepted.id, job->decided);
     job->dirty = false;
   }
+  state.dirty.erase(state.dirty.begin(),
+                    state.dirty.begin() + static_cast<std::ptrdiff_t>(count));
   // Ends of jobs that did not fit are not covered by this batch.
   for (auto& [id, endpoint] : state.endpoints) {
     endpoint->in_batch = all ? endpoint->processed : endpoint->recorded;
@@ -453,7 +491,7 @@
       continue;
     }
     if (!stored) {
-      job->dirty = true;
+      state.MarkDirty(job);
       continue;
     }
     job->recorded = decided;
@@ -486,16 +524,14 @@
     return job->cancelled ? JobState::kCancelled : job->recorded;
   }
   // Done in memory is not done for callers before it has been recorded.
-  return job->any_started ? JobState::kRunning : JobState::kPending;
+  return job->begun ? JobState::kRunning : JobState::kPending;
 }
 
 int JobScheduler::WaitingIn(const std::string& queue) const {
   int waiting = 0;
-  for (const auto& [id, job] : this->state->jobs) {
-    waiting += job->accepted.queue == queue && !job->any_started &&
-                       !IsFinal(job->decided)
-                   ? 1
-                   : 0;
+  for (const ScheduledJob* job : this->state->active) {
+    const bool waits = !job->begun && !IsFinal(job->decided);
+    waiting += waits && job->accepted.queue == queue ? 1 : 0;
   }
   return waiting;
 }
@@ -538,7 +574,7 @@
   for (const auto& [service, config] : this->state->fleet.services) {
     demand[service];
   }
-  for (const auto& [id, job] : this->state->jobs) {
+  for (const ScheduledJob* job : this->state->active) {
     if (IsFinal(job->decided)) {
       continue;
     }
@@ -573,7 +609,7 @@
 std::vector<JobId> JobScheduler::FinalBefore(Instant instant) const {
   std::vector<JobId> final_jobs;
   for (const auto& [id, job] : this->state->jobs) {
-    if (IsFinal(job->recorded) && !job->dirty && job->recorded_at < instant) {
+    if (!job->active && job->recorded_at < instant) {
       final_jobs.push_back(id);
     }
   }
@@ -582,19 +618,33 @@
 
 void JobScheduler::Forget(const JobId& id) {
   ScheduledJob* job = this->state->FindJob(id);
-  if (job == nullptr) {
+  if (job == nullptr || job->active) {
     return;
   }
-  for (ScheduledOccurrence& occurrence : job->occurrences) {
-    for (ScheduledStep& step : occurrence.steps) {
-      for (const ScheduledTask& task : step.tasks) {
-        if (MayRun(task)) {
-          return;
-        }
-      }
+  std::erase(this->state->closable, job);
+  this->state->jobs.erase(id);
+}
+
+std::vector<ClosableJob> JobScheduler::JobsToClose(std::size_t limit) const {
+  std::vector<ClosableJob> jobs;
+  for (const ScheduledJob* job : this->state->closable) {
+    if (jobs.size() == limit) {
+      break;
+    }
+    jobs.push_back(
+        ClosableJob{job->accepted.id, job->version, job->recorded});
+  }
+  return jobs;
+}
+
+void JobScheduler::OnClosed(const std::vector<ClosableJob>& jobs) {
+  for (const ClosableJob& closed : jobs) {
+    ScheduledJob* job = this->state->FindJob(closed.id);
+    if (job != nullptr && !job->closed) {
+      job->closed = true;
+      std::erase(this->state->closable, job);
     }
   }
-  this->state->jobs.erase(id);
 }
 
 const JobScheduler::Counters& JobScheduler::Counts() const {
--- a/src/coordination/job_scheduler.h
+++ b/src/coordination/job_scheduler.h
@@ -192,6 +192,13 @@
   std::vector<JobProgress> progress;  // default: none
 };
 
+// A job that is recorded as final; its row may shrink to that state.
+struct ClosableJob {
+  JobId id;                             // default: empty
+  RowVersion version;                   // default: 0; of its row
+  JobState state = JobState::kPending;  // default: kPending
+};
+
 struct EndpointSummary {
   EndpointId id;
   ServiceId service;
@@ -337,6 +344,10 @@
   // Final jobs that were recorded before the instant, to be forgotten.
   std::vector<JobId> FinalBefore(Instant instant) const;
   void Forget(const JobId& id);
+  // Jobs that are recorded as final and whose rows still hold all of them.
+  std::vector<ClosableJob> JobsToClose(std::size_t limit) const;
+  // The rows of these jobs have been replaced by their final states.
+  void OnClosed(const std::vector<ClosableJob>& jobs);
 
   struct Counters {
     std::map<std::string, std::uint64_t> starts_by_reply;
--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -90,8 +90,10 @@
   Instant arrived{};
   bool before_takeover = false;
   bool cancelled = false;
-  bool any_started = false;
-  bool dirty = false;                           // progress not recorded yet
+  bool begun = false;     // an endpoint has confirmed or listed a run
+  bool active = true;     // in State::active
+  bool closed = false;    // its row holds nothing but the final state
+  bool dirty = false;  // progress not recorded yet; in State::dirty
   JobState decided = JobState::kPending;        // what the owner knows
   JobState recorded = JobState::kPending;       // what the store holds
   Instant recorded_at{};                        // of a final state
@@ -139,6 +141,11 @@
   Instant started{};
   FleetConfig fleet;
   std::unordered_map<JobId, std::unique_ptr<ScheduledJob>> jobs;
+  // Jobs that are not final or still have runs. A round looks at these only:
+  // the jobs of an hour that are over are many times as many.
+  std::vector<ScheduledJob*> active;
+  std::vector<ScheduledJob*> dirty;     // progress not recorded yet
+  std::vector<ScheduledJob*> closable;  // recorded as final, row not closed
   std::map<EndpointId, std::unique_ptr<EndpointState>> endpoints;
   std::map<JobId, JobProgress> earlier;  // progress of jobs not seen yet
   std::set<JobId> cancelled_early;       // cancelled before the job was seen
@@ -174,6 +181,8 @@
   void FinishIfDone(ScheduledJob* job);
   void StopAll(ScheduledJob* job, const char* reason, Instant now);
   void MarkDirty(ScheduledJob* job);
+  // Drops the jobs that need no more decisions from the active ones.
+  void RetireJobs();
   JobProgress ProgressOf(const ScheduledJob& job) const;
   void Decide(std::string text);
 
--- a/src/coordination/job_scheduler_looks.cc
+++ b/src/coordination/job_scheduler_looks.cc
@@ -98,14 +98,14 @@
 
 std::vector<JobId> JobScheduler::WaitingSince(Instant instant) const {
   std::vector<JobId> waiting;
-  for (const auto& [id, job] : this->state->jobs) {
+  for (const ScheduledJob* job : this->state->active) {
     if (IsFinal(job->decided)) {
       continue;
     }
     const ScheduledTask* task = FirstReadyTask(*job);
     if (task != nullptr &&
         std::max(task->step->ready_since, task->since) < instant) {
-      waiting.push_back(id);
+      waiting.push_back(job->accepted.id);
     }
   }
   return waiting;
--- a/src/coordination/job_scheduler_place.cc
+++ b/src/coordination/job_scheduler_place.cc
@@ -70,7 +70,7 @@
     }
   }
   std::map<ServiceId, std::vector<ScheduledJob*>> waiting;
-  for (const auto& [id, job] : this->jobs) {
+  for (ScheduledJob* job : this->active) {
     if (IsFinal(job->decided) || job->version > this->startable ||
         FirstReadyTask(*job) == nullptr) {
       continue;
@@ -79,7 +79,7 @@
     if (job->before_takeover && this->unrecovered.contains(service)) {
       continue;  // a run of it may be on an endpoint not seen yet
     }
-    waiting[service].push_back(job.get());
+    waiting[service].push_back(job);
   }
   for (auto& [service, jobs] : waiting) {
     this->PlaceService(service, &jobs, now);
--- a/src/coordination/job_scheduler_runs.cc
+++ b/src/coordination/job_scheduler_runs.cc
@@ -168,7 +168,6 @@
                                  RunNumber run) {
   task->endpoint = endpoint;
   task->run = run;
-  task->step->job->any_started = true;
   endpoint->tasks.insert(task);
   endpoint->used += Reserved(*task->step->spec);
   this->team_use[task->step->job->accepted.team] += task->step->spec->per_task;
@@ -286,6 +285,7 @@
   }
   EndpointState* endpoint = task->endpoint;
   if (reply == OrderReply::kDone) {
+    task->step->job->begun = true;
     task->unanswered = false;
     task->answered = now;
     if (task->phase == TaskPhase::kStarting) {
@@ -402,6 +402,7 @@
         StopRun{this->TargetOf(*endpoint), row.task, row.run});
     return;
   }
+  task->step->job->begun = true;
   if (!MayRun(*task)) {
     // Started by an earlier owner, or carried out late.
     this->Decide("decision=adopt task=" + TaskText(row.task) +
@@ -473,6 +474,7 @@
     return;
   }
   ScheduledJob* job = task->step->job;
+  job->begun = true;
   const bool current = task->endpoint == endpoint && task->run == end.run;
   if (MayRun(*task) && !current) {
     if (end.kind == EndKind::kFailed && !task->step->spec->long_running) {
--- a/src/daemon/fleet_ports.h
+++ b/src/daemon/fleet_ports.h
@@ -86,8 +86,8 @@
 struct FleetPorts {
   // Store. ------------------------------------------------------------------
   std::function<void(StoreTransaction, StoreCallback)> transact;
-  // Reads the rows of a part from a key on, in order.
-  std::function<void(StoreKey from, StoreCallback)> read;
+  // Reads at most so many rows of a part from a key on, in order.
+  std::function<void(StoreKey from, std::size_t most, StoreCallback)> read;
   // Reads one row.
   std::function<void(StoreKey key, StoreCallback)> read_one;
   // Waits for changes of a table after a version.
--- a/src/daemon/job_store.cc
+++ b/src/daemon/job_store.cc
@@ -218,8 +218,16 @@
                  [&ports, id, done = std::move(done)](const StoreReply& reply) {
                    if (reply.outcome != StoreOutcome::kOk) {
                      done(LookUpResult::kUnavailable, JobState::kPending);
-                   } else if (FindRow(reply, id.value) == nullptr) {
+                     return;
+                   }
+                   const StoreRow* row = FindRow(reply, id.value);
+                   if (row == nullptr) {
                      done(LookUpResult::kUnknownJob, JobState::kPending);
+                     return;
+                   }
+                   const Result<AcceptedJob> job = DecodeJob(row->value);
+                   if (job && job.value().closed_as) {
+                     done(LookUpResult::kFound, *job.value().closed_as);
                    } else {
                      LookUpProgress(ports, id, done);
                    }
@@ -241,15 +249,22 @@
       done(LookUpResult::kUnknownJob);
       return;
     }
+    const Result<AcceptedJob> stored = DecodeJob(row->value);
+    if (stored && stored.value().closed_as) {
+      done(LookUpResult::kFound);  // it is over: nothing is left to cancel
+      return;
+    }
     StoreTransaction transaction;
     transaction.conditions.emplace_back(job, row->version);
     transaction.puts.emplace_back(StoreKey{kCancelTable, PartOf(id), id.value},
                                   "{}");
-    ports.transact(std::move(transaction), [done](const StoreReply& written) {
+    ports.transact(std::move(transaction), [&ports, id,
+                                            done](const StoreReply& written) {
       if (written.outcome == StoreOutcome::kOk) {
         done(LookUpResult::kFound);
       } else if (written.outcome == StoreOutcome::kConflict) {
-        done(LookUpResult::kUnknownJob);
+        // The row was closed or removed meanwhile, each of which happens once.
+        StoreCancel(ports, id, done);
       } else {
         done(LookUpResult::kUnavailable);
       }
--- /dev/null
+++ b/src/daemon/owner_housekeeping.cc
@@ -0,0 +1,165 @@
+// What an owner does beside its decisions: it closes and removes the rows of
+// jobs that are over, explains what waits, and publishes counts.
+
+#include <chrono>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "src/daemon/job_store.h"
+#include "src/daemon/owner_task_internal.h"
+#include "src/protocol/job_json.h"
+#include "src/transport/log.h"
+
+namespace peridot {
+
+namespace {
+
+// Time between two writes that close jobs. A closed row is a tenth of a whole
+// one, so that the next owner loads the jobs that are over in little time.
+constexpr Milliseconds kClosing{1000};
+
+// Jobs closed in one call: a condition and a row each, of the 100 entries that
+// a call takes.
+constexpr std::size_t kClosedBatch = 48;
+
+// Time between two sweeps of final jobs.
+constexpr Milliseconds kSweep{5000};
+
+// Time between two explanations of waiting jobs.
+constexpr Milliseconds kExplain{1000};
+
+// Jobs removed in one call: three rows each, of the 100 that a call takes.
+constexpr std::size_t kRemoveBatch = 30;
+
+}  // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Jobs that are over
+//-----------------------------------------------------------------------------
+
+void OwnerTask::CloseJobs() {
+  Ownership& owned = *this->owned;
+  const Instant now = this->loop->Now();
+  if (now < owned.next_closing || owned.closing) {
+    return;
+  }
+  owned.next_closing = now + kClosing;
+  const std::vector<ClosableJob> jobs =
+      owned.scheduler.JobsToClose(kClosedBatch);
+  if (jobs.empty()) {
+    return;
+  }
+  // No condition on the lease: a final state that has been recorded never
+  // changes, whoever writes it.
+  StoreTransaction transaction;
+  transaction.across_parts = true;
+  for (const ClosableJob& job : jobs) {
+    const StoreKey key{kJobTable, PartOf(job.id), job.id.value};
+    transaction.conditions.emplace_back(key, job.version);
+    transaction.puts.emplace_back(
+        key, EncodeJob(AcceptedJob{.id = job.id, .closed_as = job.state}));
+  }
+  owned.closing = true;
+  std::function<void(StoreReply)> done = [this, jobs](const StoreReply& reply) {
+    this->owned->closing = false;
+    const bool settled = reply.outcome == StoreOutcome::kOk ||
+                         reply.outcome == StoreOutcome::kConflict;
+    if (reply.outcome != StoreOutcome::kOk) {
+      LogEvent(LogLevel::kWarning, "jobs_not_closed",
+               {{"count", std::to_string(jobs.size())},
+                {"outcome", StoreOutcomeName(reply.outcome)}});
+    }
+    // After a conflict an earlier try without an answer has closed some of
+    // them; the others keep whole rows, which costs space only.
+    if (settled) {
+      this->owned->scheduler.OnClosed(jobs);
+    }
+  };
+  this->ports->transact(std::move(transaction), this->IfOwner(std::move(done)));
+}
+
+void OwnerTask::RemoveOldJobs() {
+  Ownership& owned = *this->owned;
+  const Instant now = this->loop->Now();
+  if (now < owned.next_sweep) {
+    return;
+  }
+  owned.next_sweep = now + kSweep;
+  std::vector<JobId> old =
+      owned.scheduler.FinalBefore(now - this->config.keep_final);
+  if (old.empty()) {
+    return;
+  }
+  old.resize(std::min(old.size(), kRemoveBatch));
+  StoreTransaction transaction;
+  transaction.across_parts = true;
+  for (const JobId& id : old) {
+    transaction.removals.push_back(StoreKey{kJobTable, PartOf(id), id.value});
+    transaction.removals.push_back(
+        StoreKey{kCancelTable, PartOf(id), id.value});
+    transaction.removals.push_back(
+        StoreKey{kProgressTable, kOwnerPart, id.value});
+  }
+  std::function<void(StoreReply)> done = [this, old](const StoreReply& reply) {
+    LogEvent(LogLevel::kInfo, "jobs_removed",
+             {{"count", std::to_string(old.size())},
+              {"outcome", StoreOutcomeName(reply.outcome)}});
+    if (reply.outcome == StoreOutcome::kOk) {
+      for (const JobId& id : old) {
+        this->owned->scheduler.Forget(id);
+      }
+    }
+  };
+  this->ports->transact(std::move(transaction), this->IfOwner(std::move(done)));
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Logs and counts
+//-----------------------------------------------------------------------------
+
+void OwnerTask::ExplainWaiting() {
+  Ownership& owned = *this->owned;
+  const Instant now = this->loop->Now();
+  if (now < owned.next_explanation) {
+    return;
+  }
+  owned.next_explanation = now + kExplain;
+  this->PublishCounts();
+  std::size_t explained = 0;
+  for (const JobId& id :
+       owned.scheduler.WaitingSince(now - this->config.explain_after)) {
+    if (explained++ == this->config.explain_most) {
+      break;
+    }
+    LogLine(LogLevel::kInfo, "job_waits", owned.scheduler.WhyWaiting(id, now));
+  }
+}
+
+void OwnerTask::PublishCounts() {
+  const JobScheduler::Counters& counts = this->owned->scheduler.Counts();
+  const auto publish = [this](const char* prefix, const auto& values) {
+    for (const auto& [name, value] : values) {
+      this->metrics->SetGauge(std::string(prefix) + "_" + name + "_count",
+                              static_cast<double>(value));
+    }
+  };
+  publish("owner_starts", counts.starts_by_reply);
+  publish("owner_ends", counts.ends_by_kind);
+  publish("owner_stops", counts.stops_by_reason);
+  this->metrics->SetGauge("owner_looks_count",
+                          static_cast<double>(counts.looks));
+  this->metrics->SetGauge("owner_looks_failed_count",
+                          static_cast<double>(counts.looks_failed));
+}
+
+void OwnerTask::LogDecisions() {
+  for (const std::string& text : this->owned->scheduler.TakeDecisions()) {
+    LogLine(LogLevel::kInfo, "schedule", text);
+  }
+  for (const std::string& text : this->owned->planner.TakeDecisions()) {
+    LogLine(LogLevel::kInfo, "hosts", text);
+  }
+}
+
+}  // namespace peridot
--- a/src/daemon/owner_load.cc
+++ b/src/daemon/owner_load.cc
@@ -14,13 +14,21 @@
 
 namespace peridot {
 
+namespace {
+
+// Rows of the owner's own tables asked for in one call, the most that the
+// store answers with; they are 0.2 KB each.
+constexpr std::size_t kLoadRows = 500;
+
+}  // namespace
+
 //-----------------------------------------------------------------------------
 // [SECTION] Loading
 //-----------------------------------------------------------------------------
 
 void OwnerTask::LoadProgress(const std::string& from) {
   this->ports->read(
-      StoreKey{kProgressTable, kOwnerPart, from},
+      StoreKey{kProgressTable, kOwnerPart, from}, kLoadRows,
       this->IfOwner([this, from](const StoreReply& reply) {
         this->NoteStore(reply);
         if (reply.outcome != StoreOutcome::kOk) {
@@ -47,7 +55,7 @@
 
 void OwnerTask::LoadWaves() {
   this->ports->read(
-      StoreKey{kWaveTable, kOwnerPart, ""},
+      StoreKey{kWaveTable, kOwnerPart, ""}, kLoadRows,
       this->IfOwner([this](const StoreReply& reply) {
         this->NoteStore(reply);
         if (reply.outcome != StoreOutcome::kOk) {
@@ -70,7 +78,7 @@
 
 void OwnerTask::LoadUsedEndpoints() {
   this->ports->read(
-      StoreKey{kUsedTable, kOwnerPart, ""},
+      StoreKey{kUsedTable, kOwnerPart, ""}, kLoadRows,
       this->IfOwner([this](const StoreReply& reply) {
         this->NoteStore(reply);
         if (reply.outcome != StoreOutcome::kOk) {
@@ -182,11 +190,13 @@
   const bool before = row.version <= this->earlier_jobs;
   const std::int64_t age =
       std::clamp<std::int64_t>(UnixMs() - job.value().accepted_ms, 0, 120000);
-  LogEvent(LogLevel::kInfo, "job_taken",
-           {{"job", job.value().id.value},
-            {"queue", job.value().queue},
-            {"age_ms", std::to_string(age)},
-            {"row_version", std::to_string(row.version.value)}});
+  if (!job.value().closed_as) {
+    LogEvent(LogLevel::kInfo, "job_taken",
+             {{"job", job.value().id.value},
+              {"queue", job.value().queue},
+              {"age_ms", std::to_string(age)},
+              {"row_version", std::to_string(row.version.value)}});
+  }
   owned.scheduler.OnJob(std::move(job.value()), row.version, before,
                         Milliseconds(age), now);
 }
--- a/src/daemon/owner_rounds.cc
+++ b/src/daemon/owner_rounds.cc
@@ -16,18 +16,9 @@
 
 namespace {
 
-// Time between two sweeps of final jobs.
-constexpr Milliseconds kSweep{5000};
-
 // Resolution of the lapse that is recorded for an endpoint, in ms.
 constexpr std::int64_t kLapseUnitMs = 200;
 
-// Time between two explanations of waiting jobs.
-constexpr Milliseconds kExplain{1000};
-
-// Jobs removed in one call: three rows each, of the 100 that a call takes.
-constexpr std::size_t kRemoveBatch = 30;
-
 }  // namespace
 
 //-----------------------------------------------------------------------------
@@ -63,15 +54,18 @@
     owned.scheduler.OnEndpoints(rows, now);
   }
   if (owned.loaded) {
-    owned.scheduler.OnCordoned(owned.planner.Cordoned());
     this->Carry(owned.scheduler.Advance(this->lease.Valid(now), now));
-    this->PlanHosts();
+    if (now >= owned.next_plan) {
+      owned.next_plan = now + this->config.plan_spacing;
+      this->PlanHosts();
+    }
   }
   if (owned.scheduler.Fenced()) {
     this->EndOwnership("fenced");
     return;
   }
   this->Write();
+  this->CloseJobs();
   this->RemoveOldJobs();
   this->ExplainWaiting();
   this->LogDecisions();
@@ -161,6 +155,7 @@
           this->Wake();
         }));
   }
+  owned.scheduler.OnCordoned(owned.planner.Cordoned());
   for (const WaveProgress& progress : owned.planner.TakeProgress()) {
     owned.waves_to_write[progress.name] = progress;
   }
@@ -321,83 +316,4 @@
   this->ports->transact(std::move(transaction), this->IfOwner(std::move(done)));
 }
 
-void OwnerTask::RemoveOldJobs() {
-  Ownership& owned = *this->owned;
-  const Instant now = this->loop->Now();
-  if (now < owned.next_sweep) {
-    return;
-  }
-  owned.next_sweep = now + kSweep;
-  std::vector<JobId> old =
-      owned.scheduler.FinalBefore(now - this->config.keep_final);
-  if (old.empty()) {
-    return;
-  }
-  old.resize(std::min(old.size(), kRemoveBatch));
-  StoreTransaction transaction;
-  transaction.across_parts = true;
-  for (const JobId& id : old) {
-    transaction.removals.push_back(StoreKey{kJobTable, PartOf(id), id.value});
-    transaction.removals.push_back(
-        StoreKey{kCancelTable, PartOf(id), id.value});
-    transaction.removals.push_back(
-        StoreKey{kProgressTable, kOwnerPart, id.value});
-  }
-  std::function<void(StoreReply)> done = [this, old](const StoreReply& reply) {
-    LogEvent(LogLevel::kInfo, "jobs_removed",
-             {{"count", std::to_string(old.size())},
-              {"outcome", StoreOutcomeName(reply.outcome)}});
-    if (reply.outcome == StoreOutcome::kOk) {
-      for (const JobId& id : old) {
-        this->owned->scheduler.Forget(id);
-      }
-    }
-  };
-  this->ports->transact(std::move(transaction), this->IfOwner(std::move(done)));
-}
-
-void OwnerTask::ExplainWaiting() {
-  Ownership& owned = *this->owned;
-  const Instant now = this->loop->Now();
-  if (now < owned.next_explanation) {
-    return;
-  }
-  owned.next_explanation = now + kExplain;
-  this->PublishCounts();
-  std::size_t explained = 0;
-  for (const JobId& id :
-       owned.scheduler.WaitingSince(now - this->config.explain_after)) {
-    if (explained++ == this->config.explain_most) {
-      break;
-    }
-    LogLine(LogLevel::kInfo, "job_waits", owned.scheduler.WhyWaiting(id, now));
-  }
-}
-
-void OwnerTask::PublishCounts() {
-  const JobScheduler::Counters& counts = this->owned->scheduler.Counts();
-  const auto publish = [this](const char* prefix, const auto& values) {
-    for (const auto& [name, value] : values) {
-      this->metrics->SetGauge(std::string(prefix) + "_" + name + "_count",
-                              static_cast<double>(value));
-    }
-  };
-  publish("owner_starts", counts.starts_by_reply);
-  publish("owner_ends", counts.ends_by_kind);
-  publish("owner_stops", counts.stops_by_reason);
-  this->metrics->SetGauge("owner_looks_count",
-                          static_cast<double>(counts.looks));
-  this->metrics->SetGauge("owner_looks_failed_count",
-                          static_cast<double>(counts.looks_failed));
-}
-
-void OwnerTask::LogDecisions() {
-  for (const std::string& text : this->owned->scheduler.TakeDecisions()) {
-    LogLine(LogLevel::kInfo, "schedule", text);
-  }
-  for (const std::string& text : this->owned->planner.TakeDecisions()) {
-    LogLine(LogLevel::kInfo, "hosts", text);
-  }
-}
-
 }  // namespace peridot
--- a/src/daemon/owner_task.h
+++ b/src/daemon/owner_task.h
@@ -38,6 +38,9 @@
   Milliseconds watch_spread{150};  // default: 150 ms
   // Inputs that come within this time share one round of decisions.
   Milliseconds gather{2};  // default: 2 ms
+  // Least time between two plans of hosts, which take hundreds of times longer
+  // to move; a plan looks at the whole fleet.
+  Milliseconds plan_spacing{40};  // default: 40 ms
   // Least time between two writes of progress; ends in between share a write.
   Milliseconds write_spacing{20};  // default: 20 ms
   Milliseconds write_retry{60};    // default: 60 ms, after a refusal
@@ -134,6 +137,7 @@
                  std::uint64_t batch);
   void ResolveWrite(std::uint64_t batch);
   void ReportWave(const WaveProgress& progress);
+  void CloseJobs();
   void RemoveOldJobs();
   void ExplainWaiting();
   void PublishCounts();
--- a/src/daemon/owner_task_internal.h
+++ b/src/daemon/owner_task_internal.h
@@ -38,6 +38,9 @@
   bool writing = false;
   Instant next_write{};
   Instant next_sweep{};
+  Instant next_closing{};
+  bool closing = false;  // a write that closes jobs is under way
+  Instant next_plan{};
   Instant next_explanation{};
   std::vector<UsedEndpoint> used_written;  // as the store holds them
   std::vector<UsedEndpoint> used_writing;
--- a/src/daemon/table_follower.cc
+++ b/src/daemon/table_follower.cc
@@ -1,5 +1,6 @@
 #include "src/daemon/table_follower.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "src/transport/log.h"
@@ -47,29 +48,36 @@
   this->read_now.clear();
   this->open_parts = this->config.parts.size();
   for (std::size_t part = 0; part < this->config.parts.size(); ++part) {
-    this->ReadPart(part, "");
+    this->ReadPart(part, "", this->config.page_rows);
   }
 }
 
-void TableFollower::ReadPart(std::size_t part, const std::string& from) {
+void TableFollower::ReadPart(std::size_t part,
+                             const std::string& from,
+                             std::size_t rows) {
   this->ports->read(
-      StoreKey{this->config.table, this->config.parts[part], from},
-      this->Guard([this, part, from](const StoreReply& reply) {
+      StoreKey{this->config.table, this->config.parts[part], from}, rows,
+      this->Guard([this, part, from, rows](const StoreReply& reply) {
         this->last_answer = this->loop->Now();
-        this->OnRead(part, from, reply);
+        this->OnRead(part, from, rows, reply);
       }));
 }
 
 void TableFollower::OnRead(std::size_t part,
                            const std::string& from,
+                           std::size_t rows,
                            const StoreReply& reply) {
   if (reply.outcome != StoreOutcome::kOk) {
     LogEvent(LogLevel::kWarning, "table_read_failed",
              {{"table", this->config.table},
               {"part", this->config.parts[part]},
+              {"rows", std::to_string(rows)},
               {"outcome", StoreOutcomeName(reply.outcome)}});
-    this->loop->After(this->config.retry, this->Guard([this, part, from] {
-      this->ReadPart(part, from);
+    if (reply.outcome == StoreOutcome::kUnknown) {
+      rows = std::max(rows / 2, this->config.page_rows_least);
+    }
+    this->loop->After(this->config.retry, this->Guard([this, part, from, rows] {
+      this->ReadPart(part, from, rows);
     }));
     return;
   }
@@ -84,7 +92,7 @@
   }
   if (reply.more && !reply.rows.empty()) {
     // The smallest key above the last one.
-    this->ReadPart(part, reply.rows.back().key.key + '\x01');
+    this->ReadPart(part, reply.rows.back().key.key + '\x01', rows);
     return;
   }
   if (--this->open_parts == 0) {
--- a/src/daemon/table_follower.h
+++ b/src/daemon/table_follower.h
@@ -29,6 +29,12 @@
   std::vector<std::string> parts;  // default: none; parts to read
   // Pause after a call that failed, so that an outage costs few calls.
   Milliseconds retry{150};  // default: 150 ms
+  // Rows asked for in one call of the whole read. 100 jobs are 0.2 MB, which
+  // a link of 10 Mbit/s carries in 0.2 s beside three other parts.
+  std::size_t page_rows = 100;  // default: 100
+  // A page that got no answer is asked for again with half the rows: the
+  // answer may be too large for the link within the timeout.
+  std::size_t page_rows_least = 10;  // default: 10
   // Least time between two calls of the feed: changes that come in quick
   // succession share one answer.
   Milliseconds spacing{0};  // default: 0, none
@@ -64,9 +70,10 @@
 
  private:
   // The whole read: all parts at the same time.
-  void ReadPart(std::size_t part, const std::string& from);
+  void ReadPart(std::size_t part, const std::string& from, std::size_t rows);
   void OnRead(std::size_t part,
               const std::string& from,
+              std::size_t rows,
               const StoreReply& reply);
   void FinishRead();
   void Follow();
--- a/src/protocol/job_json.cc
+++ b/src/protocol/job_json.cc
@@ -139,6 +139,10 @@
 std::string EncodeJob(const AcceptedJob& job) {
   Json out = Json::object();
   out["id"] = job.id.value;
+  if (job.closed_as) {
+    out["closed_as"] = JobStateName(*job.closed_as);
+    return out.dump();
+  }
   out["queue"] = job.queue;
   out["service"] = job.service.value;
   out["team"] = job.team.value;
@@ -159,6 +163,13 @@
   return Decode<AcceptedJob>("job", text, [](const Json& in) {
     AcceptedJob job;
     job.id = JobId(in.at("id").get<std::string>());
+    if (in.contains("closed_as")) {
+      job.closed_as = StateByName(in.at("closed_as").get<std::string>());
+      if (!IsFinal(*job.closed_as)) {
+        throw std::runtime_error("a job is closed in a final state only");
+      }
+      return job;
+    }
     job.queue = in.at("queue").get<std::string>();
     job.service = ServiceId(in.at("service").get<std::string>());
     job.team = TeamId(in.at("team").get<std::string>());
--- a/tests/job_scheduler_test.cc
+++ b/tests/job_scheduler_test.cc
@@ -316,6 +316,48 @@
   CHECK(bench.Stops().empty());
 }
 
+TEST_CASE("a job waits until an endpoint has confirmed a start",
+          "[job_scheduler]") {
+  // Guards the count of waiting jobs: a start without an answer may not have
+  // begun anything.
+  Bench bench({Endpoint("e1")});
+  bench.scheduler.OnJob(Job("j", 1), RowVersion(0), false, milliseconds(0),
+                        bench.now);
+  const std::vector<StartRun> starts = bench.Starts();
+  REQUIRE(starts.size() == 1);
+  bench.scheduler.OnStartReply(starts[0], OrderReply::kUnknown, bench.now);
+  CHECK(bench.scheduler.WaitingIn("q") == 1);
+  bench.Look(EndpointId("e1"),
+             {.running = {RunningTask{starts[0].task, 1, "", 10, 0}}});
+  CHECK(bench.scheduler.WaitingIn("q") == 0);
+}
+
+TEST_CASE("a job that is over is offered for closing until its row is closed",
+          "[job_scheduler]") {
+  // Guards against rows of finished jobs that make a takeover slow, and
+  // against closing a job before its end has been recorded.
+  Bench bench({Endpoint("e1")});
+  bench.scheduler.OnJob(Job("j", 1), RowVersion(5), false, milliseconds(0),
+                        bench.now);
+  bench.scheduler.OnStartable(RowVersion(5));
+  const std::vector<StartRun> starts = bench.Starts();
+  REQUIRE(starts.size() == 1);
+  bench.Confirm(starts[0]);
+  bench.Look(EndpointId("e1"), {.ended = {End(1, starts[0], EndKind::kDone)}});
+  bench.Starts();
+  CHECK(bench.scheduler.JobsToClose(9).empty());
+  const RecordBatch batch = bench.scheduler.TakeBatch(10);
+  bench.scheduler.OnRecorded(batch.number, true, bench.now);
+  bench.Starts();
+  const std::vector<ClosableJob> jobs = bench.scheduler.JobsToClose(9);
+  REQUIRE(jobs.size() == 1);
+  CHECK(jobs[0].version == RowVersion(5));
+  CHECK(jobs[0].state == JobState::kCompleted);
+  bench.scheduler.OnClosed(jobs);
+  CHECK(bench.scheduler.JobsToClose(9).empty());
+  CHECK(bench.scheduler.StateOf(JobId("j")) == JobState::kCompleted);
+}
+
 TEST_CASE("a waiting job names the constraint that binds", "[job_scheduler]") {
   // Guards the explanation on which operators rely.
   Bench bench({Endpoint("e1")});
--- a/tests/job_store_test.cc
+++ b/tests/job_store_test.cc
@@ -36,7 +36,12 @@
       this->calls.push_back(std::move(call));
       this->Answer(std::move(done));
     };
-    this->ports.read = [this](const StoreKey&, StoreCallback done) {
+    this->ports.read = [this](const StoreKey&, std::size_t most,
+                              StoreCallback done) {
+      this->page_sizes.push_back(most);
+      this->Answer(std::move(done));
+    };
+    this->ports.read_one = [this](const StoreKey&, StoreCallback done) {
       this->Answer(std::move(done));
     };
     this->ports.feed = [this](const std::string&, RowVersion,
@@ -60,6 +65,7 @@
   FleetPorts ports;
   std::vector<StoreReply> replies;
   std::vector<StoreTransaction> calls;
+  std::vector<std::size_t> page_sizes;
 };
 
 AcceptResult Accept(FakeStore* store, const std::string& id) {
@@ -140,6 +146,56 @@
   CHECK(follower.Version() == RowVersion(9));
 }
 
+TEST_CASE("a page without an answer is asked for with fewer rows",
+          "[job_store]") {
+  // Guards against an owner that never loads: a page of a megabyte takes longer
+  // on a slow link than the call may last, however often it is repeated.
+  FakeStore store;
+  store.replies.assign(9, StoreReply{.outcome = StoreOutcome::kUnknown});
+  store.replies.push_back(StoreReply{.outcome = StoreOutcome::kOk});
+  int synced = 0;
+  TableFollower follower(
+      store.loop.get(), &store.ports,
+      TableFollowerConfig{
+          .table = "t", .parts = {""}, .retry = milliseconds(1)},
+      TableFollower::Handlers{.on_row = [](const StoreRow&) {},
+                              .on_batch = [] {},
+                              .on_synced = [&] { ++synced; }});
+  follower.Start();
+  store.loop->RunUntil([&] { return synced == 1; }, kLimit);
+  CHECK(synced == 1);
+  CHECK(store.page_sizes.front() == 100);
+  CHECK(store.page_sizes.back() == 10);
+}
+
+TEST_CASE("a closed row tells its final state and is not cancelled any more",
+          "[job_store]") {
+  // Guards against a second job for an id whose row was closed, and against a
+  // job that is over and shown as unknown.
+  FakeStore store;
+  const JobId id("0123456789abcdef");
+  StoreReply found{.outcome = StoreOutcome::kOk};
+  found.rows.push_back(
+      StoreRow{StoreKey{kJobTable, PartOf(id), id.value},
+               EncodeJob(AcceptedJob{.id = id,
+                                     .closed_as = JobState::kCompleted}),
+               RowVersion(3), false});
+  store.replies = {found, found};
+  std::optional<JobState> state;
+  LookUpState(store.ports, id, [&](LookUpResult result, JobState read) {
+    CHECK(result == LookUpResult::kFound);
+    state = read;
+  });
+  std::optional<LookUpResult> cancelled;
+  StoreCancel(store.ports, id,
+              [&](LookUpResult result) { cancelled = result; });
+  store.loop->RunUntil([&] { return state && cancelled; }, kLimit);
+  CHECK(state == JobState::kCompleted);
+  CHECK(cancelled == LookUpResult::kFound);
+  CHECK(store.calls.empty());
+  CHECK_FALSE(DecodeJob(R"({"id":"a","closed_as":"running"})"));
+}
+
 TEST_CASE("rows survive their format", "[job_store]") {
   AcceptedJob job = Job("0123456789abcdef");
   job.spec.payload = "x\"\n";
