Let the lease go to a strong host, hand over from a weak one

Change: the lease row carries the holder's processor and the largest known; weaker hosts wait 0.8 s before they claim; an owner hands over to a host 1.5 times as strong.

--- /dev/null
+++ b/bench/job_scheduler_bench.cc
@@ -0,0 +1,196 @@
+// Processor time of the owner's decisions for each task, with demand that turns
+// from queue to queue and exceeds the room of its pool in each peak. Its slope
+// over the size of the fleet is what docs/CAPACITY.md uses.
+//
+// bench_job_scheduler [--seed N] [--endpoints N]
+
+#include <boost/program_options.hpp>
+#include <chrono>
+#include <ctime>
+#include <iostream>
+#include <queue>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "src/coordination/job_scheduler.h"
+#include "tests/support/result_line.h"
+
+namespace peridot {
+namespace {
+
+using std::chrono::milliseconds;
+using testing::PrintResult;
+
+// 900 starts a second within half of the smallest entry host's 0.12 cores.
+constexpr double kTargetUs = 67;
+constexpr int kServices = 4;
+constexpr int kPeriodMs = 5000;    // of a turn of all queues
+constexpr int kPlayedMs = 20'000;  // time played
+constexpr int kRoundMs = 4;        // between two rounds of decisions
+
+struct Ending {
+  Instant at{};
+  EndpointId endpoint;
+  TaskName task;
+  RunNumber run = 0;
+
+  friend bool operator>(const Ending& a, const Ending& b) {
+    return a.at > b.at;
+  }
+};
+
+// Endpoints that carry out every order at once and say so.
+class Fleet {
+ public:
+  Fleet(int endpoints, unsigned seed)
+      : random(seed),
+        scheduler(JobSchedulerConfig{.epoch = OwnerEpoch(1)}, this->now) {
+    FleetConfig config;
+    for (int i = 0; i < kServices; ++i) {
+      const ServiceId service("s" + std::to_string(i));
+      const std::string queue = "q" + std::to_string(i);
+      config.queues[queue] = QueueConfig{
+          .name = queue, .service = service, .stretch = 1.6};
+      config.services[service] = ServiceConfig{};
+    }
+    this->scheduler.OnFleetConfig(config);
+    std::vector<EndpointRow> rows;
+    for (int i = 0; i < endpoints; ++i) {
+      rows.push_back(EndpointRow{
+          .id = EndpointId("e" + std::to_string(i)),
+          .born_ms = 1,
+          .service = ServiceId("s" + std::to_string(i % kServices)),
+          .zone = ZoneId("z" + std::to_string(i % 3)),
+          .address = "10.0.0.1:" + std::to_string(1000 + i),
+          .ready = true,
+          .capacity = Resources{64000, 262144, 0},
+          .labels = {"a", "r" + std::to_string(i / 8)}});
+    }
+    this->scheduler.OnEndpoints(rows, this->now);
+    this->jobs_a_second = endpoints / 4.0;
+  }
+
+  // Plays the time; returns processor seconds spent in the scheduler.
+  double Play() {
+    for (int ms = 0; ms < kPlayedMs; ms += kRoundMs) {
+      this->now += milliseconds(kRoundMs);
+      this->Submit(ms);
+      const std::clock_t begin = std::clock();
+      this->EndTasks();
+      this->Round();
+      this->spent += std::clock() - begin;
+    }
+    return static_cast<double>(this->spent) / CLOCKS_PER_SEC;
+  }
+
+  int tasks_ended = 0;
+
+ private:
+  void Submit(int ms) {
+    const int turn = ms * kServices / kPeriodMs % kServices;
+    std::poisson_distribution<int> arrivals(this->jobs_a_second * kRoundMs /
+                                            1000);
+    for (int i = arrivals(this->random); i > 0; --i) {
+      AcceptedJob job;
+      job.id = JobId("j" + std::to_string(++this->last_job));
+      job.queue = "q" + std::to_string(turn);
+      job.service = ServiceId("s" + std::to_string(turn));
+      job.team = TeamId("t" + std::to_string(this->last_job % 20));
+      const int steps = 1 + static_cast<int>(this->random() % 2);
+      for (int step = 0; step < steps; ++step) {
+        StepSpec& spec = job.spec.steps.emplace_back();
+        spec.task_count = 1 + static_cast<int>(this->random() % 15);
+        spec.per_task.milli_cores = 2000 + this->random() % 8000;
+        spec.per_task.memory_mb = 5000 + this->random() % 30000;
+        spec.estimate = milliseconds(400 + this->random() % 1200);
+        if (step > 0) {
+          spec.after = {step - 1};
+        }
+      }
+      this->scheduler.OnJob(std::move(job), RowVersion(0), false,
+                            milliseconds(0), this->now);
+    }
+  }
+
+  void EndTasks() {
+    std::map<EndpointId, EndpointReportRows> reports;
+    while (!this->endings.empty() && this->endings.top().at <= this->now) {
+      const Ending& ending = this->endings.top();
+      reports[ending.endpoint].ended.push_back(
+          RunEnd{++this->last_end, ending.task, ending.run, EndKind::kDone,
+                 ""});
+      this->endings.pop();
+      ++this->tasks_ended;
+    }
+    for (auto& [endpoint, report] : reports) {
+      LookAt look;
+      look.target.endpoint = endpoint;
+      report.clock_ms = 1;
+      report.born_ms = 1;
+      this->scheduler.OnLook(look, report, Instant{}, this->now);
+    }
+  }
+
+  void Round() {
+    const SchedulerActions actions = this->scheduler.Advance(true, this->now);
+    for (const LookAt& look : actions.looks) {
+      if (look.wait.count() == 0) {
+        this->scheduler.OnLook(look, EndpointReportRows{1, 1, {}, {}},
+                               Instant{}, this->now);
+      }
+    }
+    for (const StartRun& start : actions.starts) {
+      this->scheduler.OnStartReply(start, OrderReply::kDone, this->now);
+      this->endings.push(Ending{
+          this->now + milliseconds(300 + this->random() % 1200),
+          start.target.endpoint, start.task, start.run});
+    }
+    const RecordBatch batch = this->scheduler.TakeBatch(80);
+    this->scheduler.OnRecorded(batch.number, true, this->now);
+    this->scheduler.TakeDecisions();
+  }
+
+  std::mt19937 random;
+  Instant now = Instant{} + std::chrono::seconds(100);
+  JobScheduler scheduler;
+  double jobs_a_second = 0;
+  int last_job = 0;
+  EndNumber last_end = 0;
+  std::priority_queue<Ending, std::vector<Ending>, std::greater<>> endings;
+  std::clock_t spent = 0;
+};
+
+int Main(int argc, char** argv) {
+  namespace po = boost::program_options;
+  po::options_description options("bench_job_scheduler");
+  options.add_options()("seed", po::value<unsigned>()->default_value(1))(
+      "endpoints", po::value<int>()->default_value(0), "0: 50, 100 and 300");
+  po::variables_map values;
+  po::store(po::parse_command_line(argc, argv, options), values);
+  po::notify(values);
+  std::vector<int> sizes = {50, 100, 300};
+  if (values["endpoints"].as<int>() > 0) {
+    sizes = {values["endpoints"].as<int>()};
+  }
+  for (const int size : sizes) {
+    Fleet fleet(size, values["seed"].as<unsigned>());
+    const double spent = fleet.Play();
+    PrintResult({.bench = "job_scheduler",
+                 .metric = "us_a_task_" + std::to_string(size),
+                 .unit = "us",
+                 .value = spent * 1e6 / std::max(1, fleet.tasks_ended),
+                 .target = kTargetUs});
+    std::cout << "# endpoints=" << size << " tasks=" << fleet.tasks_ended
+              << " processor_s=" << spent << '\n';
+  }
+  return EXIT_SUCCESS;
+}
+
+}  // namespace
+}  // namespace peridot
+
+int main(int argc, char** argv) {
+  return peridot::Main(argc, argv);
+}
--- a/src/coordination/owner_lease.cc
+++ b/src/coordination/owner_lease.cc
@@ -12,6 +12,7 @@
   this->seen = true;
   this->row = read;
   this->version = read_version;
+  this->best_strength = std::max(this->best_strength, read.best_strength);
   if (this->held && !mine) {
     this->held = false;
     return false;
@@ -37,10 +38,7 @@
                : std::max<std::int64_t>(0, this->row.expires_ms - store_ms));
 }
 
-bool OwnerLease::ShouldClaim(std::int64_t store_ms) const {
-  if (!this->seen || this->held) {
-    return false;
-  }
+bool OwnerLease::IsFree(std::int64_t store_ms) const {
   return this->row.holder.value.empty() || this->HolderOver() ||
          this->row.expires_ms <= store_ms ||
          // An earlier process of this host cannot be running any more, and
@@ -48,6 +46,37 @@
          this->row.holder == this->config.self;
 }
 
+bool OwnerLease::ShouldClaim(std::int64_t store_ms, Instant now) {
+  if (!this->seen || this->held || !this->IsFree(store_ms)) {
+    this->free_since = Instant{};
+    return false;
+  }
+  if (this->free_since == Instant{}) {
+    this->free_since = now;
+  }
+  return this->config.strength >= this->best_strength ||
+         now - this->free_since >= this->config.claim_delay;
+}
+
+bool OwnerLease::IsMuchStronger(int other, int than) const {
+  return than > 0 && other >= than * this->config.handover_factor;
+}
+
+bool OwnerLease::ShouldAskHandover() const {
+  return this->seen && !this->held &&
+         this->IsMuchStronger(this->config.strength, this->row.strength);
+}
+
+bool OwnerLease::OnHandoverAsked(int other_strength, Instant now) {
+  if (!this->held ||
+      !this->IsMuchStronger(other_strength, this->config.strength) ||
+      now - this->held_since < this->config.handover_after) {
+    return false;
+  }
+  this->best_strength = std::max(this->best_strength, other_strength);
+  return true;
+}
+
 OwnerRow OwnerLease::NextRow(std::int64_t store_ms, bool release) const {
   OwnerRow next;
   next.epoch =
@@ -55,6 +84,8 @@
   next.sequence = this->held ? this->row.sequence + 1 : 1;
   next.instance = this->config.instance;
   next.jobs_version = this->row.jobs_version;
+  next.strength = this->config.strength;
+  next.best_strength = std::max(this->best_strength, this->config.strength);
   if (!release) {
     next.holder = this->config.self;
     next.address = this->config.address;
@@ -66,6 +97,9 @@
 void OwnerLease::OnWritten(const OwnerRow& written,
                            RowVersion written_version,
                            Instant sent) {
+  if (!this->held) {
+    this->held_since = sent;
+  }
   this->seen = true;
   this->row = written;
   this->version = written_version;
--- a/src/coordination/owner_lease.h
+++ b/src/coordination/owner_lease.h
@@ -1,5 +1,8 @@
 // The lease of the one daemon that owns all decisions, as a row of the store.
 //
+// Entry hosts differ. A weaker host lets a stronger one claim first, and an
+// owner hands over to a stronger host that asks for it.
+//
 // Index:
 //   [SECTION] Types
 //   [SECTION] OwnerLease
@@ -37,6 +40,15 @@
   Milliseconds renew_after{600};  // default: 600 ms
   // The holder stops this much early: network delay and timer lateness.
   Milliseconds margin{200};  // default: 200 ms
+  // Processor of this host in 1/1000 of a core; 0: not known.
+  int strength = 0;  // default: 0
+  // Time that a host leaves to stronger ones after the lease became free: one
+  // watch of the lease by each of them.
+  Milliseconds claim_delay{800};  // default: 800 ms
+  // An owner hands over to a host this many times as strong, and not before it
+  // has owned for handover_after: a takeover costs some tenths of a second.
+  double handover_factor = 1.5;         // default: 1.5
+  Milliseconds handover_after{1500};    // default: 1500 ms
 };
 
 // The row as it is stored.
@@ -50,6 +62,8 @@
   // Newest version of a job\'s row of which any owner may have started a task.
   // A job of a later version is free for the next owner at once.
   RowVersion jobs_version;  // default: 0
+  int strength = 0;         // default: 0, not known; of the holder's host
+  int best_strength = 0;    // default: 0, not known; of any host that asked
 };
 
 //-----------------------------------------------------------------------------
@@ -69,8 +83,13 @@
   // same process may hold a later epoch.
   void OnHolderOver(OwnerEpoch epoch, bool certain);
 
-  // Returns whether a claim is due.
-  bool ShouldClaim(std::int64_t store_ms) const;
+  // Returns whether a claim is due. A host that is weaker than the strongest
+  // known waits for claim_delay from the first call that found the lease free.
+  bool ShouldClaim(std::int64_t store_ms, Instant now);
+  // Returns whether this host should ask the holder to hand over.
+  bool ShouldAskHandover() const;
+  // A host of this strength asks for the lease. Returns whether to hand over.
+  bool OnHandoverAsked(int other_strength, Instant now);
   bool HolderOver() const;
 
   // Time for which the holder of the row as last read may still act.
@@ -95,6 +114,9 @@
   const OwnerRow& Row() const { return this->row; }
 
  private:
+  bool IsFree(std::int64_t store_ms) const;
+  bool IsMuchStronger(int other, int than) const;
+
   OwnerLeaseConfig config;
   OwnerRow row;
   RowVersion version;
@@ -102,6 +124,9 @@
   bool held = false;
   OwnerEpoch over;  // epoch whose holder seems to be over; 0: none
   bool over_for_certain = false;
+  int best_strength = 0;  // as in the row, or of a host that asked since
+  Instant free_since{};   // zero: the lease is not free
+  Instant held_since{};
   Instant valid_until{};
   Instant renewed{};
 };
--- a/src/daemon/fleet_node.cc
+++ b/src/daemon/fleet_node.cc
@@ -1,5 +1,6 @@
 #include "src/daemon/fleet_node.h"
 
+#include <charconv>
 #include <csignal>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -16,6 +17,8 @@
 constexpr char kInstancePath[] = "/internal/v1/instance";
 constexpr char kJobPath[] = "/internal/v1/jobs/";
 constexpr char kQueuePath[] = "/internal/v1/queues/";
+// Of a candidate that asks a weaker owner to hand over.
+constexpr char kStrengthHeader[] = "Candidate-Strength";
 
 // Between zones an answer takes a few milliseconds; the store is the fallback.
 constexpr Milliseconds kPeerTimeout{400};
@@ -41,6 +44,15 @@
   return HttpServer::Create(loop, options);
 }
 
+// Returns 0 if the header is missing or no number.
+int StrengthIn(const HttpHeaders& headers) {
+  const std::string_view text =
+      FindHeader(headers, kStrengthHeader).value_or("");
+  int strength = 0;
+  std::from_chars(text.data(), text.data() + text.size(), strength);
+  return strength;
+}
+
 std::optional<JobState> StateByName(const std::string& name) {
   for (const JobState state :
        {JobState::kPending, JobState::kRunning, JobState::kCompleted,
@@ -70,9 +82,9 @@
           this->settings,
           OwnerTaskConfig{},
           [this](
-              const std::string& address,
+              const std::string& address, int strength,
               std::function<void(std::optional<OwnerTask::PeerAnswer>)> done) {
-            this->Probe(address, std::move(done));
+            this->Probe(address, strength, std::move(done));
           }),
       entry(loop,
             &this->ports,
@@ -130,8 +142,9 @@
 void FleetNode::ServeInternal() {
   this->internal->Route(
       HttpMethod::kGet, kInstancePath,
-      [this](const HttpServerRequest&, const HttpResponder& responder) {
-        const OwnerTask::PeerAnswer answer = this->owner.AnswerCandidate();
+      [this](const HttpServerRequest& request, const HttpResponder& responder) {
+        const OwnerTask::PeerAnswer answer =
+            this->owner.AnswerCandidate(StrengthIn(request.headers));
         responder.Send(JsonAnswer(
             200, {{"instance", answer.instance}, {"yields", answer.yields}}));
       });
@@ -213,6 +226,7 @@
 
 void FleetNode::Probe(
     const std::string& address,
+    int strength,
     std::function<void(std::optional<OwnerTask::PeerAnswer>)> done) {
   const Result<SocketAddress> peer = SocketAddress::Parse(address);
   if (!peer) {
@@ -222,6 +236,9 @@
   HttpRequest request;
   request.path = kInstancePath;
   request.timeout = kPeerTimeout;
+  if (strength > 0) {
+    request.headers.push_back({kStrengthHeader, std::to_string(strength)});
+  }
   this->peers.Send(
       HttpPeer{peer.value().ip, peer.value().port}, std::move(request),
       [done = std::move(done)](const HttpOutcome& outcome) {
--- a/src/daemon/fleet_node.h
+++ b/src/daemon/fleet_node.h
@@ -51,6 +51,7 @@
   void FinishStop();
   bool Ready() const;
   void Probe(const std::string& address,
+             int strength,
              std::function<void(std::optional<OwnerTask::PeerAnswer>)> done);
   void AskOwner(const std::string& address,
                 const JobId& job,
--- a/src/daemon/owner_rounds.cc
+++ b/src/daemon/owner_rounds.cc
@@ -37,7 +37,7 @@
 void OwnerTask::Round() {
   Ownership& owned = *this->owned;
   owned.round_due = false;
-  if (this->releasing) {
+  if (this->giving_up) {
     if (!owned.writing) {
       this->WriteRelease();
     }
--- a/src/daemon/owner_task.cc
+++ b/src/daemon/owner_task.cc
@@ -133,7 +133,7 @@
               {"epoch", std::to_string(row.epoch.value)},
               {"address", row.address}});
   }
-  if (this->lease.ShouldClaim(this->StoreMs())) {
+  if (this->lease.ShouldClaim(this->StoreMs(), this->loop->Now())) {
     this->Claim();
   } else if (!this->lease.Held()) {
     this->ProbeHolder();
@@ -147,8 +147,13 @@
   }
   const std::string instance = row.instance;
   const OwnerEpoch epoch = row.epoch;
-  this->probe(row.address, [this, instance, epoch, alive = this->alive](
-                               const std::optional<PeerAnswer>& answer) {
+  const int ask_with = this->lease.ShouldAskHandover()
+                           ? this->settings.lease.strength
+                           : 0;
+  this->probe(row.address, ask_with, [this, instance, epoch,
+                                      alive = this->alive](
+                                         const std::optional<PeerAnswer>&
+                                             answer) {
     if (!*alive || this->lease.Row().epoch != epoch) {
       return;
     }
@@ -168,17 +173,27 @@
               {"certain", certain ? "yes" : "no"},
               {"yields", answer->yields ? "yes" : "no"}});
     this->lease.OnHolderOver(epoch, certain);
-    this->Claim();
+    if (this->lease.ShouldClaim(this->StoreMs(), this->loop->Now())) {
+      this->Claim();
+    }
   });
 }
 
-OwnerTask::PeerAnswer OwnerTask::AnswerCandidate() {
+OwnerTask::PeerAnswer OwnerTask::AnswerCandidate(int strength) {
   PeerAnswer answer;
   answer.instance = this->settings.lease.instance;
   if (this->owned != nullptr &&
       this->loop->Now() - this->write_answered > this->config.yield_after) {
     this->EndOwnership("yield");
   }
+  if (this->owned != nullptr && !this->giving_up &&
+      this->lease.OnHandoverAsked(strength, this->loop->Now())) {
+    LogEvent(LogLevel::kInfo, "owner_hands_over",
+             {{"own_strength", std::to_string(this->settings.lease.strength)},
+              {"to_strength", std::to_string(strength)}});
+    this->giving_up = true;
+    this->Wake();
+  }
   answer.yields = this->owned == nullptr && !this->claiming;
   return answer;
 }
@@ -262,11 +277,13 @@
   this->LogDecisions();
   this->loop->Cancel(this->owned->timer);
   this->owned.reset();
+  this->giving_up = false;
   this->lease.OnLost();
 }
 
 void OwnerTask::Release(std::function<void()> done) {
   this->releasing = true;
+  this->giving_up = true;
   if (!this->lease.Held()) {
     this->loop->Post(std::move(done));
     return;
@@ -277,18 +294,19 @@
 
 void OwnerTask::WriteRelease() {
   StoreTransaction transaction;
-  OwnerRow row = this->lease.Row();
-  row.holder = DaemonId{};
-  row.address.clear();
+  const OwnerRow row = this->lease.NextRow(this->StoreMs(), true);
   transaction.conditions.emplace_back(this->LeaseKey(), this->lease.Version());
   transaction.puts.emplace_back(this->LeaseKey(), EncodeOwner(row));
   this->EndOwnership("release");
   this->ports->transact(
       std::move(transaction),
-      [done = std::move(this->on_released)](const StoreReply& reply) {
+      [done = std::exchange(this->on_released, nullptr)](
+          const StoreReply& reply) {
         LogEvent(LogLevel::kInfo, "owner_released",
                  {{"outcome", StoreOutcomeName(reply.outcome)}});
-        done();
+        if (done) {
+          done();
+        }
       });
 }
 
--- a/src/daemon/owner_task.h
+++ b/src/daemon/owner_task.h
@@ -67,9 +67,11 @@
     std::string instance;  // of the process; empty if refused
     bool yields = false;   // it owns nothing, whatever the lease says
   };
-  // Asks it; none: no answer.
+  // Asks it; none: no answer. A strength above 0 asks the owner to hand over
+  // to a host of that strength.
   using ProbePeer =
       std::function<void(const std::string& address,
+                         int strength,
                          std::function<void(std::optional<PeerAnswer>)>)>;
 
   // The loop, the ports, the view and the metrics must outlive the task.
@@ -99,8 +101,9 @@
   int WaitingIn(const std::string& queue) const;
   bool StoreReachable(Instant now) const;
   // Answers a candidate that has just read the lease from the store. An owner
-  // that cannot write meanwhile gives up its ownership to it.
-  PeerAnswer AnswerCandidate();
+  // that cannot write meanwhile gives up its ownership to it, and so does one
+  // on a much weaker host. strength: 0 unless the candidate asks for that.
+  PeerAnswer AnswerCandidate(int strength);
 
  private:
   struct Ownership;  // owner_task.cc
@@ -163,7 +166,8 @@
   std::shared_ptr<bool> alive;
   std::shared_ptr<Ownership> owned;  // null while another daemon owns
   std::mt19937 random;
-  bool releasing = false;
+  bool releasing = false;  // this process ends
+  bool giving_up = false;  // the next round gives the lease back
   bool claiming = false;
   Instant earlier_until{};  // the holder before the claim may act until then
   RowVersion
--- a/src/protocol/job_json.cc
+++ b/src/protocol/job_json.cc
@@ -241,7 +241,9 @@
               {"epoch", row.epoch.value},
               {"expires_ms", row.expires_ms},
               {"sequence", row.sequence},
-              {"jobs_version", row.jobs_version.value}}
+              {"jobs_version", row.jobs_version.value},
+              {"strength", row.strength},
+              {"best_strength", row.best_strength}}
       .dump();
 }
 
@@ -255,6 +257,8 @@
     row.expires_ms = in.at("expires_ms").get<std::int64_t>();
     row.sequence = in.at("sequence").get<std::uint64_t>();
     row.jobs_version = RowVersion(in.at("jobs_version").get<std::uint64_t>());
+    row.strength = in.value("strength", 0);
+    row.best_strength = in.value("best_strength", 0);
     return row;
   });
 }
--- a/tests/owner_lease_test.cc
+++ b/tests/owner_lease_test.cc
@@ -27,12 +27,12 @@
 TEST_CASE("a lease is claimed when it is free or over", "[owner_lease]") {
   // Guards against two owners, and against a fleet without one.
   OwnerLease lease = Lease("a", "a1");
-  CHECK_FALSE(lease.ShouldClaim(0));  // the row has not been read
+  CHECK_FALSE(lease.ShouldClaim(0, kStart));  // the row has not been read
   lease.OnRow(OwnerRow{}, RowVersion(0));
-  CHECK(lease.ShouldClaim(0));
+  CHECK(lease.ShouldClaim(0, kStart));
   lease.OnRow(Row("b", "b1", 3, 5000), RowVersion(4));
-  CHECK_FALSE(lease.ShouldClaim(4999));
-  CHECK(lease.ShouldClaim(5000));
+  CHECK_FALSE(lease.ShouldClaim(4999, kStart));
+  CHECK(lease.ShouldClaim(5000, kStart));
   CHECK(lease.NextRow(5000, false).epoch == OwnerEpoch(4));
 }
 
@@ -43,10 +43,10 @@
   OwnerLease lease = Lease("a", "a1");
   lease.OnRow(Row("b", "b1", 3, 5000), RowVersion(4));
   lease.OnHolderOver(OwnerEpoch(3), true);
-  CHECK(lease.ShouldClaim(100));
+  CHECK(lease.ShouldClaim(100, kStart));
   CHECK(lease.EarlierLeaseLeft(100) == milliseconds(0));
   lease.OnRow(Row("b", "b1", 5, 9000), RowVersion(9));
-  CHECK_FALSE(lease.ShouldClaim(100));
+  CHECK_FALSE(lease.ShouldClaim(100, kStart));
 }
 
 TEST_CASE("a holder that only refused connections may act until its expiry",
@@ -55,7 +55,7 @@
   OwnerLease lease = Lease("a", "a1");
   lease.OnRow(Row("b", "b1", 3, 5000), RowVersion(4));
   lease.OnHolderOver(OwnerEpoch(3), false);
-  CHECK(lease.ShouldClaim(100));
+  CHECK(lease.ShouldClaim(100, kStart));
   CHECK(lease.EarlierLeaseLeft(100) == milliseconds(4900));
 }
 
@@ -63,7 +63,7 @@
   // Guards the time to recover after all daemons were killed.
   OwnerLease lease = Lease("a", "a2");
   lease.OnRow(Row("a", "a1", 3, 5000), RowVersion(4));
-  CHECK(lease.ShouldClaim(100));
+  CHECK(lease.ShouldClaim(100, kStart));
   CHECK(lease.EarlierLeaseLeft(100) == milliseconds(0));
 }
 
@@ -92,5 +92,54 @@
   CHECK_FALSE(lease.Held());
 }
 
+TEST_CASE("a weak host leaves a free lease to strong ones for a while",
+          "[owner_lease]") {
+  // Guards against a fleet of 300 endpoints owned by a host with an eighth of a
+  // core, which cannot follow it, and against none that claims if the strong
+  // hosts are gone.
+  OwnerLeaseConfig config{
+      .self = DaemonId("a"), .instance = "a1", .strength = 120};
+  OwnerLease weak(config);
+  OwnerRow row = Row("b", "b1", 3, 5000);
+  row.strength = row.best_strength = 500;
+  weak.OnRow(row, RowVersion(4));
+  CHECK_FALSE(weak.ShouldClaim(5000, kStart));
+  CHECK_FALSE(weak.ShouldClaim(
+      5000, kStart + config.claim_delay - milliseconds(1)));
+  CHECK(weak.ShouldClaim(5000, kStart + config.claim_delay));
+  // What it writes keeps the strongest that is known.
+  CHECK(weak.NextRow(5000, false).best_strength == 500);
+  config.strength = 500;
+  OwnerLease strong(config);
+  strong.OnRow(row, RowVersion(4));
+  CHECK(strong.ShouldClaim(5000, kStart));
+}
+
+TEST_CASE("a weak owner hands over to a strong host that asks",
+          "[owner_lease]") {
+  // Guards against owners that give the lease to each other for ever.
+  OwnerLeaseConfig config{
+      .self = DaemonId("a"), .instance = "a1", .strength = 120};
+  OwnerLease owner(config);
+  owner.OnRow(OwnerRow{}, RowVersion(0));
+  const OwnerRow row = owner.NextRow(0, false);
+  owner.OnWritten(row, RowVersion(7), kStart);
+  const Instant later = kStart + config.handover_after;
+  CHECK_FALSE(owner.OnHandoverAsked(500, later - milliseconds(1)));
+  CHECK_FALSE(owner.OnHandoverAsked(150, later));
+  CHECK_FALSE(owner.OnHandoverAsked(0, later));
+  CHECK(owner.OnHandoverAsked(500, later));
+  CHECK(owner.NextRow(0, true).best_strength == 500);
+
+  OwnerLease strong(OwnerLeaseConfig{
+      .self = DaemonId("b"), .instance = "b1", .strength = 500});
+  strong.OnRow(row, RowVersion(7));
+  CHECK(strong.ShouldAskHandover());
+  OwnerLease equal(OwnerLeaseConfig{
+      .self = DaemonId("c"), .instance = "c1", .strength = 120});
+  equal.OnRow(row, RowVersion(7));
+  CHECK_FALSE(equal.ShouldAskHandover());
+}
+
 }  // namespace
 }  // namespace peridot
