Write logs without blocking, in one line a step; share hosts between pools in need

A pool with a backlog of hopeless work (50,000 core-seconds after an outage) took all hosts while others stood at 19. Ruled out: the scheduler (22 us a task). Change: a bounded buffer that writes what the descriptor takes; starts of a step and ends of a report share a line; only bulk lines are limited. Each host goes to the pool with the smallest part of what it wants; work too late for its callers is worked off over 20 s.

--- a/src/coordination/host_planner.cc
+++ b/src/coordination/host_planner.cc
@@ -335,6 +335,8 @@
   }
   const double catch_up =
       std::chrono::duration<double>(this->config.catch_up).count();
+  const double hopeless_catch_up =
+      std::chrono::duration<double>(this->config.hopeless_catch_up).count();
   for (auto& [service, pool] : this->pools) {
     const auto found = demand.find(service);
     if (found != demand.end()) {
@@ -345,7 +347,8 @@
           load.lasting_cores +
           (1 + this->config.packing_loss) *
               (std::max(load.used_cores - load.lasting_cores, pool.rate) +
-               load.waiting_core_seconds / catch_up);
+               load.waiting_core_seconds / catch_up +
+               load.hopeless_core_seconds / hopeless_catch_up);
       // One host at a time, where room alone is not what is missing.
       if (load.starved_jobs > 0 && pool.coming == 0) {
         pool.wanted = std::max(pool.wanted, pool.capacity + host_cores / 2);
@@ -380,9 +383,32 @@
   return (arrived - samples.front().second) / window;
 }
 
+HostPlanner::HostRecord* HostPlanner::HostFor(
+    const ServiceId& pool,
+    const std::set<ZoneId>& zones_out,
+    Instant now) {
+  // A host that stands idle in another pool costs as much to move as one of
+  // the spare pool, and costs no more time afterwards.
+  HostRecord* best = nullptr;
+  for (auto& [id, host] : this->hosts) {
+    const double cores =
+        static_cast<double>(host.row.capacity.milli_cores) / 1000;
+    const bool spare = this->IsSpare(host.row.pool);
+    if (host.row.pool == pool || !this->Movable(host, zones_out, now) ||
+        (!spare && !this->CanGive(host.row.pool, cores))) {
+      continue;
+    }
+    if (best == nullptr || (!spare && this->IsSpare(best->row.pool))) {
+      best = &host;
+    }
+  }
+  return best;
+}
+
 void HostPlanner::FillPools(const std::set<ZoneId>& zones_out,
                             HostPlan* plan,
                             Instant now) {
+  std::vector<std::pair<ServiceId, PoolLoad*>> in_need;
   for (auto& [service, pool] : this->pools) {
     const Instant since = this->history[service].short_since;
     if (since == Instant{} || now - since < this->config.shortage) {
@@ -394,36 +420,33 @@
         " capacity_cores=" + std::to_string(pool.capacity) +
         " rate_cores=" + std::to_string(pool.rate) + " waiting_core_s=" +
         std::to_string(pool.waiting) + " hosts=" + std::to_string(pool.hosts));
-    while (pool.wanted > pool.capacity) {
-      // A host that stands idle in another pool costs as much to move as one
-      // of the spare pool, and costs no more time afterwards.
-      HostRecord* best = nullptr;
-      for (auto& [id, host] : this->hosts) {
-        const double cores =
-            static_cast<double>(host.row.capacity.milli_cores) / 1000;
-        const bool spare = this->IsSpare(host.row.pool);
-        if (host.row.pool == service || !this->Movable(host, zones_out, now) ||
-            (!spare && !this->CanGive(host.row.pool, cores))) {
-          continue;
-        }
-        if (best == nullptr || (!spare && this->IsSpare(best->row.pool))) {
-          best = &host;
-        }
-      }
-      if (best == nullptr) {
-        return;
-      }
-      const double cores =
-          static_cast<double>(best->row.capacity.milli_cores) / 1000;
-      const auto giver = this->pools.find(best->row.pool);
-      if (giver != this->pools.end()) {
-        --giver->second.hosts;
-        giver->second.capacity -= cores;
-      }
-      this->Order(best, "", service, plan, now);
-      pool.capacity += cores;
-      ++pool.hosts;
+    in_need.emplace_back(service, &pool);
+  }
+  // Each host goes to the pool that has the smallest part of what it wants, so
+  // that a pool with a large backlog does not take what the others need.
+  const auto part = [](const auto& entry) {
+    return entry.second->capacity / entry.second->wanted;
+  };
+  while (!in_need.empty()) {
+    const auto least = std::min_element(
+        in_need.begin(), in_need.end(),
+        [&](const auto& a, const auto& b) { return part(a) < part(b); });
+    const auto& [service, pool] = *least;
+    HostRecord* const host = this->HostFor(service, zones_out, now);
+    if (pool->wanted <= pool->capacity || host == nullptr) {
+      in_need.erase(least);
+      continue;
+    }
+    const double cores =
+        static_cast<double>(host->row.capacity.milli_cores) / 1000;
+    const auto giver = this->pools.find(host->row.pool);
+    if (giver != this->pools.end()) {
+      --giver->second.hosts;
+      giver->second.capacity -= cores;
     }
+    this->Order(host, "", service, plan, now);
+    pool->capacity += cores;
+    ++pool->hosts;
   }
 }
 
--- a/src/coordination/host_planner.h
+++ b/src/coordination/host_planner.h
@@ -51,6 +51,9 @@
   Milliseconds shortage{150};  // default: 150 ms
   // Time in which the hosts of a pool should work its backlog off.
   Milliseconds catch_up{2500};  // default: 2500 ms
+  // As above for work that is too late to be worth anything to its callers: it
+  // has to be finished, but takes no hosts from work that can be in time.
+  Milliseconds hopeless_catch_up{20000};  // default: 20 s
   // Time over which the rate of arriving work is measured.
   Milliseconds arrival_window{1500};  // default: 1500 ms
   // Room that packing tasks on hosts leaves unused.
@@ -195,6 +198,10 @@
   void FillPools(const std::set<ZoneId>& zones_out,
                  HostPlan* plan,
                  Instant now);
+  // The host that leaves its pool for this one at the least cost, or null.
+  HostRecord* HostFor(const ServiceId& pool,
+                      const std::set<ZoneId>& zones_out,
+                      Instant now);
   void EmptyPools(const EndpointMap& endpoints,
                   const std::set<ZoneId>& zones_out,
                   HostPlan* plan,
--- a/src/coordination/job_scheduler.cc
+++ b/src/coordination/job_scheduler.cc
@@ -579,6 +579,10 @@
       continue;
     }
     ServiceDemand& service = demand[this->state->ServiceOf(*job)];
+    double& waiting =
+        this->state->UrgencyOf(*job, now) == Urgency::kHopeless
+            ? service.hopeless_core_seconds
+            : service.waiting_core_seconds;
     for (const ScheduledOccurrence& occurrence : job->occurrences) {
       for (const ScheduledStep& step : occurrence.steps) {
         const double cores =
@@ -593,7 +597,7 @@
             service.lasting_cores += cores;
           } else if (task.phase != TaskPhase::kDone) {
             const auto expected = this->state->ExpectedDuration(step);
-            service.waiting_core_seconds +=
+            waiting +=
                 cores * std::chrono::duration<double>(expected).count();
           }
         }
--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -79,6 +79,9 @@
   RunNumber gang_run = 0;    // run number shared by the gang
 };
 
+// How far a waiting job is from its objective; lower values go first.
+enum class Urgency { kLasting, kInTime, kLate, kHopeless };
+
 struct ScheduledOccurrence {
   int number = 0;
   std::vector<ScheduledStep> steps;
@@ -167,6 +170,8 @@
   std::vector<std::pair<JobId, JobState>> batch_jobs;
   Counters counters;
   std::vector<std::string> decisions;
+  std::string started_text;  // for LogStarts()
+  std::string ended_text;    // of the look under way
   SchedulerActions actions;
 
   // Jobs (job_scheduler.cc) -------------------------------------------------
@@ -206,6 +211,9 @@
   void ReleaseLapsed(EndpointState* endpoint, const char* reason, Instant now);
   void RemoveStalled(EndpointState* endpoint, Instant now);
   Milliseconds ExpectedDuration(const ScheduledStep& step) const;
+  // Time from acceptance within which the job is in time.
+  Milliseconds Objective(const ScheduledJob& job) const;
+  Urgency UrgencyOf(const ScheduledJob& job, Instant now) const;
   // Longest chain of work: all of it, and what is left.
   Milliseconds Chain(const ScheduledJob& job, bool left) const;
   // Work of a job that does not last, in core-seconds.
@@ -238,6 +246,9 @@
                Instant now) const;
   bool WithinTeamLimit(const TeamId& team, const Resources& more) const;
   void Start(ScheduledTask* task, EndpointState* endpoint, Instant now);
+  // One line for all starts of a step in this round; each is
+  // index:run:endpoint:room_milli_cores:age_ms of what is known of it.
+  void LogStarts(const ScheduledStep& step);
   void AskForAdvice(ScheduledStep* step,
                     const QueueConfig& queue,
                     const std::vector<EndpointState*>& usable,
--- a/src/coordination/job_scheduler_place.cc
+++ b/src/coordination/job_scheduler_place.cc
@@ -11,9 +11,6 @@
 
 namespace {
 
-// How far a waiting job is from its objective; lower values go first.
-enum class Urgency { kLasting, kInTime, kLate, kHopeless };
-
 struct Rank {
   Urgency urgency = Urgency::kHopeless;
   bool over_share = false;  // the team has more than its share
@@ -41,6 +38,11 @@
                      [](const StepSpec& step) { return step.long_running; });
 }
 
+Milliseconds Times(Milliseconds time, double factor) {
+  return Milliseconds(static_cast<std::int64_t>(
+      static_cast<double>(time.count()) * factor));
+}
+
 }  // namespace
 
 //-----------------------------------------------------------------------------
@@ -58,6 +60,28 @@
          !this->cordoned.contains(endpoint.row.id);
 }
 
+Milliseconds JobScheduler::State::Objective(const ScheduledJob& job) const {
+  const QueueConfig* queue = this->QueueOf(job);
+  const Milliseconds chain = this->Chain(job, false);
+  return queue == nullptr ? chain
+                          : Times(chain, queue->stretch) + queue->objective;
+}
+
+Urgency JobScheduler::State::UrgencyOf(const ScheduledJob& job,
+                                       Instant now) const {
+  if (IsLasting(job)) {
+    return Urgency::kLasting;
+  }
+  const Milliseconds objective = this->Objective(job);
+  const Instant finish = now + this->Chain(job, true);
+  if (finish <= job.arrived + objective) {
+    return Urgency::kInTime;
+  }
+  return finish <= job.arrived + Times(objective, this->config.late_factor)
+             ? Urgency::kLate
+             : Urgency::kHopeless;
+}
+
 void JobScheduler::State::Place(Instant now) {
   this->unrecovered.clear();
   this->unseen = Resources{};
@@ -123,41 +147,24 @@
   for (ScheduledJob* job : *waiting) {
     const QueueConfig* queue = this->QueueOf(*job);
     const TeamId& team = job->accepted.team;
-    const auto chain = static_cast<double>(this->Chain(*job, false).count());
-    const Milliseconds objective =
-        Milliseconds(static_cast<std::int64_t>(
-            chain * (queue == nullptr ? 1 : queue->stretch))) +
-        (queue == nullptr ? Milliseconds{0} : queue->objective);
-    const Instant finish = now + this->Chain(*job, true);
     Rank rank;
     rank.over_share =
         weights > 0 && static_cast<double>(use[team]) >
                            weight_of(team) / weights *
                                static_cast<double>(capacity.milli_cores);
     rank.priority = queue == nullptr ? 0 : queue->priority;
-    const auto weighted = [](Milliseconds time, double factor) {
-      return Milliseconds(static_cast<std::int64_t>(
-          static_cast<double>(time.count()) * factor));
-    };
-    if (IsLasting(*job)) {
-      rank.urgency = Urgency::kLasting;
-      rank.key = job->arrived;
-    } else if (finish <= job->arrived + objective) {
-      rank.urgency = Urgency::kInTime;
+    rank.urgency = this->UrgencyOf(*job, now);
+    rank.key = job->arrived;
+    if (rank.urgency == Urgency::kInTime) {
       // The least work left first: it serves most jobs, and nearly the most
       // work, in time while there is too much for all.
       rank.key =
           Instant{} +
           std::chrono::duration_cast<Duration>(
               std::chrono::duration<double>(this->CoreSeconds(*job, true)));
-    } else if (finish <=
-               job->arrived + weighted(objective, this->config.late_factor)) {
-      rank.urgency = Urgency::kLate;
-      rank.key = job->arrived +
-                 weighted(objective, this->config.late_objective_weight);
-    } else {
-      rank.urgency = Urgency::kHopeless;
-      rank.key = job->arrived;
+    } else if (rank.urgency == Urgency::kLate) {
+      rank.key = job->arrived + Times(this->Objective(*job),
+                                      this->config.late_objective_weight);
     }
     ranked.emplace_back(rank, job);
   }
@@ -180,6 +187,7 @@
         } else {
           this->PlaceStep(&step, queue, usable, now);
         }
+        this->LogStarts(step);
       }
     }
   }
@@ -360,6 +368,16 @@
   }
 }
 
+void JobScheduler::State::LogStarts(const ScheduledStep& step) {
+  if (this->started_text.empty()) {
+    return;
+  }
+  this->Decide("decision=start job=" + step.job->accepted.id.value +
+               " occurrence=" + std::to_string(step.occurrence) +
+               " step=" + std::to_string(step.number) +
+               " starts=" + std::exchange(this->started_text, {}));
+}
+
 void JobScheduler::State::Start(ScheduledTask* task,
                                 EndpointState* endpoint,
                                 Instant now) {
@@ -381,13 +399,14 @@
       ticket != task->step->tickets.end()) {
     order.ticket = ticket->second.ticket;
   }
-  this->Decide("decision=start task=" + TaskText(order.task) +
-               " run=" + std::to_string(order.run) +
-               " endpoint=" + endpoint->row.id.value + " room_milli_cores=" +
-               std::to_string(Room(*endpoint).milli_cores) + " clock_age_ms=" +
-               std::to_string(std::chrono::duration_cast<Milliseconds>(
-                                  now - endpoint->clock_read)
-                                  .count()));
+  const auto age =
+      std::chrono::duration_cast<Milliseconds>(now - endpoint->clock_read);
+  this->started_text += (this->started_text.empty() ? "" : ",") +
+                        std::to_string(task->index) + ":" +
+                        std::to_string(order.run) + ":" +
+                        endpoint->row.id.value + ":" +
+                        std::to_string(Room(*endpoint).milli_cores) + ":" +
+                        std::to_string(age.count());
   this->actions.starts.push_back(std::move(order));
 }
 
--- a/src/coordination/job_scheduler_runs.cc
+++ b/src/coordination/job_scheduler_runs.cc
@@ -376,6 +376,10 @@
       endpoint->processed = end.number;
     }
   }
+  if (!state.ended_text.empty()) {
+    state.Decide("decision=end endpoint=" + endpoint->row.id.value +
+                 " ends=" + std::exchange(state.ended_text, {}));
+  }
   for (const RunningTask& row : report->running) {
     state.OnListed(endpoint, row, now);
   }
@@ -466,10 +470,10 @@
                                    Instant now) {
   ++this->counters.ends_by_kind[EndKindName(end.kind)];
   ScheduledTask* task = this->FindTask(end.task);
-  this->Decide("decision=end task=" + TaskText(end.task) + " run=" +
-               std::to_string(end.run) + " endpoint=" + endpoint->row.id.value +
-               " number=" + std::to_string(end.number) +
-               " kind=" + EndKindName(end.kind));
+  this->ended_text += (this->ended_text.empty() ? "" : ",") +
+                      std::to_string(end.number) + ":" + TaskText(end.task) +
+                      ":" + std::to_string(end.run) + ":" +
+                      EndKindName(end.kind);
   if (task == nullptr || task->phase == TaskPhase::kDone) {
     return;
   }
--- a/src/daemon/entry_task.cc
+++ b/src/daemon/entry_task.cc
@@ -55,7 +55,9 @@
     answer.headers.push_back({"Retry-After", kRetryAfter});
   }
   const Duration took = this->loop->Now() - call.arrived;
-  LogEvent(status < 400 ? LogLevel::kInfo : LogLevel::kWarning, "call",
+  // Refusals come with every request while the store is away, so that they
+  // count against the limit as well.
+  LogLimited(LogLevel::kInfo, "call",
            {{"verb", call.verb},
             {"job", call.name},
             {"status", std::to_string(status)},
--- a/src/daemon/fleet_node.cc
+++ b/src/daemon/fleet_node.cc
@@ -23,6 +23,9 @@
 // Between zones an answer takes a few milliseconds; the store is the fallback.
 constexpr Milliseconds kPeerTimeout{400};
 
+// Lines that wait in the log's buffer are written within this time.
+constexpr Milliseconds kLogFlush{500};
+
 // The balancer stops sending new connections after two missed checks of one
 // second each; until then they are accepted.
 constexpr Milliseconds kLeaveBalancer{2300};
@@ -194,10 +197,16 @@
             {"instance", this->settings.lease.instance},
             {"callers", this->settings.caller_address},
             {"internal", this->settings.internal_address}});
+  this->KeepLogFlowing();
   this->view.Start([this] { this->owner.OnViewChanged(); });
   this->owner.Start();
 }
 
+void FleetNode::KeepLogFlowing() {
+  FlushLog();
+  this->loop->After(kLogFlush, [this] { this->KeepLogFlowing(); });
+}
+
 bool FleetNode::Ready() const {
   return !this->stopping && this->view.HasConfig() &&
          this->owner.StoreReachable(this->loop->Now());
@@ -220,6 +229,7 @@
   this->callers->Stop(left, [this](const HttpStopReport& report) {
     LogEvent(LogLevel::kInfo, "stop",
              {{"cut_requests", std::to_string(report.cut_requests)}});
+    FlushLog();
     this->loop->Stop();
   });
 }
--- a/src/daemon/fleet_node.h
+++ b/src/daemon/fleet_node.h
@@ -47,6 +47,7 @@
   Result<void> Listen();
   Result<void> WatchSignals(std::function<void()> on_reload);
   void ServeInternal();
+  void KeepLogFlowing();
   void BeginStop();
   void FinishStop();
   bool Ready() const;
--- a/src/daemon/owner_load.cc
+++ b/src/daemon/owner_load.cc
@@ -191,7 +191,7 @@
   const std::int64_t age =
       std::clamp<std::int64_t>(UnixMs() - job.value().accepted_ms, 0, 120000);
   if (!job.value().closed_as) {
-    LogEvent(LogLevel::kInfo, "job_taken",
+    LogLimited(LogLevel::kInfo, "job_taken",
              {{"job", job.value().id.value},
               {"queue", job.value().queue},
               {"age_ms", std::to_string(age)},
--- a/src/transport/log.cc
+++ b/src/transport/log.cc
@@ -1,18 +1,23 @@
 #include "src/transport/log.h"
 
-#include <log4cplus/consoleappender.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/initializer.h>
-#include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
+#include <log4cplus/spi/loggingevent.h>
+#include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <chrono>
-#include <memory>
+#include <cstdint>
+#include <ctime>
 #include <mutex>
 #include <string>
 #include <utility>
 
+#include "src/transport/log_buffer.h"
+
 namespace peridot {
 namespace {
 
@@ -85,7 +90,87 @@
   return logger;
 }
 
-// Counts the lines of the current second.
+// Formats lines into the buffer. The library calls append() under a lock of
+// the appender, so that the state needs no other.
+class BufferedAppender : public log4cplus::Appender {
+ public:
+  explicit BufferedAppender(int descriptor) : buffer(descriptor) {}
+  ~BufferedAppender() override { this->destructorImpl(); }
+
+  void close() override {
+    this->buffer.Flush();
+    this->closed = true;
+  }
+
+  void Flush() {
+    const log4cplus::thread::MutexGuard lock(this->access_mutex);
+    this->buffer.Flush();
+  }
+
+  // Set while a line may wait for the next ones.
+  static thread_local bool may_wait;
+
+ protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+    this->line = "time=";
+    this->AppendTime(event.getTimestamp());
+    this->line += " level=";
+    this->line +=
+        log4cplus::getLogLevelManager().toString(event.getLogLevel());
+    this->line += ' ';
+    this->line += event.getMessage();
+    this->line += '\n';
+    this->buffer.Append(this->line);
+    if (!may_wait || this->buffer.Full()) {
+      this->buffer.Flush();
+    }
+    if (this->buffer.Empty() && this->buffer.Dropped() > this->reported) {
+      const std::size_t lost = this->buffer.Dropped() - this->reported;
+      this->reported = this->buffer.Dropped();
+      this->buffer.Append("level=WARN event=log_blocked lines=" +
+                          std::to_string(lost) + "\n");
+    }
+  }
+
+ private:
+  // The date is formatted once a second: it is most of the cost of a line.
+  void AppendTime(const log4cplus::helpers::Time& time) {
+    const auto us =
+        std::chrono::duration_cast<std::chrono::microseconds>(
+            time.time_since_epoch())
+            .count();
+    constexpr std::int64_t kMicroseconds = 1'000'000;
+    if (us / kMicroseconds != this->second) {
+      this->second = us / kMicroseconds;
+      const auto unix_time = static_cast<std::time_t>(this->second);
+      std::tm parts{};
+      gmtime_r(&unix_time, &parts);
+      std::array<char, 32> text{};
+      std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S.", &parts);
+      this->date = text.data();
+    }
+    const std::string ms = std::to_string(us % kMicroseconds / 1000);
+    this->line += this->date;
+    this->line.append(3 - ms.size(), '0');
+    this->line += ms;
+    this->line += 'Z';
+  }
+
+  LogBuffer buffer;
+  std::string line;
+  std::string date;
+  std::int64_t second = -1;
+  std::size_t reported = 0;
+};
+
+thread_local bool BufferedAppender::may_wait = false;
+
+log4cplus::helpers::SharedObjectPtr<BufferedAppender>& TheAppender() {
+  static log4cplus::helpers::SharedObjectPtr<BufferedAppender> appender;
+  return appender;
+}
+
+// Counts the limited lines of the current second.
 struct LogLimiter {
   std::mutex mutex;
   std::size_t per_second = 0;  // guarded by mutex; 0: no limit
@@ -99,10 +184,12 @@
   return limiter;
 }
 
-// Returns whether the line may be written; reports what was dropped before.
-bool TakeLine(LogLevel level) {
+enum class Take { kWriteNow, kMayWait, kDrop };
+
+// Whether a limited line may be written; reports what was dropped before.
+Take TakeLine(LogLevel level) {
   if (level != LogLevel::kDebug && level != LogLevel::kInfo) {
-    return true;
+    return Take::kWriteNow;
   }
   LogLimiter& limiter = Limiter();
   std::size_t dropped = 0;
@@ -110,7 +197,7 @@
   {
     const std::lock_guard<std::mutex> lock(limiter.mutex);
     if (limiter.per_second == 0) {
-      return true;
+      return Take::kWriteNow;
     }
     const auto now = std::chrono::steady_clock::now();
     if (now - limiter.second >= std::chrono::seconds(1)) {
@@ -125,7 +212,17 @@
     EventLogger().log(log4cplus::WARN_LOG_LEVEL,
                       "event=log_dropped lines=" + std::to_string(dropped));
   }
-  return allowed;
+  return allowed ? Take::kMayWait : Take::kDrop;
+}
+
+bool IsWritten(LogLevel level) {
+  return log_started && EventLogger().isEnabledFor(ToLibrary(level));
+}
+
+void WriteLimited(LogLevel level, Take take, const std::string& line) {
+  BufferedAppender::may_wait = take == Take::kMayWait;
+  EventLogger().log(ToLibrary(level), line);
+  BufferedAppender::may_wait = false;
 }
 
 }  // namespace
@@ -136,17 +233,22 @@
   limiter.per_second = lines_per_second;
 }
 
+void FlushLog() {
+  if (log_started) {
+    TheAppender()->Flush();
+  }
+}
+
 void StartLog(LogLevel lowest, LogTarget target) {
   static const log4cplus::Initializer initializer;
-  log4cplus::SharedAppenderPtr appender(
-      new log4cplus::ConsoleAppender(target == LogTarget::kStandardError,
-                                     /*immediateFlush=*/true));
-  appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
-      "time=%d{%Y-%m-%dT%H:%M:%S.%qZ} level=%p %m%n"));
+  TheAppender() = log4cplus::helpers::SharedObjectPtr<BufferedAppender>(
+      new BufferedAppender(target == LogTarget::kStandardError
+                               ? STDERR_FILENO
+                               : STDOUT_FILENO));
   log4cplus::Logger& logger = EventLogger();
   logger.removeAllAppenders();
   logger.setAdditivity(false);
-  logger.addAppender(appender);
+  logger.addAppender(log4cplus::SharedAppenderPtr(TheAppender().get()));
   logger.setLogLevel(ToLibrary(lowest));
   log_started = true;
 }
@@ -154,23 +256,36 @@
 void LogEvent(LogLevel level,
               std::string_view event,
               std::initializer_list<LogField> fields) {
-  if (!log_started || !EventLogger().isEnabledFor(ToLibrary(level)) ||
-      !TakeLine(level)) {
+  if (IsWritten(level)) {
+    EventLogger().log(ToLibrary(level), FormatEvent(event, fields));
+  }
+}
+
+void LogLimited(LogLevel level,
+                std::string_view event,
+                std::initializer_list<LogField> fields) {
+  if (!IsWritten(level)) {
     return;
   }
-  EventLogger().log(ToLibrary(level), FormatEvent(event, fields));
+  const Take take = TakeLine(level);
+  if (take != Take::kDrop) {
+    WriteLimited(level, take, FormatEvent(event, fields));
+  }
 }
 
 void LogLine(LogLevel level, std::string_view event, std::string_view fields) {
-  if (!log_started || !EventLogger().isEnabledFor(ToLibrary(level)) ||
-      !TakeLine(level)) {
+  if (!IsWritten(level)) {
+    return;
+  }
+  const Take take = TakeLine(level);
+  if (take == Take::kDrop) {
     return;
   }
   std::string line = "event=";
   line += event;
   line += ' ';
   line += fields;
-  EventLogger().log(ToLibrary(level), line);
+  WriteLimited(level, take, line);
 }
 
 void LogError(LogLevel level, std::string_view event, const Error& error) {
--- a/src/transport/log.h
+++ b/src/transport/log.h
@@ -1,5 +1,8 @@
 // Log lines: one event a line, as key=value pairs, through log4cplus.
 //
+// Writing never blocks: a line that the target does not take waits in a bounded
+// buffer, and beyond that it is dropped and counted.
+//
 // Index:
 //   [SECTION] Types
 //   [SECTION] Output
@@ -41,10 +44,15 @@
 // the first event and before other threads start.
 void StartLog(LogLevel lowest, LogTarget target = LogTarget::kStandardError);
 
-// Lines of level info and below that are written in a second; the rest is
-// dropped and counted in an event "log_dropped". 0: no limit. Default: 0.
+// Lines of LogLimited() and LogLine() that are written in a second; the rest
+// is dropped and counted in an event "log_dropped". 0: no limit. Default: 0.
+// With a limit, these lines also wait for each other, up to 8 KB or until the
+// next FlushLog(); all other lines are written at once.
 void LimitLog(std::size_t lines_per_second);
 
+// Writes the lines that wait, as far as that does not block. Thread-safe.
+void FlushLog();
+
 //-----------------------------------------------------------------------------
 // [SECTION] Events
 //-----------------------------------------------------------------------------
@@ -54,8 +62,13 @@
               std::string_view event,
               std::initializer_list<LogField> fields);
 
+// As above, for events that come with every request: within the limit.
+void LogLimited(LogLevel level,
+                std::string_view event,
+                std::initializer_list<LogField> fields);
+
 // Writes one event whose fields are already in the form of FormatEvent().
-// Thread-safe.
+// Thread-safe. Within the limit.
 void LogLine(LogLevel level, std::string_view event, std::string_view fields);
 
 // Writes one event with the error's step, peer, code and message.
--- a/tests/host_planner_test.cc
+++ b/tests/host_planner_test.cc
@@ -165,5 +165,49 @@
   CHECK(plan.orders[0].pool == ServiceId("a"));
 }
 
+TEST_CASE("a pool with a large backlog leaves hosts to the others",
+          "[host_planner]") {
+  // Guards against one queue's backlog that takes the whole spare pool.
+  Fleet fleet;
+  std::vector<FleetHost> hosts;
+  for (int i = 0; i < 2; ++i) {
+    hosts.push_back(Host(i, i == 0 ? "a" : "b"));
+    fleet.endpoints.push_back(Summary(i, i == 0 ? "a" : "b"));
+    fleet.endpoints.back().idle = false;
+  }
+  for (int i = 2; i < 12; ++i) {
+    hosts.push_back(Host(i, "off"));
+  }
+  fleet.planner.OnHosts(hosts, kStart, kStart);
+  fleet.demand[ServiceId("a")].waiting_core_seconds = 100000;
+  fleet.demand[ServiceId("b")].waiting_core_seconds = 300;
+  fleet.Advance(kReady);
+  std::map<ServiceId, int> received;
+  for (const HostOrder& order : fleet.Advance(kReady + milliseconds(200)).orders) {
+    ++received[order.pool];
+  }
+  CHECK(received[ServiceId("b")] == 4);  // 138 cores wanted, 32 there
+  CHECK(received[ServiceId("a")] == 6);
+}
+
+TEST_CASE("work that is too late for its callers takes few hosts",
+          "[host_planner]") {
+  // Guards against hosts that leave work in time for work worth nothing.
+  Fleet fleet;
+  std::vector<FleetHost> hosts = {Host(0, "a")};
+  fleet.endpoints = {Summary(0, "a")};
+  fleet.endpoints[0].idle = false;
+  for (int i = 2; i < 32; ++i) {
+    hosts.push_back(Host(i, "off"));
+  }
+  fleet.planner.OnHosts(hosts, kStart, kStart);
+  fleet.demand[ServiceId("a")].hopeless_core_seconds = 2000;
+  fleet.Advance(kReady);
+  const std::size_t hopeless =
+      fleet.Advance(kReady + milliseconds(200)).orders.size();
+  CHECK(hopeless > 0);
+  CHECK(hopeless < 5);  // 28 would work it off in 2.5 s
+}
+
 }  // namespace
 }  // namespace peridot
--- a/tests/observability_test.cc
+++ b/tests/observability_test.cc
@@ -1,9 +1,13 @@
 // Tests of log lines and metrics.
 
+#include <unistd.h>
+
+#include <array>
 #include <catch2/catch.hpp>
 #include <string>
 
 #include "src/transport/log.h"
+#include "src/transport/log_buffer.h"
 #include "src/transport/metrics.h"
 
 namespace peridot {
@@ -29,6 +33,34 @@
   SUCCEED("no output is configured");
 }
 
+TEST_CASE("a log target that does not read blocks nobody", "[log]") {
+  // Guards against a daemon that stops deciding because nobody reads its log.
+  std::array<int, 2> pipe_ends{};
+  REQUIRE(pipe(pipe_ends.data()) == 0);
+  LogBuffer buffer(pipe_ends[1]);
+  const std::string line(999, 'x');
+  std::size_t kept = 0;
+  while (buffer.Append(line + "\n")) {
+    ++kept;
+    buffer.Flush();
+  }
+  CHECK(buffer.Dropped() == 1);
+  CHECK(kept * 1000 >= LogBuffer::kMostBytes);
+  // Once it reads again, whole lines arrive, in order and none twice.
+  std::string read_back;
+  std::array<char, 4096> chunk{};
+  while (!buffer.Empty() || read_back.size() < kept * 1000) {
+    const ssize_t size = read(pipe_ends[0], chunk.data(), chunk.size());
+    REQUIRE(size > 0);
+    read_back.append(chunk.data(), static_cast<std::size_t>(size));
+    buffer.Flush();
+  }
+  CHECK(read_back.size() == kept * 1000);
+  CHECK(read_back.substr(0, 1000) == line + "\n");
+  close(pipe_ends[0]);
+  close(pipe_ends[1]);
+}
+
 TEST_CASE("counters appear with their reason", "[metrics]") {
   Metrics metrics;
   metrics.CountRefusal("team_limit");
