--- a/src/coordination/host_planner.cc
+++ b/src/coordination/host_planner.cc
@@ -15,6 +15,9 @@
 // Time between two explanations why a cordoned host has not left.
 constexpr Milliseconds kExplainPause{1000};
 
+// Time between two lines on each pool.
+constexpr Milliseconds kPoolLogPause{1000};
+
 // Pause after a refused order.
 constexpr Milliseconds kRefusalPause{1000};
 
@@ -132,6 +135,7 @@
     host.idle = idle;
   }
   this->MeasurePools(by_id, demand, zones_out, now);
+  this->LogPools(now);
   this->PlanWaves(by_id, &plan, now);
   if (this->config.moves_enabled) {
     this->FillPools(zones_out, &plan, now);
@@ -331,6 +335,7 @@
     }
     ++pool->second.hosts;
     pool->second.coming += coming ? 1 : 0;
+    pool->second.idle += host.idle && !coming ? 1 : 0;
     pool->second.capacity += cores;
   }
   const double catch_up =
@@ -370,6 +375,28 @@
   }
 }
 
+void HostPlanner::LogPools(Instant now) {
+  if (now < this->next_pool_log) {
+    return;
+  }
+  this->next_pool_log = now + kPoolLogPause;
+  const auto rounded = [](double cores) {
+    return std::to_string(static_cast<std::int64_t>(cores));
+  };
+  for (const auto& [service, pool] : this->pools) {
+    this->decisions.push_back(
+        "decision=pool service=" + service.value +
+        " hosts=" + std::to_string(pool.hosts) +
+        " coming=" + std::to_string(pool.coming) +
+        " idle=" + std::to_string(pool.idle) +
+        " capacity_cores=" + rounded(pool.capacity) +
+        " wanted_cores=" + rounded(pool.wanted) +
+        " recent_cores=" + rounded(pool.recent) +
+        " rate_cores=" + rounded(pool.rate) +
+        " waiting_core_s=" + rounded(pool.waiting));
+  }
+}
+
 double HostPlanner::ArrivalRate(const ServiceId& service,
                                 double arrived,
                                 Instant now) {
@@ -414,12 +441,6 @@
     if (since == Instant{} || now - since < this->config.shortage) {
       continue;
     }
-    this->decisions.push_back(
-        "decision=pool_short service=" + service.value +
-        " wanted_cores=" + std::to_string(pool.wanted) +
-        " capacity_cores=" + std::to_string(pool.capacity) +
-        " rate_cores=" + std::to_string(pool.rate) + " waiting_core_s=" +
-        std::to_string(pool.waiting) + " hosts=" + std::to_string(pool.hosts));
     in_need.emplace_back(service, &pool);
   }
   // Max-min: each host goes to the smallest pool in need, so that a pool with a
--- a/src/coordination/host_planner.h
+++ b/src/coordination/host_planner.h
@@ -175,6 +175,7 @@
     double waiting = 0;  // core-seconds
     std::size_t hosts = 0;
     std::size_t coming = 0;  // of these, on their way
+    std::size_t idle = 0;    // of these, without work
   };
   struct PoolHistory {
     std::deque<std::pair<Instant, double>> wanted;
@@ -193,6 +194,7 @@
                     const std::map<ServiceId, ServiceDemand>& demand,
                     const std::set<ZoneId>& zones_out,
                     Instant now);
+  void LogPools(Instant now);
   // Work that arrived for a service, in core-seconds a second.
   double ArrivalRate(const ServiceId& service, double arrived, Instant now);
   void FillPools(const std::set<ZoneId>& zones_out,
@@ -229,6 +231,7 @@
   std::map<ServiceId, PoolLoad> pools;
   std::map<ServiceId, PoolHistory> history;
   Instant list_sent{};
+  Instant next_pool_log{};
   bool have_list = false;
   std::vector<std::string> decisions;
 };
--- a/src/coordination/job_scheduler.cc
+++ b/src/coordination/job_scheduler.cc
@@ -595,7 +595,8 @@
           } else if (step.spec->long_running) {
             service.used_cores += cores;
             service.lasting_cores += cores;
-          } else if (task.phase != TaskPhase::kDone) {
+          } else if (task.phase != TaskPhase::kDone &&
+                     step.ready_since != kNever) {
             const auto expected = this->state->ExpectedDuration(step);
             waiting +=
                 cores * std::chrono::duration<double>(expected).count();
--- a/src/coordination/job_scheduler.h
+++ b/src/coordination/job_scheduler.h
@@ -225,7 +225,7 @@
 
 // Work of one service, for the planner of hosts.
 struct ServiceDemand {
-  double waiting_core_seconds = 0;  // default: 0; ready or not, not started
+  double waiting_core_seconds = 0;  // default: 0; ready and not started
   // As above, of jobs that are too late to be worth anything to their callers.
   double hopeless_core_seconds = 0;  // default: 0
   double used_cores = 0;            // default: 0; running now
