--- a/src/coordination/host_planner.h
+++ b/src/coordination/host_planner.h
@@ -60,7 +60,7 @@
   double packing_loss = 0.15;  // default: 0.15
   // Demand is watched for this long before a pool gives hosts away: an owner
   // that has just begun does not know its rhythm.
-  Milliseconds observe{12000};  // default: 12 s
+  Milliseconds observe{5000};  // default: 5 s
   // A pool gives hosts away only if it did not need them in this time.
   Milliseconds recent{1500};  // default: 1500 ms
   // Hosts that stay in each pool, so that the next peak starts at once.
