See a peak within half a second; gather changes of descriptors; refuse counts that may be false

Change: rate of arrival also over 0.5 s when 8 jobs came in it; epoll change list; a round starts no earlier than twice the last one's length; the count of waiting jobs is refused (503) when the last good answer about jobs is older than 1.6 s; steps that need as much as one without room are passed over.

--- a/src/coordination/host_planner.cc
+++ b/src/coordination/host_planner.cc
@@ -346,7 +346,7 @@
     const auto found = demand.find(service);
     if (found != demand.end()) {
       const ServiceDemand& load = found->second;
-      pool.rate = this->ArrivalRate(service, load.arrived_core_seconds, now);
+      pool.rate = this->ArrivalRate(service, load, now);
       pool.waiting = load.waiting_core_seconds;
       pool.wanted =
           load.lasting_cores +
@@ -398,16 +398,24 @@
 }
 
 double HostPlanner::ArrivalRate(const ServiceId& service,
-                                double arrived,
+                                const ServiceDemand& load,
                                 Instant now) {
   auto& samples = this->history[service].arrived;
-  samples.emplace_back(now, arrived);
-  while (now - samples.front().first > this->config.arrival_window) {
+  samples.push_back({now, load.arrived_core_seconds, load.arrived_jobs});
+  while (now - samples.front().at > this->config.arrival_window) {
     samples.pop_front();
   }
-  const double window =
-      std::chrono::duration<double>(this->config.arrival_window).count();
-  return (arrived - samples.front().second) / window;
+  const auto over = [&](const ArrivalSample& since, Milliseconds window) {
+    return (load.arrived_core_seconds - since.core_seconds) /
+           std::chrono::duration<double>(window).count();
+  };
+  const double rate = over(samples.front(), this->config.arrival_window);
+  const auto recent = std::find_if(
+      samples.begin(), samples.end(), [&](const ArrivalSample& sample) {
+        return now - sample.at <= this->config.onset_window;
+      });
+  const bool onset = load.arrived_jobs - recent->jobs >= this->config.onset_jobs;
+  return onset ? std::max(rate, over(*recent, this->config.onset_window)) : rate;
 }
 
 HostPlanner::HostRecord* HostPlanner::HostFor(
--- a/src/coordination/host_planner.h
+++ b/src/coordination/host_planner.h
@@ -56,6 +56,10 @@
   Milliseconds hopeless_catch_up{20000};  // default: 20 s
   // Time over which the rate of arriving work is measured.
   Milliseconds arrival_window{1500};  // default: 1500 ms
+  // A peak shows in this shorter time as well, if enough jobs came in it that
+  // their number says more than chance.
+  Milliseconds onset_window{500};  // default: 500 ms
+  int onset_jobs = 8;              // default: 8
   // Room that packing tasks on hosts leaves unused.
   double packing_loss = 0.15;  // default: 0.15
   // Demand is watched for this long before a pool gives hosts away: an owner
@@ -177,9 +181,14 @@
     std::size_t coming = 0;  // of these, on their way
     std::size_t idle = 0;    // of these, without work
   };
+  struct ArrivalSample {
+    Instant at{};
+    double core_seconds = 0;  // in all
+    int jobs = 0;             // in all
+  };
   struct PoolHistory {
     std::deque<std::pair<Instant, double>> wanted;
-    std::deque<std::pair<Instant, double>> arrived;  // core-seconds in all
+    std::deque<ArrivalSample> arrived;
     Instant short_since{};                           // zero: the pool has room
   };
   using EndpointMap = std::map<EndpointId, const EndpointSummary*>;
@@ -195,8 +204,10 @@
                     const std::set<ZoneId>& zones_out,
                     Instant now);
   void LogPools(Instant now);
-  // Work that arrived for a service, in core-seconds a second.
-  double ArrivalRate(const ServiceId& service, double arrived, Instant now);
+  // Work that arrives for a service, in core-seconds a second.
+  double ArrivalRate(const ServiceId& service,
+                     const ServiceDemand& load,
+                     Instant now);
   void FillPools(const std::set<ZoneId>& zones_out,
                  HostPlan* plan,
                  Instant now);
--- a/src/coordination/job_scheduler.cc
+++ b/src/coordination/job_scheduler.cc
@@ -135,8 +135,9 @@
   state.AddDueOccurrences(added, now);
   // What an earlier owner has taken is not arriving now.
   if (!before_takeover) {
-    state.arrived_core_seconds[state.ServiceOf(*added)] +=
-        state.CoreSeconds(*added, false);
+    const ServiceId service = state.ServiceOf(*added);
+    state.arrived_core_seconds[service] += state.CoreSeconds(*added, false);
+    ++state.arrived_jobs[service];
   }
   if (state.cancelled_early.erase(id) > 0) {
     this->OnCancel(id, now);
@@ -608,6 +609,9 @@
   for (const auto& [service, seconds] : this->state->arrived_core_seconds) {
     demand[service].arrived_core_seconds = seconds;
   }
+  for (const auto& [service, jobs] : this->state->arrived_jobs) {
+    demand[service].arrived_jobs = jobs;
+  }
   return demand;
 }
 
--- a/src/coordination/job_scheduler.h
+++ b/src/coordination/job_scheduler.h
@@ -232,6 +232,7 @@
   double lasting_cores = 0;         // default: 0; of these, work that lasts
   int starved_jobs = 0;  // ready for long, and no endpoint would accept them
   double arrived_core_seconds = 0;  // default: 0; since the takeover
+  int arrived_jobs = 0;             // default: 0; likewise
 };
 
 //-----------------------------------------------------------------------------
--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -157,6 +157,7 @@
   std::map<TeamId, Resources> team_use;
   std::map<std::string, DurationModel> durations;  // by queue
   std::map<ServiceId, double> arrived_core_seconds;
+  std::map<ServiceId, int> arrived_jobs;
   std::set<ServiceId> unrecovered;  // services with unseen endpoints
   Resources unseen;                 // capacity of these endpoints
   Instant recovery_ends{};          // earlier owners' work has lapsed by then
@@ -170,6 +171,7 @@
   std::vector<std::pair<JobId, JobState>> batch_jobs;
   Counters counters;
   std::vector<std::string> decisions;
+  std::vector<Resources> too_large;  // in this round, for one service
   std::string started_text;  // for LogStarts()
   std::string ended_text;    // of the look under way
   SchedulerActions actions;
@@ -240,6 +242,8 @@
                         const QueueConfig* queue,
                         const std::vector<EndpointState*>& usable,
                         Instant now) const;
+  // True if a task that needs no more found no room in this round.
+  bool IsKnownNotToFit(const StepSpec& spec) const;
   bool Accepts(const EndpointState& endpoint,
                const ScheduledStep& step,
                const QueueConfig* queue,
--- a/src/coordination/job_scheduler_place.cc
+++ b/src/coordination/job_scheduler_place.cc
@@ -124,6 +124,7 @@
   if (usable.empty()) {
     return;
   }
+  this->too_large.clear();
   std::map<TeamId, std::int64_t> use;
   double weights = 0;
   for (EndpointState* endpoint : usable) {
@@ -299,10 +300,20 @@
   return best;
 }
 
+bool JobScheduler::State::IsKnownNotToFit(const StepSpec& spec) const {
+  const Resources needed = Reserved(spec);
+  return std::any_of(
+      this->too_large.begin(), this->too_large.end(),
+      [&](const Resources& failed) { return failed.FitsIn(needed); });
+}
+
 bool JobScheduler::State::PlaceStep(ScheduledStep* step,
                                     const QueueConfig* queue,
                                     const std::vector<EndpointState*>& usable,
                                     Instant now) {
+  if (this->IsKnownNotToFit(*step->spec)) {
+    return false;
+  }
   const TeamId& team = step->job->accepted.team;
   for (ScheduledTask& task : step->tasks) {
     if (task.phase != TaskPhase::kWaiting) {
@@ -313,6 +324,14 @@
     }
     EndpointState* endpoint = this->Choose(*step, task, queue, usable, now);
     if (endpoint == nullptr) {
+      // Room only shrinks until the round ends, so that what asks for as much
+      // need not look; wishes for a place say nothing about room.
+      const StepSpec& spec = *step->spec;
+      if (spec.required_label.empty() && spec.data_rack.empty() &&
+          spec.max_per_endpoint == 0 &&
+          (queue == nullptr || !queue->needs_advice)) {
+        this->too_large.push_back(Reserved(spec));
+      }
       return false;  // all tasks of a step are alike
     }
     this->Start(&task, endpoint, now);
--- a/src/daemon/entry_task.cc
+++ b/src/daemon/entry_task.cc
@@ -204,8 +204,12 @@
 
 void EntryTask::ShowWaiting(const Call& call, const std::string& queue) {
   if (this->owner->Owns()) {
-    this->Answer(call, 200, "owner",
-                 this->ports->encode_waiting(this->owner->WaitingIn(queue)));
+    const std::optional<int> waiting = this->owner->WaitingIn(queue);
+    if (waiting) {
+      this->Answer(call, 200, "owner", this->ports->encode_waiting(*waiting));
+    } else {
+      this->Answer(call, 503, "owner_behind");
+    }
     return;
   }
   this->ask(this->owner->OwnerAddress(), JobId{}, queue,
--- a/src/daemon/fleet_node.cc
+++ b/src/daemon/fleet_node.cc
@@ -166,10 +166,9 @@
       [this](const HttpServerRequest& request, const HttpResponder& responder) {
         const std::string queue =
             request.path.substr(std::string_view(kQueuePath).size());
-        responder.Send(
-            this->owner.Owns()
-                ? JsonAnswer(200, {{"waiting", this->owner.WaitingIn(queue)}})
-                : JsonAnswer(404, nlohmann::json::object()));
+        const std::optional<int> waiting = this->owner.WaitingIn(queue);
+        responder.Send(waiting ? JsonAnswer(200, {{"waiting", *waiting}})
+                               : JsonAnswer(404, nlohmann::json::object()));
       });
   this->internal->Route(
       HttpMethod::kGet, "/metrics",
--- a/src/daemon/owner_rounds.cc
+++ b/src/daemon/owner_rounds.cc
@@ -30,8 +30,12 @@
     return;
   }
   this->owned->round_due = true;
-  this->loop->After(this->config.gather,
-                    this->IfOwner([this] { this->Round(); }));
+  // Rounds take at most a third of the processor: the rest has to carry their
+  // orders out and read what endpoints and store answer.
+  const Duration pause = std::clamp<Duration>(2 * this->owned->round_took,
+                                              this->config.gather,
+                                              this->config.gather_most);
+  this->loop->After(pause, this->IfOwner([this] { this->Round(); }));
 }
 
 void OwnerTask::Round() {
@@ -70,6 +74,7 @@
   this->ExplainWaiting();
   this->LogDecisions();
   this->SetTimer();
+  owned.round_took = this->loop->Now() - now;
 }
 
 void OwnerTask::SetTimer() {
--- a/src/daemon/owner_task.cc
+++ b/src/daemon/owner_task.cc
@@ -328,8 +328,12 @@
                                 : this->owned->scheduler.StateOf(id);
 }
 
-int OwnerTask::WaitingIn(const std::string& queue) const {
-  return this->owned == nullptr ? 0 : this->owned->scheduler.WaitingIn(queue);
+std::optional<int> OwnerTask::WaitingIn(const std::string& queue) const {
+  if (!this->Owns() || this->loop->Now() - this->owned->jobs->LastGood() >
+                           this->config.jobs_fresh) {
+    return std::nullopt;
+  }
+  return this->owned->scheduler.WaitingIn(queue);
 }
 
 }  // namespace peridot
--- a/src/daemon/owner_task.h
+++ b/src/daemon/owner_task.h
@@ -37,7 +37,9 @@
   // Spread of that time, so that candidates do not claim at the same moment.
   Milliseconds watch_spread{150};  // default: 150 ms
   // Inputs that come within this time share one round of decisions.
-  Milliseconds gather{2};  // default: 2 ms
+  Milliseconds gather{2};        // default: 2 ms
+  // The most of it on a busy host: a task waits this long for its place.
+  Milliseconds gather_most{40};  // default: 40 ms
   // Least time between two plans of hosts, which take hundreds of times longer
   // to move; a plan looks at the whole fleet.
   Milliseconds plan_spacing{40};  // default: 40 ms
@@ -47,6 +49,9 @@
   // An owner whose last write was answered this long ago yields to a candidate
   // that reaches the store. A store that is slow for all answers sooner.
   Milliseconds yield_after{1100};  // default: 1100 ms
+  // Age of the last good answer about new jobs up to which the count of waiting
+  // jobs is given: the feed's wait of 1.2 s and its way.
+  Milliseconds jobs_fresh{1600};  // default: 1600 ms
   std::size_t max_batch = 80;      // default: 80 jobs; a call takes 100 rows
   // Time a final job stays readable: the longest promise to callers.
   Milliseconds keep_final{150000};  // default: 150 s
@@ -98,7 +103,9 @@
   // Address of the owner as last read; empty if there is none.
   const std::string& OwnerAddress() const;
   std::optional<JobState> StateOf(const JobId& id) const;
-  int WaitingIn(const std::string& queue) const;
+  // None unless this daemon owns the fleet and has followed the jobs lately: a
+  // count that misses the newest jobs would be false.
+  std::optional<int> WaitingIn(const std::string& queue) const;
   bool StoreReachable(Instant now) const;
   // Answers a candidate that has just read the lease from the store. An owner
   // that cannot write meanwhile gives up its ownership to it, and so does one
--- a/src/daemon/owner_task_internal.h
+++ b/src/daemon/owner_task_internal.h
@@ -35,6 +35,7 @@
   std::vector<StoreRow> held_jobs;  // jobs read before these have ended
   bool loaded = false;              // all jobs and endpoints have been read
   bool round_due = false;
+  Duration round_took{};  // of the last round
   bool writing = false;
   Instant next_write{};
   Instant next_sweep{};
--- a/src/daemon/table_follower.cc
+++ b/src/daemon/table_follower.cc
@@ -119,6 +119,7 @@
   this->read_now.clear();
   this->version = this->read_version;
   this->synced = true;
+  this->last_good = this->loop->Now();
   this->handlers.on_synced();
   this->Follow();
 }
@@ -159,6 +160,7 @@
                       this->Guard([this] { this->Follow(); }));
     return;
   }
+  this->last_good = this->loop->Now();
   for (const StoreRow& row : reply.rows) {
     this->version = std::max(this->version, row.version);
     this->Deliver(row);
--- a/src/daemon/table_follower.h
+++ b/src/daemon/table_follower.h
@@ -66,6 +66,9 @@
   bool Synced() const { return this->synced; }
   // Last answer of the store, good or bad.
   Instant LastAnswer() const { return this->last_answer; }
+  // Last good answer of the feed; what is known is at most this old and the
+  // wait of a feed older.
+  Instant LastGood() const { return this->last_good; }
   RowVersion Version() const { return this->version; }
 
  private:
@@ -95,6 +98,7 @@
   RowVersion read_version;     // lowest version of its answers
   RowVersion version;          // the feed goes on from here
   Instant last_answer{};
+  Instant last_good{};
   std::map<std::string, RowVersion> known;     // by part and key
   std::map<std::string, RowVersion> read_now;  // of the whole read under way
 };
--- a/src/transport/event_loop.cc
+++ b/src/transport/event_loop.cc
@@ -51,7 +51,16 @@
     return LoopError("libevent cannot use threads");
   }
   std::unique_ptr<EventLoop> loop(new EventLoop(std::move(now)));
-  loop->event_loop_base = event_base_new();
+  // Changes of what a descriptor waits for are gathered until the next wait. An
+  // HTTP call makes six of them, which would be a system call each.
+  event_config* const options = event_config_new();
+  if (options == nullptr ||
+      event_config_set_flag(options, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST) !=
+          0) {
+    return LoopError("cannot configure the event base");
+  }
+  loop->event_loop_base = event_base_new_with_config(options);
+  event_config_free(options);
   if (loop->event_loop_base == nullptr) {
     return LoopError("cannot create an event base");
   }
