Add the platform's stand-in over HTTP and a fault soak of real processes

stand_in_platform serves the store's rows and feed and workers with runs, leases and ends; platform_soak starts four daemons behind proxies, kills, pauses and stops them, silences, slows, cuts and resets their connections, and checks the promises from what callers and workers see.

--- /dev/null
+++ b/stand_ins/platform_shell.cc
@@ -0,0 +1,403 @@
+#include "stand_ins/platform_shell.h"
+
+#include <openssl/evp.h>
+
+#include <algorithm>
+#include <iostream>
+#include <utility>
+
+namespace peridot::stand_ins {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// Time between two looks at what is due.
+constexpr Milliseconds kTick{3};
+
+constexpr char kService[] = "work";
+constexpr char kHostName[] = "127.0.0.1";
+
+std::string ToBase64(const std::string& text) {
+  std::string out((text.size() + 2) / 3 * 4 + 1, '\0');
+  const int size = EVP_EncodeBlock(
+      reinterpret_cast<unsigned char*>(out.data()),
+      reinterpret_cast<const unsigned char*>(text.data()),
+      static_cast<int>(text.size()));
+  out.resize(static_cast<std::size_t>(size));
+  return out;
+}
+
+std::string FromBase64(const std::string& text) {
+  std::string out(text.size(), '\0');
+  int size = EVP_DecodeBlock(
+      reinterpret_cast<unsigned char*>(out.data()),
+      reinterpret_cast<const unsigned char*>(text.data()),
+      static_cast<int>(text.size()));
+  for (auto c = text.rbegin(); c != text.rend() && *c == '='; ++c) {
+    --size;
+  }
+  out.resize(static_cast<std::size_t>(std::max(0, size)));
+  return out;
+}
+
+StoreKey KeyOf(const Json& row) {
+  return StoreKey{row.at("Table"), row.value("part", ""), row.at("Key")};
+}
+
+Json RowJson(const StoreRow& row) {
+  Json out{{"Table", row.key.table},
+           {"part", row.key.part},
+           {"Key", row.key.key},
+           {"Ver", row.version.value}};
+  if (row.removed) {
+    out["Tombstone"] = true;
+  } else {
+    out["Value"] = ToBase64(row.value);
+  }
+  return out;
+}
+
+Json StoreJson(const StoreReply& reply, Instant now) {
+  Json rows = Json::array();
+  for (const StoreRow& row : reply.rows) {
+    rows.push_back(RowJson(row));
+  }
+  const auto ms =
+      std::chrono::duration_cast<Milliseconds>(now.time_since_epoch()).count();
+  return Json{{"rows", std::move(rows)},
+              {"HasMore", reply.more},
+              {"Ver", reply.version.value},
+              {"NowMs", ms}};
+}
+
+TaskName TaskOf(const std::string& text) {
+  TaskName name;
+  const auto first = text.find('.');
+  const auto second = text.find('.', first + 1);
+  const auto third = text.find('.', second + 1);
+  name.job = JobId(text.substr(0, first));
+  name.occurrence = std::stoi(text.substr(first + 1));
+  name.step = std::stoi(text.substr(second + 1));
+  name.index = std::stoi(text.substr(third + 1));
+  return name;
+}
+
+std::string TextOf(const TaskName& name) {
+  return name.job.value + "." + std::to_string(name.occurrence) + "." +
+         std::to_string(name.step) + "." + std::to_string(name.index);
+}
+
+// Status and reason of an answer to an order.
+HttpReply OrderAnswer(OrderReply reply, std::int64_t clock_ms) {
+  Json body{{"ClockMs", clock_ms}};
+  switch (reply) {
+    case OrderReply::kDone:
+      return JsonReply(200, body);
+    case OrderReply::kFenced:
+      body["Reason"] = "fence";
+      break;
+    case OrderReply::kOldRun:
+      body["Reason"] = "old";
+      break;
+    case OrderReply::kLate:
+      body["Reason"] = "late";
+      break;
+    default:
+      body["Reason"] = "room";
+      break;
+  }
+  return JsonReply(409, body);
+}
+
+Json ReportJson(const EndpointReportRows& report) {
+  Json running = Json::array();
+  for (const RunningTask& row : report.running) {
+    running.push_back(
+        Json::array({TextOf(row.task), row.run, "", row.percent, 0}));
+  }
+  Json ended = Json::array();
+  for (const RunEnd& end : report.ended) {
+    ended.push_back(Json::array({end.number, TextOf(end.task), end.run,
+                                 EndKindName(end.kind), ""}));
+  }
+  return Json{{"ClockMs", report.clock_ms},
+              {"born", report.born_ms},
+              {"Running", std::move(running)},
+              {"Ended", std::move(ended)}};
+}
+
+}  // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Start
+//-----------------------------------------------------------------------------
+
+PlatformShell::PlatformShell(ShellLoop& loop, PlatformShellSettings settings)
+    : loop(loop), settings(settings), random(settings.seed) {}
+
+Result<void> PlatformShell::Listen() {
+  BOOST_OUTCOME_TRY(store_server,
+                    HttpServer::Listen(
+                        this->loop, {},
+                        [this](HttpServer& server, const HttpRequest& request) {
+                          this->HandleStore(server, request);
+                        }));
+  this->store = std::move(store_server);
+  for (int i = 0; i < this->settings.workers; ++i) {
+    const auto index = static_cast<std::size_t>(i);
+    BOOST_OUTCOME_TRY(
+        server, HttpServer::Listen(this->loop, {},
+                                   [this, index](HttpServer& from,
+                                                 const HttpRequest& request) {
+                                     this->HandleWorker(index, from, request);
+                                   }));
+    Worker& worker = this->workers.emplace_back();
+    worker.id = EndpointId("w" + std::to_string(i));
+    worker.server = std::move(server);
+    WorkerSettings model;
+    model.row.id = worker.id;
+    model.row.born_ms = 1000 + i;
+    model.row.capacity = Resources{this->settings.cores * 1000, 64000, 0};
+    worker.model = std::make_unique<WorkerModel>(model, this->loop.Now());
+  }
+  this->Register();
+  this->Tick();
+  return boost::outcome_v2::success();
+}
+
+void PlatformShell::Register() {
+  StoreTransaction transaction;
+  for (std::size_t i = 0; i < this->workers.size(); ++i) {
+    const Worker& worker = this->workers[i];
+    const Json row{
+        {"Service", kService},
+        {"Address", "127.0.0.1:" + std::to_string(worker.server->Port())},
+        {"Zone", i % 2 == 0 ? "z1" : "z2"},
+        {"Slots", 8},
+        {"State", "ready"},
+        {"born", worker.model->Row().born_ms},
+        {"Capacity",
+         {{"Cpu", this->settings.cores * 1000}, {"MemMb", 64000}, {"Gpu", 0}}},
+        {"Labels", Json::array({"a", "r" + std::to_string(i / 4)})}};
+    transaction.puts.emplace_back(StoreKey{"servers", "", worker.id.value},
+                                  row.dump());
+  }
+  const Json config{
+      {"Version", 1},
+      {"Routes",
+       Json::array({{{"Name", "queue"},
+                     {"Host", kHostName},
+                     {"PathPrefix", "/jobs/"},
+                     {"Service", kService},
+                     {"MaxAttempts", 3},
+                     {"Stretch", 2.0},
+                     {"SloMs", 500},
+                     {"AuthExempt", true}}})},
+      {"Services",
+       Json::array({{{"Name", kService}, {"AdmissionCheck", true}}})},
+      {"Tenants", Json::array()}};
+  transaction.puts.emplace_back(StoreKey{"op", "", "config"}, config.dump());
+  this->rows.Transact(transaction);
+}
+
+bool PlatformShell::Chance(double share) {
+  return std::uniform_real_distribution<double>(0, 1)(this->random) < share;
+}
+
+void PlatformShell::Tick() {
+  for (Worker& worker : this->workers) {
+    worker.model->Advance(this->loop.Now());
+  }
+  this->AnswerLooks();
+  this->AnswerFeeds();
+  this->loop.After(kTick, [this] { this->Tick(); });
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Store
+//-----------------------------------------------------------------------------
+
+void PlatformShell::HandleStore(HttpServer& server,
+                                const HttpRequest& request) {
+  if (request.Is("POST", "/v1/rows-tx")) {
+    this->Transact(server, request);
+  } else if (request.Is("GET", "/v1/rows-get")) {
+    this->Read(server, request);
+  } else if (request.Is("GET", "/v1/rows-feed")) {
+    this->Feed(server, request);
+  } else if (request.Is("GET", "/v1/machines")) {
+    server.Reply(request.id, JsonReply(200, {{"Machines", Json::array()}}));
+  } else {
+    server.Reply(request.id, ErrorReply(404, "there is no such call"));
+  }
+}
+
+void PlatformShell::Transact(HttpServer& server, const HttpRequest& request) {
+  const Json body = Json::parse(request.body, nullptr, false);
+  if (!body.is_object()) {
+    server.Reply(request.id, ErrorReply(400, "the body is no object"));
+    return;
+  }
+  StoreTransaction transaction;
+  for (const Json& row : body.value("Precondition", Json::array())) {
+    transaction.conditions.emplace_back(
+        KeyOf(row), RowVersion(row.at("Ver").get<std::uint64_t>()));
+  }
+  for (const Json& row : body.value("Puts", Json::array())) {
+    transaction.puts.emplace_back(KeyOf(row), FromBase64(row.at("Value")));
+  }
+  for (const Json& row : body.value("Remove", Json::array())) {
+    transaction.removals.push_back(KeyOf(row));
+  }
+  const StoreReply reply = this->rows.Transact(transaction);
+  this->AnswerFeeds();
+  if (this->Chance(this->settings.lost_writes)) {
+    return;  // the connection stays silent
+  }
+  server.Reply(request.id,
+               JsonReply(reply.outcome == StoreOutcome::kOk ? 200 : 412,
+                         StoreJson(reply, this->loop.Now())));
+}
+
+void PlatformShell::Read(HttpServer& server, const HttpRequest& request) {
+  const StoreKey from{request.Parameter("Table").value_or(""),
+                      request.Parameter("part").value_or(""),
+                      request.Parameter("From").value_or("")};
+  const std::size_t most =
+      std::stoul(request.Parameter("Limit").value_or("500"));
+  const StoreReply reply =
+      this->rows.Read(from, request.Parameter("To").value_or(""), most);
+  server.Reply(request.id, JsonReply(200, StoreJson(reply, this->loop.Now())));
+}
+
+void PlatformShell::Feed(HttpServer& server, const HttpRequest& request) {
+  (void)server;
+  const Milliseconds wait(
+      std::stol(request.Parameter("WaitMs").value_or("0")));
+  this->feeds.push_back(
+      Waiting{request.id, request.Parameter("Table").value_or(""),
+              RowVersion(std::stoull(request.Parameter("After").value_or("0"))),
+              this->loop.Now() + wait});
+  this->AnswerFeeds();
+}
+
+void PlatformShell::AnswerFeeds() {
+  const Instant now = this->loop.Now();
+  std::erase_if(this->feeds, [&](const Waiting& waiting) {
+    const StoreReply reply = this->rows.Changes(waiting.table, waiting.after);
+    if (reply.rows.empty() && now < waiting.until) {
+      return false;
+    }
+    this->store->Reply(waiting.request, JsonReply(200, StoreJson(reply, now)));
+    return true;
+  });
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Workers
+//-----------------------------------------------------------------------------
+
+void PlatformShell::CheckStart(const TaskName& task, std::size_t index) const {
+  for (std::size_t other = 0; other < this->workers.size(); ++other) {
+    if (other != index && this->workers[other].model->Runs(task)) {
+      std::cout << "violation=two_runs task=" << TextOf(task) << " endpoints="
+                << this->workers[other].id.value << ","
+                << this->workers[index].id.value << std::endl;
+    }
+    for (const RunEnd& end : this->workers[other].model->Acknowledged()) {
+      if (end.task == task && end.kind == EndKind::kDone) {
+        std::cout << "violation=start_after_done task=" << TextOf(task)
+                  << " run=" << end.run << std::endl;
+      }
+    }
+  }
+}
+
+OrderReply PlatformShell::Start(std::size_t index,
+                                const StartRun& order,
+                                OwnerEpoch epoch,
+                                const std::string& payload) {
+  // The payload tells how the run behaves: {"ms":300,"cpu":1000}.
+  const Json behaviour = Json::parse(payload, nullptr, false);
+  WorkerTask task;
+  if (behaviour.is_object()) {
+    task.duration = Milliseconds(behaviour.value("ms", 300));
+    task.needs.milli_cores = behaviour.value("cpu", 1000);
+    task.ends = this->Chance(behaviour.value("fails", 0.0)) ? EndKind::kFailed
+                                                            : EndKind::kDone;
+  }
+  WorkerModel& model = *this->workers[index].model;
+  const bool before = model.Runs(order.task);
+  const OrderReply reply = model.Start(order, epoch, task, this->loop.Now());
+  if (reply == OrderReply::kDone && !before) {
+    this->CheckStart(order.task, index);
+    std::cout << "started job=" << order.task.job.value << std::endl;
+  }
+  return reply;
+}
+
+void PlatformShell::HandleWorker(std::size_t index,
+                                 HttpServer& server,
+                                 const HttpRequest& request) {
+  const Json body = Json::parse(request.body, nullptr, false);
+  if (!body.is_object()) {
+    server.Reply(request.id, ErrorReply(400, "the body is no object"));
+    return;
+  }
+  Worker& worker = this->workers[index];
+  const Instant now = this->loop.Now();
+  if (request.Header("expected-instance") != worker.id.value) {
+    server.Reply(request.id, JsonReply(421, Json::object()));
+    return;
+  }
+  const OwnerEpoch epoch(body.value("FenceToken", std::uint64_t{0}));
+  if (request.Is("POST", "/v1/hold")) {
+    WaitingLook waiting{request.id, index, {}, epoch, now};
+    waiting.look.acknowledged = body.value("AckCursor", EndNumber{0});
+    waiting.look.lease_until_ms = body.value("DeadlineMs", std::int64_t{0});
+    waiting.until += Milliseconds(body.value("WaitMs", 0));
+    // The lease counts from the arrival, not from the answer.
+    worker.model->Look(waiting.look, epoch, now);
+    this->looks.push_back(waiting);
+    this->AnswerLooks();
+    return;
+  }
+  OrderReply reply = OrderReply::kBadRequest;
+  if (request.Is("POST", "/v1/run-start")) {
+    StartRun order;
+    order.task = TaskOf(body.at("Task"));
+    order.run = body.at("Run");
+    order.lease_until_ms = body.at("DeadlineMs");
+    reply = this->Start(index, order, epoch, body.value("Spec", ""));
+  } else if (request.Is("POST", "/v1/run-stop")) {
+    StopRun order;
+    order.task = TaskOf(body.at("Task"));
+    order.run = body.at("Run");
+    reply = worker.model->Stop(order, epoch, now);
+  }
+  if (this->Chance(this->settings.lost_orders)) {
+    return;  // the connection stays silent
+  }
+  const auto report = worker.model->Look(LookAt{}, epoch, now);
+  server.Reply(request.id, OrderAnswer(reply, report ? report->clock_ms : 0));
+}
+
+void PlatformShell::AnswerLooks() {
+  const Instant now = this->loop.Now();
+  std::erase_if(this->looks, [&](const WaitingLook& waiting) {
+    Worker& worker = this->workers[waiting.worker];
+    LookAt look = waiting.look;
+    look.lease_until_ms = 0;
+    const auto report = worker.model->Look(look, waiting.epoch, now);
+    if (report && report->ended.empty() && now < waiting.until) {
+      return false;
+    }
+    worker.server->Reply(waiting.request,
+                         report ? JsonReply(200, ReportJson(*report))
+                                : OrderAnswer(OrderReply::kFenced, 0));
+    return true;
+  });
+}
+
+}  // namespace peridot::stand_ins
--- /dev/null
+++ b/stand_ins/stand_in_platform_main.cc
@@ -0,0 +1,54 @@
+// The users' platform for runs of real daemons: store and workers.
+//
+// stand_in_platform [--workers N] [--cores N] [--lost-orders X]
+//                   [--lost-writes X] [--seed N]
+//
+// Prints "listening port=N", the store's port; workers listen on ports of their
+// own, which their rows name.
+
+#include <boost/program_options.hpp>
+#include <iostream>
+
+#include "stand_ins/platform_shell.h"
+
+namespace peridot::stand_ins {
+namespace {
+
+int Main(int argc, char** argv) {
+  namespace po = boost::program_options;
+  PlatformShellSettings settings;
+  po::options_description options("stand_in_platform");
+  options.add_options()("workers",
+                        po::value(&settings.workers)->default_value(6),
+                        "number of workers")(
+      "cores", po::value(&settings.cores)->default_value(8),
+      "cores of each worker")(
+      "lost-orders", po::value(&settings.lost_orders)->default_value(0),
+      "share of orders carried out without an answer")(
+      "lost-writes", po::value(&settings.lost_writes)->default_value(0),
+      "share of writes done without an answer")(
+      "seed", po::value(&settings.seed)->default_value(1), "of these chances");
+  const CommandLine line = ParseCommandLine(argc, argv, options);
+  if (line.exit_code) {
+    return *line.exit_code;
+  }
+  const auto loop = ShellLoop::Create();
+  if (!loop) {
+    return ReportFailure(loop.error());
+  }
+  PlatformShell shell(*loop.value(), settings);
+  const auto listening = shell.Listen();
+  if (!listening) {
+    return ReportFailure(listening.error());
+  }
+  AnnounceListening(shell.StorePort());
+  loop.value()->Run();
+  return EXIT_SUCCESS;
+}
+
+}  // namespace
+}  // namespace peridot::stand_ins
+
+int main(int argc, char** argv) {
+  return peridot::stand_ins::Main(argc, argv);
+}
--- /dev/null
+++ b/tests/soak/platform_soak_main.cc
@@ -0,0 +1,503 @@
+// A randomized soak of the daemon on the users' platform: real processes,
+// faults from outside of them, and promises checked while they run.
+//
+// platform_soak [--seed N] [--seeds COUNT] [--seconds S] [--keep DIR]
+//
+// Four daemons in two zones reach the platform's stand-in each by a proxy of
+// its own. Callers submit jobs, repeat what was not answered, and read states.
+// Faults come at random and overlap: processes are killed, paused and asked to
+// stop, connections to the store are silenced, slowed, cut one way and reset.
+// Then everything heals, and every accepted job has to be final.
+//
+// Checked: no task runs twice or starts after it was done (the stand-in sees
+// it), no job that was refused ever starts, no accepted job is unknown, a final
+// state never changes, all accepted jobs become final.
+
+#include <arpa/inet.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <boost/program_options.hpp>
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "src/transport/event_loop.h"
+#include "src/transport/http_client.h"
+#include "tests/soak/proxy.h"
+#include "tests/support/process.h"
+
+namespace peridot::soak {
+namespace {
+
+using std::chrono::milliseconds;
+using testing::Process;
+using testing::ProgramPath;
+
+constexpr int kDaemons = 4;
+constexpr milliseconds kSubmitEvery{25};
+constexpr milliseconds kReadEvery{15};
+// The platform's bound on when an accepted job must be visible everywhere.
+constexpr milliseconds kVisible{3000};
+// Far beyond the failover and lease times; a job that needs longer is lost.
+constexpr milliseconds kSettle{60000};
+constexpr milliseconds kCallTimeout{3000};
+constexpr int kTries = 8;
+
+// A port that is free now; the daemons bind theirs a moment later.
+std::uint16_t FreePort() {
+  const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(address);
+  if (bind(descriptor, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
+      getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size) !=
+          0) {
+    std::abort();
+  }
+  close(descriptor);
+  return ntohs(address.sin_port);
+}
+
+struct Daemon {
+  std::string name;
+  std::string settings;  // path of its file
+  std::uint16_t callers = 0;
+  std::unique_ptr<Proxy> store;
+  std::unique_ptr<Process> process;
+  std::vector<std::string> log;  // of earlier processes
+  bool paused = false;
+};
+
+struct Job {
+  int tries = 0;
+  bool accepted = false;
+  bool refused = false;    // each answer said that it has not run
+  bool uncertain = false;  // a try got no answer
+  Instant accepted_at{};
+  std::string final_state;  // empty: not final yet
+};
+
+class Soak {
+ public:
+  Soak(unsigned seed, milliseconds length, std::filesystem::path folder)
+      : seed(seed),
+        length(length),
+        folder(std::move(folder)),
+        random(seed),
+        loop(std::move(EventLoop::Create(this->clock).value())),
+        client(this->loop.get(), HttpClientOptions{}) {}
+
+  // Returns whether all promises held.
+  bool Run();
+  int Accepted() const;
+  int Faults() const { return this->faults; }
+  void KeepLogs(const std::filesystem::path& target);
+
+ private:
+  int Between(int from, int to) {
+    return std::uniform_int_distribution<int>(from, to)(this->random);
+  }
+  Daemon& AnyDaemon() {
+    return this->daemons[static_cast<std::size_t>(Between(0, kDaemons - 1))];
+  }
+  void Broken(const std::string& what) {
+    std::cout << "broken seed=" << this->seed << ' ' << what << std::endl;
+    this->ok = false;
+  }
+  void StartDaemon(Daemon* daemon);
+  void StopProcess(Daemon* daemon);
+  void Prepare();
+  void SubmitSome();
+  void Submit(const std::string& id, const std::string& body);
+  void ReadSome();
+  void OnState(const std::string& id, const HttpOutcome& outcome);
+  void FaultSome();
+  void HealAll();
+  void Judge();
+
+  unsigned seed;
+  milliseconds length;
+  std::filesystem::path folder;
+  std::mt19937 random;
+  SystemClock clock;
+  std::unique_ptr<EventLoop> loop;
+  HttpClient client;
+  std::unique_ptr<Process> platform;
+  std::vector<Daemon> daemons;
+  std::map<std::string, Job> jobs;
+  bool submitting = true;
+  bool faulting = true;
+  bool reading = true;
+  int faults = 0;
+  bool ok = true;
+};
+
+//-----------------------------------------------------------------------------
+// Processes
+//-----------------------------------------------------------------------------
+
+void Soak::Prepare() {
+  this->platform =
+      Process::Start(ProgramPath("stand_in_platform"),
+                     {"--seed", std::to_string(this->seed), "--lost-orders",
+                      std::to_string(0.01 * Between(0, 4)), "--lost-writes",
+                      std::to_string(0.01 * Between(0, 3))})
+          .value();
+  const std::uint16_t store = this->platform->ReadPort().value();
+  for (int i = 0; i < kDaemons; ++i) {
+    Daemon& daemon = this->daemons.emplace_back();
+    daemon.name = "d" + std::to_string(i);
+    daemon.callers = FreePort();
+    daemon.store = std::make_unique<Proxy>(this->loop.get(), store);
+    daemon.settings = this->folder / (daemon.name + ".yaml");
+    const std::string address =
+        "127.0.0.1:" + std::to_string(daemon.store->Port());
+    std::ofstream(daemon.settings)
+        << "Node: " << daemon.name << "\nZone: z" << 1 + i % 2
+        << "\nIp: 127.0.0.1\nListenAddrs:\n  Frontend: 127.0.0.1:"
+        << daemon.callers << "\n  Ready: 127.0.0.1:" << FreePort()
+        << "\nInternalPorts: [" << FreePort() << "]\nLimits: {CpuShare: "
+        << (i == 0 ? 0.5 : 0.25) << ", Cores: 1}\nBounds: {GraceS: 3}\n"
+        << "platform: {Address: \"" << address << "\"}\n"
+        << "CloudApi: {Address: \"" << address << "\"}\n";
+    this->StartDaemon(&daemon);
+  }
+}
+
+void Soak::StartDaemon(Daemon* daemon) {
+  daemon->process = Process::Start(ProgramPath("peridotd_platform"),
+                                   {"--settings", daemon->settings})
+                        .value();
+}
+
+void Soak::StopProcess(Daemon* daemon) {
+  if (daemon->process == nullptr) {
+    return;
+  }
+  daemon->process->Signal(SIGKILL);
+  daemon->process->Wait();
+  for (std::string& line : daemon->process->Lines()) {
+    daemon->log.push_back(std::move(line));
+  }
+  daemon->process.reset();
+  daemon->paused = false;
+}
+
+//-----------------------------------------------------------------------------
+// Callers
+//-----------------------------------------------------------------------------
+
+void Soak::SubmitSome() {
+  if (!this->submitting) {
+    return;
+  }
+  char id[17];
+  std::snprintf(id, sizeof(id), "%08x%08x", this->seed,
+                static_cast<unsigned>(this->jobs.size()));
+  nlohmann::json steps = nlohmann::json::array();
+  for (int step = 0, count = Between(1, 2); step < count; ++step) {
+    steps.push_back({{"Count", Between(1, 3)},
+                     {"Cpu", 1000},
+                     {"MemMb", 100},
+                     {"EstimateMs", 200}});
+    if (step > 0) {
+      steps.back()["After"] = {step - 1};
+    }
+  }
+  const nlohmann::json spec{{"ms", Between(30, 400)}, {"cpu", 1000}};
+  const nlohmann::json body{{"Spec", spec.dump()}, {"Steps", steps}};
+  this->jobs[id];
+  this->Submit(id, body.dump());
+  this->loop->After(kSubmitEvery, [this] { this->SubmitSome(); });
+}
+
+void Soak::Submit(const std::string& id, const std::string& body) {
+  HttpRequest request;
+  request.method = HttpMethod::kPost;
+  request.path = "/jobs/" + id;
+  request.body = body;
+  request.timeout = kCallTimeout;
+  ++this->jobs[id].tries;
+  this->client.Send(
+      HttpPeer{"127.0.0.1", this->AnyDaemon().callers}, std::move(request),
+      [this, id, body](const HttpOutcome& outcome) {
+        Job& job = this->jobs[id];
+        if (outcome.Answered() && outcome.status == 200) {
+          job.accepted = true;
+          job.accepted_at = this->loop->Now();
+          return;
+        }
+        const bool refused = outcome.Answered() && outcome.status == 503;
+        const bool unsent = outcome.delivery == Delivery::kNeverSent;
+        job.uncertain = job.uncertain || !(refused || unsent);
+        // A job that was refused for certain is left alone: it must not run.
+        if (refused && !job.uncertain && Between(0, 3) == 0) {
+          job.refused = true;
+          return;
+        }
+        if (job.tries < kTries) {
+          this->loop->After(milliseconds(200),
+                            [this, id, body] { this->Submit(id, body); });
+        }
+      });
+}
+
+void Soak::ReadSome() {
+  if (!this->reading) {
+    return;
+  }
+  this->loop->After(kReadEvery, [this] { this->ReadSome(); });
+  if (this->jobs.empty()) {
+    return;
+  }
+  auto chosen = this->jobs.begin();
+  std::advance(chosen, Between(0, static_cast<int>(this->jobs.size()) - 1));
+  // Prefers jobs that are not known to be final.
+  for (auto job = chosen; job != this->jobs.end(); ++job) {
+    if (job->second.accepted && job->second.final_state.empty()) {
+      chosen = job;
+      break;
+    }
+  }
+  const auto& [id, job] = *chosen;
+  if (!job.accepted || this->loop->Now() - job.accepted_at < kVisible) {
+    return;
+  }
+  HttpRequest request;
+  request.path = "/jobs/" + id;
+  request.timeout = kCallTimeout;
+  this->client.Send(
+      HttpPeer{"127.0.0.1", this->AnyDaemon().callers}, std::move(request),
+      [this, id = id](const HttpOutcome& outcome) { this->OnState(id, outcome); });
+}
+
+void Soak::OnState(const std::string& id, const HttpOutcome& outcome) {
+  if (!outcome.Answered()) {
+    return;
+  }
+  if (outcome.status == 410) {
+    this->Broken("accepted_job_unknown job=" + id);
+    return;
+  }
+  const auto body = nlohmann::json::parse(outcome.body, nullptr, false);
+  if (outcome.status != 200 || !body.is_object()) {
+    return;
+  }
+  const std::string state = body.value("State", "");
+  Job& job = this->jobs[id];
+  if (!job.final_state.empty() && state != job.final_state) {
+    this->Broken("final_state_changed job=" + id + " from=" + job.final_state +
+                 " to=" + state);
+  }
+  if (state == "failed" || state == "cancelled") {
+    this->Broken("failed_without_cause job=" + id + " state=" + state);
+  }
+  if (state == "completed") {
+    job.final_state = state;
+  }
+}
+
+//-----------------------------------------------------------------------------
+// Faults
+//-----------------------------------------------------------------------------
+
+void Soak::FaultSome() {
+  if (!this->faulting) {
+    return;
+  }
+  this->loop->After(milliseconds(Between(100, 900)),
+                    [this] { this->FaultSome(); });
+  Daemon* const daemon = &this->AnyDaemon();
+  ++this->faults;
+  const milliseconds time(Between(200, 3500));
+  const auto disturb = [&](ProxyMode mode) {
+    daemon->store->SetMode(mode);
+    this->loop->After(time,
+                      [daemon] { daemon->store->SetMode(ProxyMode::kPass); });
+  };
+  switch (Between(0, 6)) {
+    case 0:
+      this->StopProcess(daemon);
+      this->loop->After(milliseconds(Between(50, 1500)), [this, daemon] {
+        if (daemon->process == nullptr) {
+          this->StartDaemon(daemon);
+        }
+      });
+      return;
+    case 1:
+      if (daemon->process != nullptr) {
+        daemon->process->Signal(SIGSTOP);
+        this->loop->After(time, [daemon] {
+          if (daemon->process != nullptr) {
+            daemon->process->Signal(SIGCONT);
+          }
+        });
+      }
+      return;
+    case 2:
+      // Asked to stop, and killed only after its grace period.
+      if (daemon->process != nullptr) {
+        daemon->process->Signal(SIGTERM);
+        this->loop->After(milliseconds(3500), [this, daemon] {
+          this->StopProcess(daemon);
+          this->StartDaemon(daemon);
+        });
+      }
+      return;
+    case 3:
+      return disturb(ProxyMode::kSilent);
+    case 4:
+      return disturb(ProxyMode::kAnswersLost);
+    case 5:
+      return disturb(ProxyMode::kSlow);
+    default:
+      daemon->store->Reset();
+  }
+}
+
+void Soak::HealAll() {
+  this->faulting = this->submitting = false;
+  // Timers of faults that are under way end within this time.
+  const Instant end = this->loop->Now() + milliseconds(4500);
+  this->loop->RunUntil([&] { return this->loop->Now() >= end; },
+                       milliseconds(9000));
+  for (Daemon& daemon : this->daemons) {
+    daemon.store->SetMode(ProxyMode::kPass);
+    // One that ended by itself has broken its promise to run.
+    if (daemon.process != nullptr && daemon.process->Wait(milliseconds(0))) {
+      this->Broken("daemon_ended name=" + daemon.name);
+      daemon.process.reset();
+    }
+    if (daemon.process == nullptr) {
+      this->StartDaemon(&daemon);
+    } else {
+      daemon.process->Signal(SIGCONT);
+    }
+  }
+}
+
+void Soak::Judge() {
+  for (const auto& [id, job] : this->jobs) {
+    if (job.accepted && job.final_state.empty()) {
+      this->Broken("accepted_job_not_final job=" + id);
+    }
+    if (job.refused &&
+        this->platform->WaitForLine("started job=" + id, milliseconds(0))) {
+      this->Broken("refused_job_ran job=" + id);
+    }
+  }
+  for (const std::string& line : this->platform->Lines()) {
+    if (line.starts_with("violation=")) {
+      this->Broken(line);
+    }
+  }
+}
+
+bool Soak::Run() {
+  this->Prepare();
+  this->SubmitSome();
+  this->ReadSome();
+  // The first configuration reaches all daemons before the faults begin.
+  this->loop->After(milliseconds(2000), [this] { this->FaultSome(); });
+  const Instant end = this->loop->Now() + this->length;
+  this->loop->RunUntil([&] { return this->loop->Now() >= end; },
+                       this->length + milliseconds(30000));
+  this->HealAll();
+  this->loop->RunUntil(
+      [&] {
+        return std::all_of(this->jobs.begin(), this->jobs.end(),
+                           [](const auto& entry) {
+                             return !entry.second.accepted ||
+                                    !entry.second.final_state.empty();
+                           });
+      },
+      kSettle);
+  this->reading = false;
+  this->Judge();
+  return this->ok;
+}
+
+int Soak::Accepted() const {
+  return static_cast<int>(
+      std::count_if(this->jobs.begin(), this->jobs.end(),
+                    [](const auto& entry) { return entry.second.accepted; }));
+}
+
+void Soak::KeepLogs(const std::filesystem::path& target) {
+  std::filesystem::create_directories(target);
+  for (Daemon& daemon : this->daemons) {
+    this->StopProcess(&daemon);
+    std::ofstream file(target / (daemon.name + ".log"));
+    for (const std::string& line : daemon.log) {
+      file << line << '\n';
+    }
+  }
+  std::ofstream file(target / "platform.log");
+  for (const std::string& line : this->platform->Lines()) {
+    file << line << '\n';
+  }
+}
+
+int Main(int argc, char** argv) {
+  namespace po = boost::program_options;
+  po::options_description options("platform_soak");
+  unsigned seed = 1;
+  unsigned seeds = 1;
+  int seconds = 10;
+  std::string keep;
+  options.add_options()("help,h", "print this text")(
+      "seed", po::value(&seed)->default_value(seed), "first seed")(
+      "seeds", po::value(&seeds)->default_value(seeds), "number of seeds")(
+      "seconds", po::value(&seconds)->default_value(seconds),
+      "time of faults, of each seed")(
+      "keep", po::value(&keep), "folder for the logs of seeds that failed");
+  po::variables_map values;
+  po::store(po::parse_command_line(argc, argv, options), values);
+  po::notify(values);
+  if (values.count("help") > 0) {
+    std::cout << options;
+    return EXIT_SUCCESS;
+  }
+  unsigned failed = 0;
+  for (unsigned i = 0; i < seeds; ++i) {
+    const std::filesystem::path folder =
+        std::filesystem::temp_directory_path() /
+        ("peridot_soak_" + std::to_string(getpid()) + "_" +
+         std::to_string(seed + i));
+    std::filesystem::create_directories(folder);
+    {
+      Soak soak(seed + i, std::chrono::seconds(seconds), folder);
+      const bool ok = soak.Run();
+      failed += ok ? 0 : 1;
+      std::cout << "soak seed=" << seed + i << " accepted=" << soak.Accepted()
+                << " faults=" << soak.Faults() << " ok=" << (ok ? "yes" : "no")
+                << std::endl;
+      if (!ok && !keep.empty()) {
+        soak.KeepLogs(std::filesystem::path(keep) / std::to_string(seed + i));
+      }
+    }
+    std::filesystem::remove_all(folder);
+  }
+  std::cout << "result soak seeds=" << seeds << " failed=" << failed
+            << std::endl;
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+}  // namespace
+}  // namespace peridot::soak
+
+int main(int argc, char** argv) {
+  return peridot::soak::Main(argc, argv);
+}
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -155,6 +155,12 @@
     return found;
   }
 
+  // Returns all lines of the output so far.
+  std::vector<std::string> Lines() {
+    const std::scoped_lock lock(this->mutex);
+    return this->lines;
+  }
+
   // Returns the port that a line "listening port=N" names.
   // Errors: kUnavailable (no such line), kMalformed.
   Result<std::uint16_t> ReadPort() {
