--- a/stand_ins/platform_shell.cc
+++ b/stand_ins/platform_shell.cc
@@ -228,6 +228,9 @@
     this->Feed(server, request);
   } else if (request.Is("GET", "/v1/machines")) {
     server.Reply(request.id, JsonReply(200, {{"Machines", Json::array()}}));
+  } else if (request.Is("POST", "/control/silence")) {
+    this->Silence(request);
+    server.Reply(request.id, JsonReply(200, Json::object()));
   } else {
     server.Reply(request.id, ErrorReply(404, "there is no such call"));
   }
@@ -314,6 +317,16 @@
   }
 }
 
+void PlatformShell::Silence(const HttpRequest& request) {
+  const std::size_t index =
+      std::stoul(request.Parameter("worker").value_or("0"));
+  Worker& worker = this->workers.at(index % this->workers.size());
+  worker.silent_until =
+      this->loop.Now() +
+      Milliseconds(std::stol(request.Parameter("ms").value_or("0")));
+  worker.obeys_silently = request.Parameter("obeys").has_value();
+}
+
 OrderReply PlatformShell::Start(std::size_t index,
                                 const StartRun& order,
                                 OwnerEpoch epoch,
@@ -347,6 +360,10 @@
   }
   Worker& worker = this->workers[index];
   const Instant now = this->loop.Now();
+  const bool silent = now < worker.silent_until;
+  if (silent && !worker.obeys_silently) {
+    return;  // the connection stays silent
+  }
   if (request.Header("expected-instance") != worker.id.value) {
     server.Reply(request.id, JsonReply(421, Json::object()));
     return;
@@ -376,7 +393,7 @@
     order.run = body.at("Run");
     reply = worker.model->Stop(order, epoch, now);
   }
-  if (this->Chance(this->settings.lost_orders)) {
+  if (silent || this->Chance(this->settings.lost_orders)) {
     return;  // the connection stays silent
   }
   const auto report = worker.model->Look(LookAt{}, epoch, now);
@@ -387,6 +404,9 @@
   const Instant now = this->loop.Now();
   std::erase_if(this->looks, [&](const WaitingLook& waiting) {
     Worker& worker = this->workers[waiting.worker];
+    if (now < worker.silent_until) {
+      return false;
+    }
     LookAt look = waiting.look;
     look.lease_until_ms = 0;
     const auto report = worker.model->Look(look, waiting.epoch, now);
--- a/stand_ins/platform_shell.h
+++ b/stand_ins/platform_shell.h
@@ -54,6 +54,8 @@
     EndpointId id;
     std::unique_ptr<WorkerModel> model;
     std::unique_ptr<HttpServer> server;
+    Instant silent_until{};      // answers nothing before
+    bool obeys_silently = false;  // carries orders out meanwhile
   };
   struct Waiting {
     RequestNumber request = 0;
@@ -80,6 +82,8 @@
                    const StartRun& order,
                    OwnerEpoch epoch,
                    const std::string& payload);
+  // Control call of a test: a worker is cut off, or only its answers are lost.
+  void Silence(const HttpRequest& request);
   void AnswerLooks();
   void AnswerFeeds();
   void Tick();
--- a/tests/soak/platform_soak_main.cc
+++ b/tests/soak/platform_soak_main.cc
@@ -6,7 +6,8 @@
 // Four daemons in two zones reach the platform's stand-in each by a proxy of
 // its own. Callers submit jobs, repeat what was not answered, and read states.
 // Faults come at random and overlap: processes are killed, paused and asked to
-// stop, connections to the store are silenced, slowed, cut one way and reset.
+// stop, connections to the store are silenced, slowed, cut one way and reset,
+// workers fall silent and run on.
 // Then everything heals, and every accepted job has to be final.
 //
 // Checked: no task runs twice or starts after it was done (the stand-in sees
@@ -124,6 +125,7 @@
   void ReadSome();
   void OnState(const std::string& id, const HttpOutcome& outcome);
   void FaultSome();
+  void SilenceWorker();
   void HealAll();
   void Judge();
 
@@ -135,6 +137,7 @@
   std::unique_ptr<EventLoop> loop;
   HttpClient client;
   std::unique_ptr<Process> platform;
+  std::uint16_t store = 0;
   std::vector<Daemon> daemons;
   std::map<std::string, Job> jobs;
   bool submitting = true;
@@ -155,12 +158,12 @@
                       std::to_string(0.01 * Between(0, 4)), "--lost-writes",
                       std::to_string(0.01 * Between(0, 3))})
           .value();
-  const std::uint16_t store = this->platform->ReadPort().value();
+  this->store = this->platform->ReadPort().value();
   for (int i = 0; i < kDaemons; ++i) {
     Daemon& daemon = this->daemons.emplace_back();
     daemon.name = "d" + std::to_string(i);
     daemon.callers = FreePort();
-    daemon.store = std::make_unique<Proxy>(this->loop.get(), store);
+    daemon.store = std::make_unique<Proxy>(this->loop.get(), this->store);
     daemon.settings = this->folder / (daemon.name + ".yaml");
     const std::string address =
         "127.0.0.1:" + std::to_string(daemon.store->Port());
@@ -327,7 +330,7 @@
     this->loop->After(time,
                       [daemon] { daemon->store->SetMode(ProxyMode::kPass); });
   };
-  switch (Between(0, 6)) {
+  switch (Between(0, 8)) {
     case 0:
       this->StopProcess(daemon);
       this->loop->After(milliseconds(Between(50, 1500)), [this, daemon] {
@@ -362,17 +365,36 @@
       return disturb(ProxyMode::kAnswersLost);
     case 5:
       return disturb(ProxyMode::kSlow);
-    default:
+    case 6:
       daemon->store->Reset();
+      return;
+    default:
+      this->SilenceWorker();
   }
 }
 
+void Soak::SilenceWorker() {
+  // Up to beyond the time after which the lease of its work has lapsed.
+  HttpRequest request;
+  request.method = HttpMethod::kPost;
+  request.path = "/control/silence?worker=" + std::to_string(Between(0, 99)) +
+                 "&ms=" + std::to_string(Between(300, 7000)) +
+                 (Between(0, 1) == 0 ? "&obeys=1" : "");
+  request.timeout = kCallTimeout;
+  this->client.Send(HttpPeer{"127.0.0.1", this->store}, std::move(request),
+                    [this](const HttpOutcome& outcome) {
+                      if (!outcome.Answered()) {
+                        this->Broken("stand_in_silent");
+                      }
+                    });
+}
+
 void Soak::HealAll() {
   this->faulting = this->submitting = false;
   // Timers of faults that are under way end within this time.
-  const Instant end = this->loop->Now() + milliseconds(4500);
+  const Instant end = this->loop->Now() + milliseconds(7500);
   this->loop->RunUntil([&] { return this->loop->Now() >= end; },
-                       milliseconds(9000));
+                       milliseconds(15000));
   for (Daemon& daemon : this->daemons) {
     daemon.store->SetMode(ProxyMode::kPass);
     // One that ended by itself has broken its promise to run.
