--- a/src/coordination/host_planner.h
+++ b/src/coordination/host_planner.h
@@ -46,7 +46,7 @@
 
   // Time a host may stand idle in its pool before it moves to the spare pool:
   // two moves cost about as much as this time in a pool.
-  Milliseconds idle_before_spare{1200};  // default: 1200 ms
+  Milliseconds idle_before_spare{700};  // default: 700 ms
   // A pool that lacks room for this long gets hosts; shorter peaks pass.
   Milliseconds shortage{150};  // default: 150 ms
   // Time in which the hosts of a pool should work its backlog off.
