--- a/bench/job_scheduler_bench.cc
+++ b/bench/job_scheduler_bench.cc
@@ -51,22 +51,23 @@
     for (int i = 0; i < kServices; ++i) {
       const ServiceId service("s" + std::to_string(i));
       const std::string queue = "q" + std::to_string(i);
-      config.queues[queue] = QueueConfig{
-          .name = queue, .service = service, .stretch = 1.6};
+      config.queues[queue] =
+          QueueConfig{.name = queue, .service = service, .stretch = 1.6};
       config.services[service] = ServiceConfig{};
     }
     this->scheduler.OnFleetConfig(config);
     std::vector<EndpointRow> rows;
+    rows.reserve(static_cast<std::size_t>(endpoints));
     for (int i = 0; i < endpoints; ++i) {
-      rows.push_back(EndpointRow{
-          .id = EndpointId("e" + std::to_string(i)),
-          .born_ms = 1,
-          .service = ServiceId("s" + std::to_string(i % kServices)),
-          .zone = ZoneId("z" + std::to_string(i % 3)),
-          .address = "10.0.0.1:" + std::to_string(1000 + i),
-          .ready = true,
-          .capacity = Resources{64000, 262144, 0},
-          .labels = {"a", "r" + std::to_string(i / 8)}});
+      rows.push_back(
+          EndpointRow{.id = EndpointId("e" + std::to_string(i)),
+                      .born_ms = 1,
+                      .service = ServiceId("s" + std::to_string(i % kServices)),
+                      .zone = ZoneId("z" + std::to_string(i % 3)),
+                      .address = "10.0.0.1:" + std::to_string(1000 + i),
+                      .ready = true,
+                      .capacity = Resources{64000, 262144, 0},
+                      .labels = {"a", "r" + std::to_string(i / 8)}});
     }
     this->scheduler.OnEndpoints(rows, this->now);
     this->jobs_a_second = load * endpoints / 4.0;
@@ -88,6 +89,10 @@
   int tasks_ended = 0;
 
  private:
+  std::int64_t Between(std::int64_t from, std::int64_t to) {
+    return std::uniform_int_distribution<std::int64_t>(from, to)(this->random);
+  }
+
   void Submit(int ms) {
     const int turn = ms * kServices / kPeriodMs % kServices;
     std::poisson_distribution<int> arrivals(this->jobs_a_second * kRoundMs /
@@ -102,8 +107,8 @@
       for (int step = 0; step < steps; ++step) {
         StepSpec& spec = job.spec.steps.emplace_back();
         spec.task_count = 1 + static_cast<int>(this->random() % 15);
-        spec.per_task.milli_cores = 2000 + this->random() % 8000;
-        spec.per_task.memory_mb = 5000 + this->random() % 30000;
+        spec.per_task.milli_cores = this->Between(2000, 9999);
+        spec.per_task.memory_mb = this->Between(5000, 34999);
         spec.estimate = milliseconds(400 + this->random() % 1200);
         if (step > 0) {
           spec.after = {step - 1};
@@ -118,9 +123,8 @@
     std::map<EndpointId, EndpointReportRows> reports;
     while (!this->endings.empty() && this->endings.top().at <= this->now) {
       const Ending& ending = this->endings.top();
-      reports[ending.endpoint].ended.push_back(
-          RunEnd{++this->last_end, ending.task, ending.run, EndKind::kDone,
-                 ""});
+      reports[ending.endpoint].ended.push_back(RunEnd{
+          ++this->last_end, ending.task, ending.run, EndKind::kDone, ""});
       this->endings.pop();
       ++this->tasks_ended;
     }
@@ -143,9 +147,9 @@
     }
     for (const StartRun& start : actions.starts) {
       this->scheduler.OnStartReply(start, OrderReply::kDone, this->now);
-      this->endings.push(Ending{
-          this->now + milliseconds(300 + this->random() % 1200),
-          start.target.endpoint, start.task, start.run});
+      this->endings.push(
+          Ending{this->now + milliseconds(300 + this->random() % 1200),
+                 start.target.endpoint, start.task, start.run});
     }
     const RecordBatch batch = this->scheduler.TakeBatch(80);
     this->scheduler.OnRecorded(batch.number, true, this->now);
--- a/src/coordination/host_planner.cc
+++ b/src/coordination/host_planner.cc
@@ -384,16 +384,15 @@
     return std::to_string(static_cast<std::int64_t>(cores));
   };
   for (const auto& [service, pool] : this->pools) {
-    this->decisions.push_back(
-        "decision=pool service=" + service.value +
-        " hosts=" + std::to_string(pool.hosts) +
-        " coming=" + std::to_string(pool.coming) +
-        " idle=" + std::to_string(pool.idle) +
-        " capacity_cores=" + rounded(pool.capacity) +
-        " wanted_cores=" + rounded(pool.wanted) +
-        " recent_cores=" + rounded(pool.recent) +
-        " rate_cores=" + rounded(pool.rate) +
-        " waiting_core_s=" + rounded(pool.waiting));
+    this->decisions.push_back("decision=pool service=" + service.value +
+                              " hosts=" + std::to_string(pool.hosts) +
+                              " coming=" + std::to_string(pool.coming) +
+                              " idle=" + std::to_string(pool.idle) +
+                              " capacity_cores=" + rounded(pool.capacity) +
+                              " wanted_cores=" + rounded(pool.wanted) +
+                              " recent_cores=" + rounded(pool.recent) +
+                              " rate_cores=" + rounded(pool.rate) +
+                              " waiting_core_s=" + rounded(pool.waiting));
   }
 }
 
@@ -414,14 +413,15 @@
       samples.begin(), samples.end(), [&](const ArrivalSample& sample) {
         return now - sample.at <= this->config.onset_window;
       });
-  const bool onset = load.arrived_jobs - recent->jobs >= this->config.onset_jobs;
-  return onset ? std::max(rate, over(*recent, this->config.onset_window)) : rate;
+  const bool onset =
+      load.arrived_jobs - recent->jobs >= this->config.onset_jobs;
+  return onset ? std::max(rate, over(*recent, this->config.onset_window))
+               : rate;
 }
 
-HostPlanner::HostRecord* HostPlanner::HostFor(
-    const ServiceId& pool,
-    const std::set<ZoneId>& zones_out,
-    Instant now) {
+HostPlanner::HostRecord* HostPlanner::HostFor(const ServiceId& pool,
+                                              const std::set<ZoneId>& zones_out,
+                                              Instant now) {
   // A host that stands idle in another pool costs as much to move as one of
   // the spare pool, and costs no more time afterwards.
   HostRecord* best = nullptr;
--- a/src/coordination/host_planner.h
+++ b/src/coordination/host_planner.h
@@ -189,7 +189,7 @@
   struct PoolHistory {
     std::deque<std::pair<Instant, double>> wanted;
     std::deque<ArrivalSample> arrived;
-    Instant short_since{};                           // zero: the pool has room
+    Instant short_since{};  // zero: the pool has room
   };
   using EndpointMap = std::map<EndpointId, const EndpointSummary*>;
 
--- a/src/coordination/job_scheduler.cc
+++ b/src/coordination/job_scheduler.cc
@@ -580,10 +580,9 @@
       continue;
     }
     ServiceDemand& service = demand[this->state->ServiceOf(*job)];
-    double& waiting =
-        this->state->UrgencyOf(*job, now) == Urgency::kHopeless
-            ? service.hopeless_core_seconds
-            : service.waiting_core_seconds;
+    double& waiting = this->state->UrgencyOf(*job, now) == Urgency::kHopeless
+                          ? service.hopeless_core_seconds
+                          : service.waiting_core_seconds;
     for (const ScheduledOccurrence& occurrence : job->occurrences) {
       for (const ScheduledStep& step : occurrence.steps) {
         const double cores =
@@ -599,8 +598,7 @@
           } else if (task.phase != TaskPhase::kDone &&
                      step.ready_since != kNever) {
             const auto expected = this->state->ExpectedDuration(step);
-            waiting +=
-                cores * std::chrono::duration<double>(expected).count();
+            waiting += cores * std::chrono::duration<double>(expected).count();
           }
         }
       }
@@ -640,8 +638,7 @@
     if (jobs.size() == limit) {
       break;
     }
-    jobs.push_back(
-        ClosableJob{job->accepted.id, job->version, job->recorded});
+    jobs.push_back(ClosableJob{job->accepted.id, job->version, job->recorded});
   }
   return jobs;
 }
--- a/src/coordination/job_scheduler.h
+++ b/src/coordination/job_scheduler.h
@@ -228,8 +228,8 @@
   double waiting_core_seconds = 0;  // default: 0; ready and not started
   // As above, of jobs that are too late to be worth anything to their callers.
   double hopeless_core_seconds = 0;  // default: 0
-  double used_cores = 0;            // default: 0; running now
-  double lasting_cores = 0;         // default: 0; of these, work that lasts
+  double used_cores = 0;             // default: 0; running now
+  double lasting_cores = 0;          // default: 0; of these, work that lasts
   int starved_jobs = 0;  // ready for long, and no endpoint would accept them
   double arrived_core_seconds = 0;  // default: 0; since the takeover
   int arrived_jobs = 0;             // default: 0; likewise
--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -93,10 +93,10 @@
   Instant arrived{};
   bool before_takeover = false;
   bool cancelled = false;
-  bool begun = false;     // an endpoint has confirmed or listed a run
-  bool active = true;     // in State::active
-  bool closed = false;    // its row holds nothing but the final state
-  bool dirty = false;  // progress not recorded yet; in State::dirty
+  bool begun = false;   // an endpoint has confirmed or listed a run
+  bool active = true;   // in State::active
+  bool closed = false;  // its row holds nothing but the final state
+  bool dirty = false;   // progress not recorded yet; in State::dirty
   JobState decided = JobState::kPending;        // what the owner knows
   JobState recorded = JobState::kPending;       // what the store holds
   Instant recorded_at{};                        // of a final state
@@ -172,8 +172,8 @@
   Counters counters;
   std::vector<std::string> decisions;
   std::vector<Resources> too_large;  // in this round, for one service
-  std::string started_text;  // for LogStarts()
-  std::string ended_text;    // of the look under way
+  std::string started_text;          // for LogStarts()
+  std::string ended_text;            // of the look under way
   SchedulerActions actions;
 
   // Jobs (job_scheduler.cc) -------------------------------------------------
--- a/src/coordination/job_scheduler_place.cc
+++ b/src/coordination/job_scheduler_place.cc
@@ -39,8 +39,8 @@
 }
 
 Milliseconds Times(Milliseconds time, double factor) {
-  return Milliseconds(static_cast<std::int64_t>(
-      static_cast<double>(time.count()) * factor));
+  return Milliseconds(
+      static_cast<std::int64_t>(static_cast<double>(time.count()) * factor));
 }
 
 }  // namespace
@@ -420,12 +420,11 @@
   }
   const auto age =
       std::chrono::duration_cast<Milliseconds>(now - endpoint->clock_read);
-  this->started_text += (this->started_text.empty() ? "" : ",") +
-                        std::to_string(task->index) + ":" +
-                        std::to_string(order.run) + ":" +
-                        endpoint->row.id.value + ":" +
-                        std::to_string(Room(*endpoint).milli_cores) + ":" +
-                        std::to_string(age.count());
+  this->started_text +=
+      (this->started_text.empty() ? "" : ",") + std::to_string(task->index) +
+      ":" + std::to_string(order.run) + ":" + endpoint->row.id.value + ":" +
+      std::to_string(Room(*endpoint).milli_cores) + ":" +
+      std::to_string(age.count());
   this->actions.starts.push_back(std::move(order));
 }
 
--- a/src/coordination/owner_lease.h
+++ b/src/coordination/owner_lease.h
@@ -47,8 +47,8 @@
   Milliseconds claim_delay{800};  // default: 800 ms
   // An owner hands over to a host this many times as strong, and not before it
   // has owned for handover_after: a takeover costs some tenths of a second.
-  double handover_factor = 1.5;         // default: 1.5
-  Milliseconds handover_after{1500};    // default: 1500 ms
+  double handover_factor = 1.5;       // default: 1.5
+  Milliseconds handover_after{1500};  // default: 1500 ms
 };
 
 // The row as it is stored.
--- a/src/daemon/entry_task.cc
+++ b/src/daemon/entry_task.cc
@@ -58,15 +58,15 @@
   // Refusals come with every request while the store is away, so that they
   // count against the limit as well.
   LogLimited(LogLevel::kInfo, "call",
-           {{"verb", call.verb},
-            {"job", call.name},
-            {"status", std::to_string(status)},
-            {"reason", reason},
-            {"config", std::to_string(this->view->Config().version.value)},
-            {"took_us",
-             std::to_string(
-                 std::chrono::duration_cast<std::chrono::microseconds>(took)
-                     .count())}});
+             {{"verb", call.verb},
+              {"job", call.name},
+              {"status", std::to_string(status)},
+              {"reason", reason},
+              {"config", std::to_string(this->view->Config().version.value)},
+              {"took_us",
+               std::to_string(
+                   std::chrono::duration_cast<std::chrono::microseconds>(took)
+                       .count())}});
   this->metrics->ObserveLatency(call.verb, took);
   if (status >= 400) {
     this->metrics->CountRefusal(reason);
--- a/src/daemon/fleet_node.cc
+++ b/src/daemon/fleet_node.cc
@@ -85,7 +85,8 @@
           this->settings,
           OwnerTaskConfig{},
           [this](
-              const std::string& address, int strength,
+              const std::string& address,
+              int strength,
               std::function<void(std::optional<OwnerTask::PeerAnswer>)> done) {
             this->Probe(address, strength, std::move(done));
           }),
--- a/src/daemon/job_store.cc
+++ b/src/daemon/job_store.cc
@@ -258,17 +258,18 @@
     transaction.conditions.emplace_back(job, row->version);
     transaction.puts.emplace_back(StoreKey{kCancelTable, PartOf(id), id.value},
                                   "{}");
-    ports.transact(std::move(transaction), [&ports, id,
-                                            done](const StoreReply& written) {
-      if (written.outcome == StoreOutcome::kOk) {
-        done(LookUpResult::kFound);
-      } else if (written.outcome == StoreOutcome::kConflict) {
-        // The row was closed or removed meanwhile, each of which happens once.
-        StoreCancel(ports, id, done);
-      } else {
-        done(LookUpResult::kUnavailable);
-      }
-    });
+    ports.transact(std::move(transaction),
+                   [&ports, id, done](const StoreReply& written) {
+                     if (written.outcome == StoreOutcome::kOk) {
+                       done(LookUpResult::kFound);
+                     } else if (written.outcome == StoreOutcome::kConflict) {
+                       // The row was closed or removed meanwhile, each of which
+                       // happens once.
+                       StoreCancel(ports, id, done);
+                     } else {
+                       done(LookUpResult::kUnavailable);
+                     }
+                   });
   });
 }
 
--- a/src/daemon/owner_load.cc
+++ b/src/daemon/owner_load.cc
@@ -192,10 +192,10 @@
       std::clamp<std::int64_t>(UnixMs() - job.value().accepted_ms, 0, 120000);
   if (!job.value().closed_as) {
     LogLimited(LogLevel::kInfo, "job_taken",
-             {{"job", job.value().id.value},
-              {"queue", job.value().queue},
-              {"age_ms", std::to_string(age)},
-              {"row_version", std::to_string(row.version.value)}});
+               {{"job", job.value().id.value},
+                {"queue", job.value().queue},
+                {"age_ms", std::to_string(age)},
+                {"row_version", std::to_string(row.version.value)}});
   }
   owned.scheduler.OnJob(std::move(job.value()), row.version, before,
                         Milliseconds(age), now);
--- a/src/daemon/owner_rounds.cc
+++ b/src/daemon/owner_rounds.cc
@@ -32,9 +32,9 @@
   this->owned->round_due = true;
   // Rounds take at most a third of the processor: the rest has to carry their
   // orders out and read what endpoints and store answer.
-  const Duration pause = std::clamp<Duration>(2 * this->owned->round_took,
-                                              this->config.gather,
-                                              this->config.gather_most);
+  const Duration pause =
+      std::clamp<Duration>(2 * this->owned->round_took, this->config.gather,
+                           this->config.gather_most);
   this->loop->After(pause, this->IfOwner([this] { this->Round(); }));
 }
 
@@ -283,10 +283,10 @@
     const Instant now = this->loop->Now();
     this->NoteStore(reply);
     if (reply.outcome != StoreOutcome::kOk) {
-      this->loop->After(
-          this->config.write_retry, this->IfOwner([this, written, sent, batch] {
-            this->ResolveWrite(written, sent, batch);
-          }));
+      this->loop->After(this->config.write_retry,
+                        this->IfOwner([this, written, sent, batch] {
+                          this->ResolveWrite(written, sent, batch);
+                        }));
       return;
     }
     for (const StoreRow& found : reply.rows) {
@@ -300,9 +300,9 @@
       }
       if (row.value().sequence == written.sequence) {
         // Only the answer was lost.
-        this->OnWritten(StoreReply{.outcome = StoreOutcome::kOk,
-                                   .version = found.version},
-                        written, sent, batch);
+        this->OnWritten(
+            StoreReply{.outcome = StoreOutcome::kOk, .version = found.version},
+            written, sent, batch);
         return;
       }
     }
--- a/src/daemon/owner_task.cc
+++ b/src/daemon/owner_task.cc
@@ -147,36 +147,36 @@
   }
   const std::string instance = row.instance;
   const OwnerEpoch epoch = row.epoch;
-  const int ask_with = this->lease.ShouldAskHandover()
-                           ? this->settings.lease.strength
-                           : 0;
-  this->probe(row.address, ask_with, [this, instance, epoch,
-                                      alive = this->alive](
-                                         const std::optional<PeerAnswer>&
-                                             answer) {
-    if (!*alive || this->lease.Row().epoch != epoch) {
-      return;
-    }
-    const bool certain = answer && !answer->refused &&
-                         (answer->instance != instance || answer->yields);
-    // A refused connection may come from a process that is starting, or from a
-    // cut: it counts the second time, and the lease as still in force.
-    const bool refused_again =
-        answer && answer->refused && this->refused_by == instance;
-    this->refused_by = answer && answer->refused ? instance : std::string();
-    if (!certain && !refused_again) {
-      return;
-    }
-    LogEvent(LogLevel::kInfo, "owner_over",
-             {{"instance", instance},
-              {"epoch", std::to_string(epoch.value)},
-              {"certain", certain ? "yes" : "no"},
-              {"yields", answer->yields ? "yes" : "no"}});
-    this->lease.OnHolderOver(epoch, certain);
-    if (this->lease.ShouldClaim(this->StoreMs(), this->loop->Now())) {
-      this->Claim();
-    }
-  });
+  const int ask_with =
+      this->lease.ShouldAskHandover() ? this->settings.lease.strength : 0;
+  this->probe(
+      row.address, ask_with,
+      [this, instance, epoch,
+       alive = this->alive](const std::optional<PeerAnswer>& answer) {
+        if (!*alive || this->lease.Row().epoch != epoch) {
+          return;
+        }
+        const bool certain = answer && !answer->refused &&
+                             (answer->instance != instance || answer->yields);
+        // A refused connection may come from a process that is starting, or
+        // from a cut: it counts the second time, and the lease as still in
+        // force.
+        const bool refused_again =
+            answer && answer->refused && this->refused_by == instance;
+        this->refused_by = answer && answer->refused ? instance : std::string();
+        if (!certain && !refused_again) {
+          return;
+        }
+        LogEvent(LogLevel::kInfo, "owner_over",
+                 {{"instance", instance},
+                  {"epoch", std::to_string(epoch.value)},
+                  {"certain", certain ? "yes" : "no"},
+                  {"yields", answer->yields ? "yes" : "no"}});
+        this->lease.OnHolderOver(epoch, certain);
+        if (this->lease.ShouldClaim(this->StoreMs(), this->loop->Now())) {
+          this->Claim();
+        }
+      });
 }
 
 OwnerTask::PeerAnswer OwnerTask::AnswerCandidate(int strength) {
@@ -300,8 +300,8 @@
   this->EndOwnership("release");
   this->ports->transact(
       std::move(transaction),
-      [done = std::exchange(this->on_released, nullptr)](
-          const StoreReply& reply) {
+      [done =
+           std::exchange(this->on_released, nullptr)](const StoreReply& reply) {
         LogEvent(LogLevel::kInfo, "owner_released",
                  {{"outcome", StoreOutcomeName(reply.outcome)}});
         if (done) {
--- a/src/daemon/owner_task.h
+++ b/src/daemon/owner_task.h
@@ -37,7 +37,7 @@
   // Spread of that time, so that candidates do not claim at the same moment.
   Milliseconds watch_spread{150};  // default: 150 ms
   // Inputs that come within this time share one round of decisions.
-  Milliseconds gather{2};        // default: 2 ms
+  Milliseconds gather{2};  // default: 2 ms
   // The most of it on a busy host: a task waits this long for its place.
   Milliseconds gather_most{40};  // default: 40 ms
   // Least time between two plans of hosts, which take hundreds of times longer
@@ -47,7 +47,8 @@
   Milliseconds write_spacing{20};  // default: 20 ms
   Milliseconds write_retry{60};    // default: 60 ms, after a refusal
   // A slow store answers within 350 ms. After this time the answer counts as
-  // lost and the row is read back, before the lease and yield_after have passed.
+  // lost and the row is read back, before the lease and yield_after have
+  // passed.
   Milliseconds write_timeout{600};  // default: 600 ms
   // An owner whose last write was answered this long ago yields to a candidate
   // that reaches the store. A store that is slow for all answers sooner.
@@ -55,7 +56,7 @@
   // Age of the last good answer about new jobs up to which the count of waiting
   // jobs is given: the feed's wait of 1.2 s and its way.
   Milliseconds jobs_fresh{1600};  // default: 1600 ms
-  std::size_t max_batch = 80;      // default: 80 jobs; a call takes 100 rows
+  std::size_t max_batch = 80;     // default: 80 jobs; a call takes 100 rows
   // Time a final job stays readable: the longest promise to callers.
   Milliseconds keep_final{150000};  // default: 150 s
   // A job that waits longer than this is explained in the log.
--- a/src/transport/log.cc
+++ b/src/transport/log.cc
@@ -115,8 +115,7 @@
     this->line = "time=";
     this->AppendTime(event.getTimestamp());
     this->line += " level=";
-    this->line +=
-        log4cplus::getLogLevelManager().toString(event.getLogLevel());
+    this->line += log4cplus::getLogLevelManager().toString(event.getLogLevel());
     this->line += ' ';
     this->line += event.getMessage();
     this->line += '\n';
@@ -127,18 +126,17 @@
     if (this->buffer.Empty() && this->buffer.Dropped() > this->reported) {
       const std::size_t lost = this->buffer.Dropped() - this->reported;
       this->reported = this->buffer.Dropped();
-      this->buffer.Append("level=WARN event=log_blocked lines=" +
-                          std::to_string(lost) + "\n");
+      this->buffer.Append(
+          "level=WARN event=log_blocked lines=" + std::to_string(lost) + "\n");
     }
   }
 
  private:
   // The date is formatted once a second: it is most of the cost of a line.
   void AppendTime(const log4cplus::helpers::Time& time) {
-    const auto us =
-        std::chrono::duration_cast<std::chrono::microseconds>(
-            time.time_since_epoch())
-            .count();
+    const auto us = std::chrono::duration_cast<std::chrono::microseconds>(
+                        time.time_since_epoch())
+                        .count();
     constexpr std::int64_t kMicroseconds = 1'000'000;
     if (us / kMicroseconds != this->second) {
       this->second = us / kMicroseconds;
@@ -242,9 +240,8 @@
 void StartLog(LogLevel lowest, LogTarget target) {
   static const log4cplus::Initializer initializer;
   TheAppender() = log4cplus::helpers::SharedObjectPtr<BufferedAppender>(
-      new BufferedAppender(target == LogTarget::kStandardError
-                               ? STDERR_FILENO
-                               : STDOUT_FILENO));
+      new BufferedAppender(
+          target == LogTarget::kStandardError ? STDERR_FILENO : STDOUT_FILENO));
   log4cplus::Logger& logger = EventLogger();
   logger.removeAllAppenders();
   logger.setAdditivity(false);
--- a/stand_ins/platform_shell.cc
+++ b/stand_ins/platform_shell.cc
@@ -20,20 +20,20 @@
 
 std::string ToBase64(const std::string& text) {
   std::string out((text.size() + 2) / 3 * 4 + 1, '\0');
-  const int size = EVP_EncodeBlock(
-      reinterpret_cast<unsigned char*>(out.data()),
-      reinterpret_cast<const unsigned char*>(text.data()),
-      static_cast<int>(text.size()));
+  const int size =
+      EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+                      reinterpret_cast<const unsigned char*>(text.data()),
+                      static_cast<int>(text.size()));
   out.resize(static_cast<std::size_t>(size));
   return out;
 }
 
 std::string FromBase64(const std::string& text) {
   std::string out(text.size(), '\0');
-  int size = EVP_DecodeBlock(
-      reinterpret_cast<unsigned char*>(out.data()),
-      reinterpret_cast<const unsigned char*>(text.data()),
-      static_cast<int>(text.size()));
+  int size =
+      EVP_DecodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+                      reinterpret_cast<const unsigned char*>(text.data()),
+                      static_cast<int>(text.size()));
   for (auto c = text.rbegin(); c != text.rend() && *c == '='; ++c) {
     --size;
   }
@@ -118,8 +118,8 @@
   }
   Json ended = Json::array();
   for (const RunEnd& end : report.ended) {
-    ended.push_back(Json::array({end.number, TextOf(end.task), end.run,
-                                 EndKindName(end.kind), ""}));
+    ended.push_back(Json::array(
+        {end.number, TextOf(end.task), end.run, EndKindName(end.kind), ""}));
   }
   return Json{{"ClockMs", report.clock_ms},
               {"born", report.born_ms},
@@ -185,15 +185,14 @@
   }
   const Json config{
       {"Version", 1},
-      {"Routes",
-       Json::array({{{"Name", "queue"},
-                     {"Host", kHostName},
-                     {"PathPrefix", "/jobs/"},
-                     {"Service", kService},
-                     {"MaxAttempts", 3},
-                     {"Stretch", 2.0},
-                     {"SloMs", 500},
-                     {"AuthExempt", true}}})},
+      {"Routes", Json::array({{{"Name", "queue"},
+                               {"Host", kHostName},
+                               {"PathPrefix", "/jobs/"},
+                               {"Service", kService},
+                               {"MaxAttempts", 3},
+                               {"Stretch", 2.0},
+                               {"SloMs", 500},
+                               {"AuthExempt", true}}})},
       {"Services",
        Json::array({{{"Name", kService}, {"AdmissionCheck", true}}})},
       {"Tenants", Json::array()}};
@@ -276,8 +275,7 @@
 
 void PlatformShell::Feed(HttpServer& server, const HttpRequest& request) {
   (void)server;
-  const Milliseconds wait(
-      std::stol(request.Parameter("WaitMs").value_or("0")));
+  const Milliseconds wait(std::stol(request.Parameter("WaitMs").value_or("0")));
   this->feeds.push_back(
       Waiting{request.id, request.Parameter("Table").value_or(""),
               RowVersion(std::stoull(request.Parameter("After").value_or("0"))),
@@ -304,8 +302,8 @@
 void PlatformShell::CheckStart(const TaskName& task, std::size_t index) const {
   for (std::size_t other = 0; other < this->workers.size(); ++other) {
     if (other != index && this->workers[other].model->Runs(task)) {
-      std::cout << "violation=two_runs task=" << TextOf(task) << " endpoints="
-                << this->workers[other].id.value << ","
+      std::cout << "violation=two_runs task=" << TextOf(task)
+                << " endpoints=" << this->workers[other].id.value << ","
                 << this->workers[index].id.value << std::endl;
     }
     for (const RunEnd& end : this->workers[other].model->Acknowledged()) {
--- a/stand_ins/platform_shell.h
+++ b/stand_ins/platform_shell.h
@@ -27,11 +27,11 @@
 //-----------------------------------------------------------------------------
 
 struct PlatformShellSettings {
-  int workers = 6;                 // default: 6, over two zones
-  std::int64_t cores = 8;          // default: 8, of each worker
-  double lost_orders = 0;          // default: 0; share carried out unanswered
-  double lost_writes = 0;          // default: 0; share done unanswered
-  unsigned seed = 1;               // default: 1
+  int workers = 6;         // default: 6, over two zones
+  std::int64_t cores = 8;  // default: 8, of each worker
+  double lost_orders = 0;  // default: 0; share carried out unanswered
+  double lost_writes = 0;  // default: 0; share done unanswered
+  unsigned seed = 1;       // default: 1
 };
 
 //-----------------------------------------------------------------------------
@@ -54,7 +54,7 @@
     EndpointId id;
     std::unique_ptr<WorkerModel> model;
     std::unique_ptr<HttpServer> server;
-    Instant silent_until{};      // answers nothing before
+    Instant silent_until{};       // answers nothing before
     bool obeys_silently = false;  // carries orders out meanwhile
   };
   struct Waiting {
--- a/tests/host_planner_test.cc
+++ b/tests/host_planner_test.cc
@@ -188,7 +188,8 @@
   fleet.demand[ServiceId("b")].waiting_core_seconds = 300;
   fleet.Advance(kReady);
   std::map<ServiceId, int> received;
-  for (const HostOrder& order : fleet.Advance(kReady + milliseconds(200)).orders) {
+  for (const HostOrder& order :
+       fleet.Advance(kReady + milliseconds(200)).orders) {
     ++received[order.pool];
   }
   CHECK(received[ServiceId("b")] == 4);  // 138 cores wanted, 32 there
--- a/tests/job_store_test.cc
+++ b/tests/job_store_test.cc
@@ -175,11 +175,10 @@
   FakeStore store;
   const JobId id("0123456789abcdef");
   StoreReply found{.outcome = StoreOutcome::kOk};
-  found.rows.push_back(
-      StoreRow{StoreKey{kJobTable, PartOf(id), id.value},
-               EncodeJob(AcceptedJob{.id = id,
-                                     .closed_as = JobState::kCompleted}),
-               RowVersion(3), false});
+  found.rows.push_back(StoreRow{
+      StoreKey{kJobTable, PartOf(id), id.value},
+      EncodeJob(AcceptedJob{.id = id, .closed_as = JobState::kCompleted}),
+      RowVersion(3), false});
   store.replies = {found, found};
   std::optional<JobState> state;
   LookUpState(store.ports, id, [&](LookUpResult result, JobState read) {
--- a/tests/owner_lease_test.cc
+++ b/tests/owner_lease_test.cc
@@ -104,8 +104,8 @@
   row.strength = row.best_strength = 500;
   weak.OnRow(row, RowVersion(4));
   CHECK_FALSE(weak.ShouldClaim(5000, kStart));
-  CHECK_FALSE(weak.ShouldClaim(
-      5000, kStart + config.claim_delay - milliseconds(1)));
+  CHECK_FALSE(
+      weak.ShouldClaim(5000, kStart + config.claim_delay - milliseconds(1)));
   CHECK(weak.ShouldClaim(5000, kStart + config.claim_delay));
   // What it writes keeps the strongest that is known.
   CHECK(weak.NextRow(5000, false).best_strength == 500);
--- a/tests/soak/platform_soak_main.cc
+++ b/tests/soak/platform_soak_main.cc
@@ -171,8 +171,9 @@
         << "Node: " << daemon.name << "\nZone: z" << 1 + i % 2
         << "\nIp: 127.0.0.1\nListenAddrs:\n  Frontend: 127.0.0.1:"
         << daemon.callers << "\n  Ready: 127.0.0.1:" << FreePort()
-        << "\nInternalPorts: [" << FreePort() << "]\nLimits: {CpuShare: "
-        << (i == 0 ? 0.5 : 0.25) << ", Cores: 1}\nBounds: {GraceS: 3}\n"
+        << "\nInternalPorts: [" << FreePort()
+        << "]\nLimits: {CpuShare: " << (i == 0 ? 0.5 : 0.25)
+        << ", Cores: 1}\nBounds: {GraceS: 3}\n"
         << "platform: {Address: \"" << address << "\"}\n"
         << "CloudApi: {Address: \"" << address << "\"}\n";
     this->StartDaemon(&daemon);
@@ -281,9 +282,11 @@
   HttpRequest request;
   request.path = "/jobs/" + id;
   request.timeout = kCallTimeout;
-  this->client.Send(
-      HttpPeer{"127.0.0.1", this->AnyDaemon().callers}, std::move(request),
-      [this, id = id](const HttpOutcome& outcome) { this->OnState(id, outcome); });
+  this->client.Send(HttpPeer{"127.0.0.1", this->AnyDaemon().callers},
+                    std::move(request),
+                    [this, id = id](const HttpOutcome& outcome) {
+                      this->OnState(id, outcome);
+                    });
 }
 
 void Soak::OnState(const std::string& id, const HttpOutcome& outcome) {
--- a/tests/soak/proxy.h
+++ b/tests/soak/proxy.h
@@ -27,9 +27,9 @@
 
 enum class ProxyMode {
   kPass,
-  kSilent,         // nothing passes, connections stay open
-  kAnswersLost,    // requests pass, answers do not
-  kSlow,           // answers wait
+  kSilent,       // nothing passes, connections stay open
+  kAnswersLost,  // requests pass, answers do not
+  kSlow,         // answers wait
 };
 
 // Forwards to one port of the loopback address. Not thread-safe; the loop
@@ -112,9 +112,8 @@
                       &Proxy::OnEnd, link);
     bufferevent_enable(link->caller, EV_READ | EV_WRITE);
     bufferevent_enable(link->server, EV_READ | EV_WRITE);
-    bufferevent_socket_connect(link->server,
-                               reinterpret_cast<sockaddr*>(&address),
-                               sizeof(address));
+    bufferevent_socket_connect(
+        link->server, reinterpret_cast<sockaddr*>(&address), sizeof(address));
   }
 
   static void OnRequestBytes(bufferevent*, void* link) {
