--- a/tests/mutations/guards.sh
+++ b/tests/mutations/guards.sh
@@ -130,3 +130,17 @@
   's/now - this->started < this->config\.quiet_after_takeover/false/'
 guard hosts_idle_only "${hosts}" "[host_planner]" \
   's/found == endpoints\.end\(\) \|\| found->second->idle\) \{\s*if \(down/true) {\n      if (down/'
+guard hosts_smallest_pool_first "${hosts}" "[host_planner]" \
+  's/return a\.second->capacity < b\.second->capacity;/return a.second->wanted > b.second->wanted;/'
+guard hosts_hopeless_last "${hosts}" "[host_planner]" \
+  's/load\.hopeless_core_seconds \/ hopeless_catch_up/load.hopeless_core_seconds \/ std::min(catch_up, hopeless_catch_up)/'
+
+# Strength of the owner's host
+guard owner_weak_waits "${owner}" "[owner_lease]" \
+  's/return this->config\.strength >= this->best_strength \|\|/return true ||/'
+guard owner_hands_over_late "${owner}" "[owner_lease]" \
+  's/now - this->held_since < this->config\.handover_after/false/'
+
+# Counts and rows of jobs
+guard jobs_begun_when_confirmed "${runs}" "[job_scheduler]" \
+  's/  task->endpoint = endpoint;\n  task->run = run;/  task->endpoint = endpoint;\n  task->step->job->begun = true;\n  task->run = run;/'
--- /dev/null
+++ b/tests/owner_task_test.cc
@@ -0,0 +1,148 @@
+// Tests of the owner task on a model of the store whose answers can be lost.
+
+#include "src/daemon/owner_task.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "src/daemon/job_store.h"
+#include "src/protocol/job_json.h"
+#include "stand_ins/row_store.h"
+
+namespace peridot {
+namespace {
+
+using std::chrono::milliseconds;
+
+const Duration kLimit = std::chrono::seconds(20);
+
+// A fleet without endpoints around one owner task.
+struct Bench {
+  Bench() {
+    this->loop = std::move(EventLoop::Create(this->clock).value());
+    this->ports.operator_table = "op";
+    this->ports.endpoint_table = "servers";
+    this->ports.transact = [this](StoreTransaction call, StoreCallback done) {
+      const StoreReply reply = this->store.Transact(call);
+      if (this->lost_answers > 0) {
+        --this->lost_answers;
+        // Reported as a client does after its timeout.
+        this->Post(std::move(done), StoreReply{});
+        return;
+      }
+      this->Post(std::move(done), reply);
+    };
+    this->ports.read = [this](const StoreKey& from, std::size_t most,
+                              StoreCallback done) {
+      this->Post(std::move(done), this->store.Read(from, "", most));
+    };
+    this->ports.read_one = [this](const StoreKey& key, StoreCallback done) {
+      this->Post(std::move(done), this->store.Read(key, key.key + "!", 1));
+    };
+    this->ports.feed = [this](const std::string& table, RowVersion after,
+                              StoreCallback done) {
+      this->loop->After(milliseconds(5),
+                        [this, table, after, done = std::move(done)] {
+                          done(this->store.Changes(table, after));
+                        });
+    };
+    this->ports.read_hosts = [](const auto& done) { (void)done; };
+    this->ports.decode_operator_row =
+        [](const StoreRow&) -> Result<OperatorRow> {
+      OperatorRow row;
+      row.config = OperatorConfig{.version = Revision(1)};
+      return row;
+    };
+    StoreTransaction config;
+    config.puts.emplace_back(StoreKey{"op", "", "config"}, "{}");
+    this->store.Transact(config);
+    this->settings.lease.self = DaemonId("d1");
+    this->settings.lease.instance = "i1";
+    this->view = std::make_unique<OperatorView>(this->loop.get(), &this->ports);
+    this->task = std::make_unique<OwnerTask>(
+        this->loop.get(), &this->ports, this->view.get(), &this->metrics,
+        this->settings, OwnerTaskConfig{},
+        [](const std::string&, int, const auto& done) { (void)done; });
+    this->view->Start([this] { this->task->OnViewChanged(); });
+    this->task->Start();
+  }
+
+  void Post(StoreCallback done, StoreReply reply) {
+    this->loop->Post(
+        [done = std::move(done), reply = std::move(reply)] { done(reply); });
+  }
+
+  OwnerRow Row() const {
+    const StoreReply read =
+        this->store.Read(StoreKey{kOwnerTable, kOwnerPart, kOwnerKey}, "", 1);
+    return read.rows.empty() ? OwnerRow{}
+                             : DecodeOwner(read.rows[0].value).value();
+  }
+
+  SystemClock clock;
+  std::unique_ptr<EventLoop> loop;
+  RowStore store;
+  int lost_answers = 0;
+  FleetPorts ports;
+  Metrics metrics;
+  FleetNodeSettings settings;
+  std::unique_ptr<OperatorView> view;
+  std::unique_ptr<OwnerTask> task;
+};
+
+TEST_CASE("an owner whose answers are lost keeps its lease", "[owner_task]") {
+  // Guards against an owner that loses its place when the store's answers are
+  // lost one after the other.
+  Bench bench;
+  REQUIRE(bench.loop->RunUntil([&] { return bench.task->Owns(); }, kLimit));
+  const OwnerEpoch epoch = bench.Row().epoch;
+  const std::uint64_t before = bench.Row().sequence;
+  bench.lost_answers = 3;
+  REQUIRE(bench.loop->RunUntil(
+      [&] {
+        return bench.lost_answers == 0 && bench.Row().sequence > before + 3;
+      },
+      kLimit));
+  CHECK(bench.task->Owns());
+  CHECK(bench.Row().epoch == epoch);
+}
+
+TEST_CASE("the count of waiting jobs is refused when jobs were not followed",
+          "[owner_task]") {
+  // Guards against "0 jobs wait" from an owner that sees no new jobs.
+  Bench bench;
+  REQUIRE(bench.loop->RunUntil(
+      [&] { return bench.task->WaitingIn("q").has_value(); }, kLimit));
+  bench.ports.feed = [](const std::string&, RowVersion, const auto& done) {
+    (void)done;  // never answered
+  };
+  CHECK(bench.loop->RunUntil(
+      [&] { return bench.task->Owns() && !bench.task->WaitingIn("q"); },
+      kLimit));
+}
+
+TEST_CASE("an owner that was asked hands over and claims no more at once",
+          "[owner_task]") {
+  // Guards the release of the lease on a weak host.
+  Bench bench;
+  bench.settings.lease.strength = 100;
+  bench.task = std::make_unique<OwnerTask>(
+      bench.loop.get(), &bench.ports, bench.view.get(), &bench.metrics,
+      bench.settings, OwnerTaskConfig{},
+      [](const std::string&, int, const auto& done) { (void)done; });
+  bench.task->Start();
+  REQUIRE(bench.loop->RunUntil([&] { return bench.task->Owns(); }, kLimit));
+  REQUIRE(bench.loop->RunUntil(
+      [&] {
+        bench.task->AnswerCandidate(500);
+        return bench.Row().holder.value.empty();
+      },
+      kLimit));
+  CHECK(bench.Row().best_strength == 500);
+  CHECK_FALSE(bench.task->Owns());
+}
+
+}  // namespace
+}  // namespace peridot
