--- a/src/daemon/owner_task_internal.h
+++ b/src/daemon/owner_task_internal.h
@@ -49,24 +49,6 @@
   bool closing = false;  // a write that closes jobs is under way
   bool reading_hosts = false;
 };
-int loads_open = 3;               // reads of progress, waves and used endpoints
-std::vector<StoreRow> held_jobs;  // jobs read before these have ended
-bool loaded = false;              // all jobs and endpoints have been read
-bool round_due = false;
-Duration round_took{};  // of the last round
-bool writing = false;
-Instant next_write{};
-Instant next_sweep{};
-Instant next_closing{};
-bool closing = false;  // a write that closes jobs is under way
-Instant next_plan{};
-Instant next_explanation{};
-std::vector<UsedEndpoint> used_written;  // as the store holds them
-std::vector<UsedEndpoint> used_writing;
-WatchId timer = kNoWatch;
-bool reading_hosts = false;
-std::map<std::string, WaveProgress> waves_to_write;
-};
 
 //-----------------------------------------------------------------------------
 // [SECTION] Helpers
