--- a/tests/mutations/guards.sh
+++ b/tests/mutations/guards.sh
@@ -139,7 +139,7 @@
 guard owner_weak_waits "${owner}" "[owner_lease]" \
   's/return this->config\.strength >= this->best_strength \|\|/return true ||/'
 guard owner_hands_over_late "${owner}" "[owner_lease]" \
-  's/now - this->held_since < this->config\.handover_after/false/'
+  's/now - this->held_since < this->config\.handover_after/now < this->held_since/'
 
 # Counts and rows of jobs
 guard jobs_begun_when_confirmed "${runs}" "[job_scheduler]" \
