--- a/src/coordination/host_planner.cc
+++ b/src/coordination/host_planner.cc
@@ -124,7 +124,8 @@
       now - this->started < this->config.order_delay_after_takeover) {
     return plan;
   }
-  std::map<EndpointId, const EndpointSummary*> by_id;
+  EndpointMap by_id;
+  by_id.reserve(endpoints.size());
   for (const EndpointSummary& endpoint : endpoints) {
     by_id[endpoint.id] = &endpoint;
   }
@@ -139,6 +140,7 @@
   this->MeasurePools(by_id, demand, zones_out, now);
   this->LogPools(now);
   this->PlanWaves(by_id, &plan, now);
+  this->MarkHostsInOpenWaves();
   if (this->config.moves_enabled) {
     this->AddHostsToPools(zones_out, &plan, now);
     this->ReleaseIdleHosts(by_id, zones_out, &plan, now);
@@ -151,15 +153,18 @@
   return found != this->services.end() && found->second.spare;
 }
 
-bool HostPlanner::InOpenWave(const HostId& host) const {
+void HostPlanner::MarkHostsInOpenWaves() {
+  for (auto& [id, host] : this->hosts) {
+    host.in_open_wave = false;
+  }
   for (const auto& [name, wave] : this->waves) {
-    const std::vector<HostId>& due = wave.wave.hosts;
-    if (std::find(due.begin(), due.end(), host) != due.end() &&
-        !wave.begun.contains(host)) {
-      return true;
+    for (const HostId& id : wave.wave.hosts) {
+      const auto found = this->hosts.find(id);
+      if (found != this->hosts.end() && !wave.begun.contains(id)) {
+        found->second.in_open_wave = true;
+      }
     }
   }
-  return false;
 }
 
 void HostPlanner::Order(HostRecord* host,
@@ -309,7 +314,7 @@
                           Instant now) const {
   return host.row.state == FleetHostState::kUp && !host.away &&
          !host.cordoned && host.idle && host.not_before <= now &&
-         !zones_out.contains(host.row.zone) && !this->InOpenWave(host.row.id);
+         !zones_out.contains(host.row.zone) && !host.in_open_wave;
 }
 
 void HostPlanner::MeasurePools(const EndpointMap& endpoints,
@@ -428,26 +433,32 @@
              : arrival_rate;
 }
 
-HostPlanner::HostRecord* HostPlanner::CheapestHostFor(
+HostPlanner::HostRecord* HostPlanner::TakeCheapestHostFor(
     const ServiceId& pool,
-    const std::set<ZoneId>& zones_out,
-    Instant now) {
+    MovableHosts* movable) const {
   // An idle host of another pool costs as much to move as one of the spare
   // pool, and adds no host time afterwards, so it is preferred.
-  HostRecord* best = nullptr;
-  for (auto& [id, host] : this->hosts) {
-    const double cores =
-        static_cast<double>(host.row.capacity.milli_cores) / 1000;
-    const bool spare = this->IsSpare(host.row.pool);
-    if (host.row.pool == pool || !this->Movable(host, zones_out, now) ||
-        (!spare && !this->CanReleaseCores(host.row.pool, cores))) {
+  std::vector<HostRecord*>* best = nullptr;
+  for (auto& [from, candidates] : *movable) {
+    if (from == pool || candidates.empty()) {
       continue;
     }
-    if (best == nullptr || (!spare && this->IsSpare(best->row.pool))) {
-      best = &host;
+    const bool spare = this->IsSpare(from);
+    const double cores =
+        static_cast<double>(candidates.back()->row.capacity.milli_cores) / 1000;
+    if (spare ? best == nullptr : this->CanReleaseCores(from, cores)) {
+      best = &candidates;
+      if (!spare) {
+        break;
+      }
     }
   }
-  return best;
+  if (best == nullptr) {
+    return nullptr;
+  }
+  HostRecord* const host = best->back();
+  best->pop_back();
+  return host;
 }
 
 void HostPlanner::AddHostsToPools(const std::set<ZoneId>& zones_out,
@@ -461,6 +472,17 @@
     }
     short_pools.emplace_back(service, &pool);
   }
+  if (short_pools.empty()) {
+    return;
+  }
+  MovableHosts movable;
+  for (auto entry = this->hosts.rbegin(); entry != this->hosts.rend();
+       ++entry) {
+    HostRecord& host = entry->second;
+    if (this->Movable(host, zones_out, now)) {
+      movable[host.row.pool].push_back(&host);
+    }
+  }
   // Max-min fairness: each host goes to the smallest pool that lacks capacity,
   // so that a pool with a large backlog does not starve the others.
   while (!short_pools.empty()) {
@@ -470,8 +492,10 @@
                            return a.second->capacity < b.second->capacity;
                          });
     const auto& [service, pool] = *least;
-    HostRecord* const host = this->CheapestHostFor(service, zones_out, now);
-    if (pool->wanted <= pool->capacity || host == nullptr) {
+    HostRecord* const host = pool->wanted <= pool->capacity
+                                 ? nullptr
+                                 : this->TakeCheapestHostFor(service, &movable);
+    if (host == nullptr) {
       short_pools.erase(least);
       continue;
     }
--- a/src/coordination/host_planner.h
+++ b/src/coordination/host_planner.h
@@ -17,6 +17,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -166,6 +167,7 @@
     Instant idle_since{};
     Instant next_wait_log{};
     bool idle = false;
+    bool in_open_wave = false;  // due for maintenance that has not begun
   };
   struct Wave {
     MaintenanceWave wave;
@@ -195,7 +197,9 @@
     std::deque<ArrivalSample> arrived;
     Instant short_since{};  // zero: capacity covers the demand
   };
-  using EndpointMap = std::map<EndpointId, const EndpointSummary*>;
+  using EndpointMap = std::unordered_map<EndpointId, const EndpointSummary*>;
+  // Hosts that may move, by pool.
+  using MovableHosts = std::map<ServiceId, std::vector<HostRecord*>>;
 
   void PlanWaves(const EndpointMap& endpoints, HostPlan* plan, Instant now);
   void PlanWave(const std::string& name,
@@ -215,10 +219,10 @@
   void AddHostsToPools(const std::set<ZoneId>& zones_out,
                        HostPlan* plan,
                        Instant now);
-  // Returns the host that is cheapest to move to this pool, or null.
-  HostRecord* CheapestHostFor(const ServiceId& pool,
-                              const std::set<ZoneId>& zones_out,
-                              Instant now);
+  // Removes and returns the host that is cheapest to move to this pool; null if
+  // there is none.
+  HostRecord* TakeCheapestHostFor(const ServiceId& pool,
+                                  MovableHosts* movable) const;
   void ReleaseIdleHosts(const EndpointMap& endpoints,
                         const std::set<ZoneId>& zones_out,
                         HostPlan* plan,
@@ -229,7 +233,7 @@
   bool CanReleaseCores(const ServiceId& pool, double cores) const;
   // Returns the pool that the host belongs to or is moving to.
   const ServiceId& PoolOf(const HostRecord& host) const;
-  bool InOpenWave(const HostId& host) const;
+  void MarkHostsInOpenWaves();
   bool IsSpare(const ServiceId& pool) const;
   void Order(HostRecord* host,
              const std::string& wave,
--- a/src/coordination/job_scheduler.cc
+++ b/src/coordination/job_scheduler.cc
@@ -89,6 +89,10 @@
 
 void JobScheduler::OnFleetConfig(FleetConfig config) {
   this->state->fleet = std::move(config);
+  // Queues may have moved to other services or changed their priorities.
+  for (ScheduledJob* job : this->state->active) {
+    this->state->MarkForRanking(job);
+  }
 }
 
 void JobScheduler::OnJob(AcceptedJob job,
@@ -133,7 +137,11 @@
     return;
   }
   added->begun = !added->done.empty() || !added->failures.empty();
+  added->active_index = state.active.size();
   state.active.push_back(added);
+  if (added->accepted.spec.occurrences > 0) {
+    state.recurring.push_back(added);
+  }
   state.AddDueOccurrences(added, now);
   // A job that a previous owner accepted is not part of the arrival rate.
   if (!before_takeover) {
@@ -175,8 +183,7 @@
     return;
   }
   job->cancelled = true;
-  job->decided = JobState::kCancelled;
-  state.MarkDirty(job);
+  state.Decide(job, JobState::kCancelled);
   state.LogDecision("decision=cancel job=" + id.value);
   state.StopAll(job, "cancelled", now);
 }
@@ -189,10 +196,19 @@
 
 void JobScheduler::OnZonesOut(std::set<ZoneId> zones) {
   this->state->zones_out = std::move(zones);
+  for (const auto& [id, endpoint] : this->state->endpoints) {
+    this->state->UpdateExcluded(endpoint.get());
+  }
 }
 
 void JobScheduler::OnCordoned(std::set<EndpointId> endpoints) {
+  if (endpoints == this->state->cordoned) {
+    return;
+  }
   this->state->cordoned = std::move(endpoints);
+  for (const auto& [id, endpoint] : this->state->endpoints) {
+    this->state->UpdateExcluded(endpoint.get());
+  }
 }
 
 void JobScheduler::Evict(const EndpointId& endpoint, Instant now) {
@@ -298,6 +314,7 @@
         ++step.done;
         continue;
       }
+      ++step.waiting;
       ++job->open_tasks;
       if (const auto found = job->checkpoints.find(name);
           found != job->checkpoints.end()) {
@@ -321,6 +338,7 @@
           });
       if (ready) {
         step.ready_since = now;
+        this->MarkForRanking(job);
       }
     }
   }
@@ -332,11 +350,20 @@
       job->next_occurrence < count) {
     return;
   }
-  job->decided = JobState::kCompleted;
-  this->MarkDirty(job);
+  this->Decide(job, JobState::kCompleted);
   this->LogDecision("decision=complete job=" + job->accepted.id.value);
 }
 
+void JobScheduler::State::Decide(ScheduledJob* job, JobState decided) {
+  job->decided = decided;
+  this->MarkDirty(job);
+  this->MarkForRanking(job);
+  if (!job->finishing) {
+    job->finishing = true;
+    this->finishing.push_back(job);
+  }
+}
+
 void JobScheduler::State::StopAll(ScheduledJob* job,
                                   const char* reason,
                                   Instant now) {
@@ -359,20 +386,22 @@
 }
 
 void JobScheduler::State::RemoveInactiveJobs() {
-  std::erase_if(this->active, [&](ScheduledJob* job) {
-    if (!IsFinal(job->recorded) || job->dirty) {
+  std::erase_if(this->finishing, [&](ScheduledJob* job) {
+    if (!IsFinal(job->recorded) || job->dirty || job->placed > 0) {
       return false;
     }
     for (const ScheduledOccurrence& occurrence : job->occurrences) {
       for (const ScheduledStep& step : occurrence.steps) {
-        for (const ScheduledTask& task : step.tasks) {
-          if (MayBeRunning(task) || step.advice_open) {
-            return false;
-          }
+        if (step.advice_open) {
+          return false;
         }
       }
     }
     job->active = false;
+    this->active.back()->active_index = job->active_index;
+    std::swap(this->active[job->active_index], this->active.back());
+    this->active.pop_back();
+    std::erase(this->recurring, job);
     job->occurrences.clear();
     job->accepted.spec = JobSpec{};
     job->done.clear();
@@ -383,6 +412,27 @@
   });
 }
 
+void JobScheduler::State::MarkForRanking(ScheduledJob* job) {
+  if (job->active && !job->rank_due) {
+    job->rank_due = true;
+    this->rank_due.push_back(job);
+  }
+}
+
+void JobScheduler::State::RankDueJobs(Instant now) {
+  while (!this->rank_timers.empty() &&
+         this->rank_timers.begin()->first <= now) {
+    if (ScheduledJob* job = this->FindJob(this->rank_timers.begin()->second)) {
+      this->MarkForRanking(job);
+    }
+    this->rank_timers.erase(this->rank_timers.begin());
+  }
+  for (ScheduledJob* job : std::exchange(this->rank_due, {})) {
+    job->rank_due = false;
+    this->RankJob(job, now);
+  }
+}
+
 JobProgress JobScheduler::State::ProgressOf(const ScheduledJob& job) const {
   JobProgress progress;
   progress.id = job.accepted.id;
@@ -410,8 +460,8 @@
 SchedulerActions JobScheduler::Advance(bool may_start, Instant now) {
   State& state = *this->state;
   state.RemoveInactiveJobs();
-  for (ScheduledJob* job : state.active) {
-    if (job->accepted.spec.occurrences > 0 && !IsFinal(job->decided)) {
+  for (ScheduledJob* job : state.recurring) {
+    if (!IsFinal(job->decided)) {
       state.AddDueOccurrences(job, now);
     }
   }
@@ -428,6 +478,9 @@
         (endpoint->fenced || endpoint->lapse_at <= now)) {
       gone.push_back(id);
     }
+    if (endpoint->stopping == 0) {
+      continue;
+    }
     for (ScheduledTask* task : endpoint->tasks) {
       if (task->phase == TaskPhase::kStopping && !task->stop_confirmed &&
           now - task->stop_sent >= state.config.stop_retry) {
@@ -436,8 +489,11 @@
     }
   }
   for (const EndpointId& id : gone) {
-    state.endpoints.erase(id);
+    const auto found = state.endpoints.find(id);
+    std::erase(found->second->service->endpoints, found->second.get());
+    state.endpoints.erase(found);
   }
+  state.RankDueJobs(now);
   if (may_start && !state.fenced) {
     state.Place(now);
     state.AdjustPace(now);
@@ -567,10 +623,9 @@
     summary.idle = endpoint->tasks.empty();
     summary.used = endpoint->used;
     summary.capacity = endpoint->row.capacity;
-    for (const ScheduledTask* task : endpoint->tasks) {
-      ++(task->step->spec->long_running ? summary.long_running
-                                        : summary.short_running);
-    }
+    summary.long_running = endpoint->long_running;
+    summary.short_running =
+        static_cast<int>(endpoint->tasks.size()) - endpoint->long_running;
   }
   return all;
 }
@@ -585,27 +640,29 @@
       continue;
     }
     ServiceDemand& service = demand[this->state->ServiceOf(*job)];
-    double& waiting = this->state->UrgencyOf(*job, now) == Urgency::kExpired
+    double& waiting = job->rank.urgency == Urgency::kExpired
                           ? service.expired_core_seconds
                           : service.waiting_core_seconds;
     for (const ScheduledOccurrence& occurrence : job->occurrences) {
       for (const ScheduledStep& step : occurrence.steps) {
         const double cores =
             static_cast<double>(Reserved(*step.spec).milli_cores) / 1000;
-        service.starved_jobs += this->state->IsStarved(step, now) ? 1 : 0;
-        for (const ScheduledTask& task : step.tasks) {
-          if (MayBeRunning(task)) {
-            service.used_cores += cores;
-            service.long_running_cores += step.spec->long_running ? cores : 0;
-          } else if (step.spec->long_running) {
-            service.used_cores += cores;
-            service.long_running_cores += cores;
-          } else if (task.phase != TaskPhase::kDone &&
-                     step.ready_since != kNever) {
-            const auto expected = this->state->ExpectedDuration(step);
-            waiting += cores * std::chrono::duration<double>(expected).count();
+        if (step.spec->long_running) {
+          const auto tasks = static_cast<double>(step.tasks.size());
+          service.used_cores += tasks * cores;
+          service.long_running_cores += tasks * cores;
+        } else {
+          service.used_cores += step.placed * cores;
+          if (step.ready_since != kNever) {
+            waiting += step.waiting * cores *
+                       std::chrono::duration<double>(step.expected).count();
           }
         }
+        // One starved step is enough to request a host.
+        if (service.starved_jobs == 0 && step.waiting > 0 &&
+            this->state->IsStarved(step, now)) {
+          service.starved_jobs = 1;
+        }
       }
     }
   }
--- a/src/coordination/job_scheduler.h
+++ b/src/coordination/job_scheduler.h
@@ -94,6 +94,13 @@
   // Factor by which a task is slower away from its data or across racks.
   double remote_factor = 3.0;
 
+  // Number of jobs of a service that may fail to fit before a round ends: the
+  // bound on a round's work while there is a long backlog and no room.
+  int backfill_depth = 60;
+  // Number of jobs of one team that may fail to fit, or exceed its limit,
+  // before a round skips the team's other jobs.
+  int team_backfill_depth = 25;
+
   // A late job still has value to its caller up to this multiple of its
   // objective.
   double late_factor = 3.0;
@@ -241,7 +248,8 @@
   double expired_core_seconds = 0;
   double used_cores = 0;          // running now, or long-running
   double long_running_cores = 0;  // of these, long-running work
-  int starved_jobs = 0;  // ready for starved_after; no endpoint accepts them
+  int starved_jobs = 0;  // above 0: a job is ready for starved_after and no
+                         // endpoint accepts it
   double arrived_core_seconds = 0;  // since the takeover
   int arrived_jobs = 0;             // since the takeover
 };
@@ -288,6 +296,10 @@
   // The current list of all endpoints. An endpoint that is missing has left,
   // but its work may continue until its lease has lapsed.
   void OnEndpoints(const std::vector<EndpointRow>& rows, Instant now);
+  // One entry of that list has changed or is new.
+  void OnEndpointListed(const EndpointRow& row, Instant now);
+  // One entry of that list has been removed.
+  void OnEndpointUnlisted(const EndpointId& id, Instant now);
 
   // Endpoints that a previous owner used. One that is no longer listed counts
   // as running work until its lease has lapsed.
--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -14,10 +14,12 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "src/coordination/duration_model.h"
 #include "src/coordination/job_scheduler.h"
+#include "src/coordination/waiting_jobs.h"
 
 namespace peridot {
 
@@ -30,6 +32,7 @@
 struct ScheduledJob;
 struct ScheduledStep;
 struct EndpointState;
+struct ServiceState;
 
 enum class TaskPhase {
   kWaiting,   // may start once its step is ready
@@ -44,6 +47,7 @@
   int index = 0;
   TaskPhase phase = TaskPhase::kWaiting;
   EndpointState* endpoint = nullptr;  // null unless a run may exist
+  ServiceState* service = nullptr;    // whose team_milli_cores count the run
   RunNumber run = 0;                  // number of the last start; 0: none
   bool unanswered = false;            // the start order got no answer
   Instant since{};                    // start of the current phase
@@ -72,6 +76,9 @@
   const StepSpec* spec = nullptr;
   std::vector<ScheduledTask> tasks;
   int done = 0;
+  int waiting = 0;               // tasks in phase kWaiting
+  int placed = 0;                // tasks of which a run may exist
+  Milliseconds expected{0};      // duration of a task, as of the last ranking
   Instant ready_since = kNever;  // kNever: earlier steps are not done
   std::map<EndpointId, StepTicket> tickets;
   bool advice_open = false;  // a call to the advice service is in flight
@@ -79,8 +86,11 @@
   RunNumber gang_run = 0;    // last run number used for the whole gang
 };
 
-// How likely a waiting job is to meet its objective; lower values go first.
-enum class Urgency { kLongRunning, kInTime, kLate, kExpired };
+enum class PlaceResult {
+  kPlaced,     // all tasks are placed or wait for a placement constraint
+  kTeamLimit,  // a task would exceed the limit of its team
+  kNoRoom,     // a task did not fit into the free capacity
+};
 
 struct ScheduledOccurrence {
   int number = 0;
@@ -93,16 +103,23 @@
   Instant arrived{};
   bool before_takeover = false;
   bool cancelled = false;
-  bool begun = false;   // an endpoint has confirmed, listed or ended a run
-  bool active = true;   // in State::active
-  bool closed = false;  // the row holds only the final state
-  bool dirty = false;   // has progress to record; in State::dirty
+  bool begun = false;  // an endpoint has confirmed, listed or ended a run
+  bool active = true;  // in State::active
+  std::size_t active_index = 0;  // position there
+  bool closed = false;           // the row holds only the final state
+  bool dirty = false;            // has progress to record; in State::dirty
+  bool finishing = false;        // final; in State::finishing
+  bool rank_due = false;         // in State::rank_due
+  JobRank rank;                  // as of the last ranking
+  Instant rank_timer{};  // when the rank is due anew; in State::rank_timers
+  ServiceState* queued_in = nullptr;       // waits there; null: no task waits
   JobState decided = JobState::kPending;   // state in memory
   JobState recorded = JobState::kPending;  // state in the store
   Instant recorded_at{};                   // when a final state was recorded
   std::deque<ScheduledOccurrence> occurrences;  // a deque: addresses stay valid
   int next_occurrence = 0;                      // the first one not created yet
   int open_tasks = 0;                           // tasks that are not completed
+  int placed = 0;  // tasks of which a run may exist
   std::map<TaskName, std::set<RunNumber>> failures;  // runs that failed
   std::set<TaskName> done;
   std::map<TaskName, std::string> checkpoints;
@@ -112,19 +129,31 @@
 // [SECTION] Endpoints
 //-----------------------------------------------------------------------------
 
+// Endpoints, waiting jobs and running work of one service.
+struct ServiceState {
+  std::vector<EndpointState*> endpoints;
+  WaitingJobs<ScheduledJob> waiting;
+  std::map<TeamId, std::int64_t> team_milli_cores;  // reserved by runs
+};
+
 struct EndpointState {
   EndpointRow row;
-  bool listed = false;  // present in the newest list of endpoints
-  bool fenced = false;  // has answered a poll of this epoch
+  ServiceState* service = nullptr;  // of row.service; set by SetRow()
+  bool excluded = false;  // in an evacuated zone, or its host is about to leave
+  bool listed = false;    // present in the newest list of endpoints
+  bool fenced = false;    // has answered a poll of this epoch
   bool has_clock = false;
   std::int64_t clock_ms = 0;  // the endpoint's clock, read at clock_read
   Instant clock_read{};
   Instant lapse_at{};  // by then no run of an earlier order is left
   Resources used;
   std::set<ScheduledTask*> tasks;  // runs that may exist
-  EndNumber processed = 0;         // ends up to here are processed in memory
-  EndNumber in_batch = 0;  // ends up to here are covered by the open batch
-  EndNumber recorded = 0;  // ends up to here may be acknowledged
+  int long_running = 0;            // of these, by kind of step and phase
+  int best_effort = 0;
+  int stopping = 0;
+  EndNumber processed = 0;  // ends up to here are processed in memory
+  EndNumber in_batch = 0;   // ends up to here are covered by the open batch
+  EndNumber recorded = 0;   // ends up to here may be acknowledged
   bool poll_in_flight = false;
   Instant next_poll{};
   int failed_polls = 0;
@@ -144,12 +173,18 @@
   Instant started{};
   FleetConfig fleet;
   std::unordered_map<JobId, std::unique_ptr<ScheduledJob>> jobs;
-  // Jobs that are not final or still have runs. A scheduling round visits only
-  // these: the finished jobs of one hour are many times as many.
+  // Jobs that are not final or still have runs.
   std::vector<ScheduledJob*> active;
+  std::vector<ScheduledJob*> recurring;  // active, with occurrences to come
+  std::vector<ScheduledJob*> finishing;  // active and final
+  // Jobs whose rank must be determined anew, now or at an instant.
+  std::vector<ScheduledJob*> rank_due;
+  std::set<std::pair<Instant, JobId>> rank_timers;
   std::vector<ScheduledJob*> dirty;     // jobs with progress to record
   std::vector<ScheduledJob*> closable;  // final, row not compacted yet
   std::map<EndpointId, std::unique_ptr<EndpointState>> endpoints;
+  std::map<ServiceId, ServiceState> services;
+  std::map<std::string, EndpointId> addresses;  // of listed endpoints
   std::map<JobId, JobProgress> earlier;  // progress of jobs not added yet
   std::set<JobId> cancelled_early;       // cancelled before they were added
   std::set<ZoneId> zones_out;
@@ -187,15 +222,23 @@
   Instant DueAt(const ScheduledJob& job, int occurrence) const;
   void UpdateReadySteps(ScheduledJob* job, Instant now);
   void FinishIfDone(ScheduledJob* job);
+  // The job has reached a final state in memory.
+  void Decide(ScheduledJob* job, JobState decided);
   void StopAll(ScheduledJob* job, const char* reason, Instant now);
   void MarkDirty(ScheduledJob* job);
-  // Removes jobs that need no more decisions from the active ones and releases
-  // most of their memory.
+  // Removes final jobs that need no more decisions from the active ones and
+  // releases most of their memory.
   void RemoveInactiveJobs();
+  // Ranks the job anew before the next placement.
+  void MarkForRanking(ScheduledJob* job);
+  void RankDueJobs(Instant now);
+  void RankJob(ScheduledJob* job, Instant now);
+  void RemoveFromQueue(ScheduledJob* job);
   JobProgress ProgressOf(const ScheduledJob& job) const;
   void LogDecision(std::string text);
 
   // Runs (job_scheduler_runs.cc) --------------------------------------------
+  void SetPhase(ScheduledTask* task, TaskPhase phase);
   void Attach(ScheduledTask* task, EndpointState* endpoint, RunNumber run);
   void Detach(ScheduledTask* task);
   void ReturnToWaiting(ScheduledTask* task, const char* reason, Instant now);
@@ -212,12 +255,22 @@
                            Instant sent,
                            Instant now);
   void OnEndpointRestarted(EndpointState* endpoint, Instant now);
+  void SetRow(EndpointState* endpoint, const EndpointRow& row);
+  // An address belongs to one endpoint at a time: an unlisted endpoint whose
+  // address another one uses has exited.
+  void ReleaseIfAddressReused(EndpointState* endpoint, Instant now);
+  void UpdateExcluded(EndpointState* endpoint) const;
   void ReleaseLapsed(EndpointState* endpoint, const char* reason, Instant now);
   void StopStalledTasks(EndpointState* endpoint, Instant now);
   Milliseconds ExpectedDuration(const ScheduledStep& step) const;
   // Time from acceptance within which the job should complete.
   Milliseconds CompletionObjective(const ScheduledJob& job) const;
-  Urgency UrgencyOf(const ScheduledJob& job, Instant now) const;
+  // `objective` is the job's CompletionObjective(), `path_left` the critical
+  // path of what is not completed.
+  Urgency UrgencyOf(const ScheduledJob& job,
+                    Milliseconds objective,
+                    Milliseconds path_left,
+                    Instant now) const;
   // Duration of the critical path through the steps; with `left`, only through
   // the steps that are not completed.
   Milliseconds CriticalPath(const ScheduledJob& job, bool left) const;
@@ -230,13 +283,15 @@
   // Placement and polls (job_scheduler_place.cc, job_scheduler_polls.cc) -----
   bool Usable(const EndpointState& endpoint, Instant now) const;
   void Place(Instant now);
-  void PlaceService(const ServiceId& service,
-                    std::vector<ScheduledJob*>* waiting,
-                    Instant now);
-  bool PlaceStep(ScheduledStep* step,
-                 const QueueConfig* queue,
-                 const std::vector<EndpointState*>& usable,
-                 Instant now);
+  void PlaceService(const ServiceId& id, ServiceState* service, Instant now);
+  // Places the ready tasks of a job.
+  PlaceResult PlaceJob(ScheduledJob* job,
+                       const std::vector<EndpointState*>& usable,
+                       Instant now);
+  PlaceResult PlaceStep(ScheduledStep* step,
+                        const QueueConfig* queue,
+                        const std::vector<EndpointState*>& usable,
+                        Instant now);
   void PlaceGang(ScheduledStep* step,
                  const QueueConfig* queue,
                  const std::vector<EndpointState*>& usable,
@@ -289,7 +344,10 @@
   return task.endpoint != nullptr;
 }
 
-// Returns the first task of the job that is ready and not placed; null if none.
+// Returns the first step with a task that is ready and not placed; null if
+// none.
+const ScheduledStep* FirstReadyStep(const ScheduledJob& job);
+// Returns the first such task of the job; null if none.
 const ScheduledTask* FirstReadyTask(const ScheduledJob& job);
 
 // Returns the unreserved capacity of the endpoint.
--- a/src/coordination/job_scheduler_place.cc
+++ b/src/coordination/job_scheduler_place.cc
@@ -11,14 +11,8 @@
 
 namespace {
 
-struct Rank {
-  Urgency urgency = Urgency::kExpired;
-  bool over_share = false;  // the team uses more than its weighted share
-  int priority = 0;
-  Instant key{};
-
-  friend auto operator<=>(const Rank&, const Rank&) = default;
-};
+// Longest time after which the rank of a job follows changed predictions.
+constexpr Milliseconds kRankInterval{2000};
 
 // Labels of an endpoint: the first is its kind, the last is its rack.
 std::string RackOf(const EndpointState& endpoint) {
@@ -26,12 +20,6 @@
                                      : endpoint.row.labels.back();
 }
 
-bool HasLongRunningTask(const EndpointState& endpoint) {
-  return std::any_of(
-      endpoint.tasks.begin(), endpoint.tasks.end(),
-      [](const ScheduledTask* task) { return task->step->spec->long_running; });
-}
-
 bool IsLongRunning(const ScheduledJob& job) {
   const std::vector<StepSpec>& steps = job.accepted.spec.steps;
   return std::any_of(steps.begin(), steps.end(),
@@ -55,9 +43,7 @@
          endpoint.has_clock &&
          endpoint.failed_polls < this->config.failed_polls_to_unreachable &&
          endpoint.unhealthy_until <= now && endpoint.full_until <= now &&
-         endpoint.quarantine_until <= now &&
-         !this->zones_out.contains(endpoint.row.zone) &&
-         !this->cordoned.contains(endpoint.row.id);
+         endpoint.quarantine_until <= now && !endpoint.excluded;
 }
 
 Milliseconds JobScheduler::State::CompletionObjective(
@@ -70,12 +56,13 @@
 }
 
 Urgency JobScheduler::State::UrgencyOf(const ScheduledJob& job,
+                                       Milliseconds objective,
+                                       Milliseconds path_left,
                                        Instant now) const {
   if (IsLongRunning(job)) {
     return Urgency::kLongRunning;
   }
-  const Milliseconds objective = this->CompletionObjective(job);
-  const Instant finish = now + this->CriticalPath(job, true);
+  const Instant finish = now + path_left;
   if (finish <= job.arrived + objective) {
     return Urgency::kInTime;
   }
@@ -95,105 +82,149 @@
       }
     }
   }
-  std::map<ServiceId, std::vector<ScheduledJob*>> waiting;
-  for (ScheduledJob* job : this->active) {
-    if (IsFinal(job->decided) || job->version > this->startable ||
-        FirstReadyTask(*job) == nullptr) {
-      continue;
+  for (auto& [id, service] : this->services) {
+    if (!service.waiting.Empty()) {
+      this->PlaceService(id, &service, now);
     }
-    const ServiceId service = this->ServiceOf(*job);
-    if (job->before_takeover && this->unrecovered.contains(service)) {
-      continue;  // a run of it may exist on an endpoint not polled yet
+  }
+}
+
+void JobScheduler::State::RemoveFromQueue(ScheduledJob* job) {
+  if (job->queued_in != nullptr) {
+    job->queued_in->waiting.Erase(job->accepted.team, job->rank,
+                                  job->accepted.id, job);
+    job->queued_in = nullptr;
+    this->rank_timers.erase({job->rank_timer, job->accepted.id});
+  }
+}
+
+void JobScheduler::State::RankJob(ScheduledJob* job, Instant now) {
+  this->RemoveFromQueue(job);
+  if (IsFinal(job->decided) || FirstReadyStep(*job) == nullptr) {
+    return;
+  }
+  for (ScheduledOccurrence& occurrence : job->occurrences) {
+    for (ScheduledStep& step : occurrence.steps) {
+      step.expected = this->ExpectedDuration(step);
     }
-    waiting[service].push_back(job);
   }
-  for (auto& [service, jobs] : waiting) {
-    this->PlaceService(service, &jobs, now);
+  const QueueConfig* queue = this->QueueOf(*job);
+  const Milliseconds objective = this->CompletionObjective(*job);
+  const Milliseconds path_left = this->CriticalPath(*job, true);
+  JobRank rank;
+  rank.priority = queue == nullptr ? 0 : queue->priority;
+  rank.urgency = this->UrgencyOf(*job, objective, path_left, now);
+  rank.key = job->arrived;
+  Instant timer = now + kRankInterval;
+  if (rank.urgency == Urgency::kInTime) {
+    // Least remaining work first: under overload this order completes the
+    // most jobs, and nearly the most work, in time.
+    rank.key =
+        Instant{} +
+        std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double>(this->CoreSeconds(*job, true)));
+    timer = std::min<Instant>(
+        timer, job->arrived + objective - path_left + Milliseconds(1));
+  } else if (rank.urgency == Urgency::kLate) {
+    rank.key =
+        job->arrived + Scale(objective, this->config.late_objective_weight);
+    timer = std::min<Instant>(
+        timer, job->arrived + Scale(objective, this->config.late_factor) -
+                   path_left + Milliseconds(1));
+  }
+  job->rank = rank;
+  job->queued_in = &this->services[this->ServiceOf(*job)];
+  job->queued_in->waiting.Insert(job->accepted.team, rank, job->accepted.id,
+                                 job);
+  if (rank.urgency == Urgency::kInTime || rank.urgency == Urgency::kLate) {
+    job->rank_timer = timer;
+    this->rank_timers.emplace(timer, job->accepted.id);
   }
 }
 
-void JobScheduler::State::PlaceService(const ServiceId& service,
-                                       std::vector<ScheduledJob*>* waiting,
+void JobScheduler::State::PlaceService(const ServiceId& id,
+                                       ServiceState* service,
                                        Instant now) {
   std::vector<EndpointState*> usable;
-  Resources capacity;
-  for (auto& [id, endpoint] : this->endpoints) {
-    if (endpoint->row.service == service && this->Usable(*endpoint, now)) {
-      usable.push_back(endpoint.get());
-      capacity += endpoint->row.capacity;
+  double capacity = 0;
+  for (EndpointState* endpoint : service->endpoints) {
+    if (this->Usable(*endpoint, now)) {
+      usable.push_back(endpoint);
+      capacity += static_cast<double>(endpoint->row.capacity.milli_cores);
     }
   }
   if (usable.empty()) {
     return;
   }
   this->unplaceable.clear();
-  std::map<TeamId, std::int64_t> use;
-  double weights = 0;
-  for (EndpointState* endpoint : usable) {
-    for (const ScheduledTask* task : endpoint->tasks) {
-      use[task->step->job->accepted.team] +=
-          Reserved(*task->step->spec).milli_cores;
-    }
-  }
-  std::set<TeamId> teams;
-  for (const ScheduledJob* job : *waiting) {
-    teams.insert(job->accepted.team);
-  }
   const auto weight_of = [&](const TeamId& team) {
     const auto found = this->fleet.teams.find(team);
     return found == this->fleet.teams.end() ? 1.0 : found->second.weight;
   };
-  for (const TeamId& team : teams) {
-    weights += weight_of(team);
-  }
-  std::vector<std::pair<Rank, ScheduledJob*>> ranked;
-  for (ScheduledJob* job : *waiting) {
-    const QueueConfig* queue = this->QueueOf(*job);
-    const TeamId& team = job->accepted.team;
-    Rank rank;
-    rank.over_share =
-        weights > 0 && static_cast<double>(use[team]) >
-                           weight_of(team) / weights *
-                               static_cast<double>(capacity.milli_cores);
-    rank.priority = queue == nullptr ? 0 : queue->priority;
-    rank.urgency = this->UrgencyOf(*job, now);
-    rank.key = job->arrived;
-    if (rank.urgency == Urgency::kInTime) {
-      // Least remaining work first: under overload this order completes the
-      // most jobs, and nearly the most work, in time.
-      rank.key =
-          Instant{} +
-          std::chrono::duration_cast<Duration>(
-              std::chrono::duration<double>(this->CoreSeconds(*job, true)));
-    } else if (rank.urgency == Urgency::kLate) {
-      rank.key = job->arrived + Scale(this->CompletionObjective(*job),
-                                      this->config.late_objective_weight);
+  double weights = 0;
+  service->waiting.ForEachTeam(
+      [&](const TeamId& team) { weights += weight_of(team); });
+  // Runs, as milli-cores, that fill the share of each waiting team.
+  std::map<TeamId, double> shares;
+  service->waiting.ForEachTeam([&](const TeamId& team) {
+    shares[team] =
+        weights > 0 ? weight_of(team) / weights * capacity : capacity;
+  });
+  const auto over_share = [&](const TeamId& team) {
+    const auto used = service->team_milli_cores.find(team);
+    return used != service->team_milli_cores.end() &&
+           static_cast<double>(used->second) > shares[team];
+  };
+  const bool unrecovered_service = this->unrecovered.contains(id);
+  std::map<TeamId, int> failed;  // jobs that did not fit
+  int without_room = 0;
+  service->waiting.Walk(over_share, [&](ScheduledJob* job) {
+    // A run of a job of a previous owner may exist on an endpoint that was not
+    // polled yet.
+    if (job->version > this->startable ||
+        (job->before_takeover && unrecovered_service)) {
+      return WalkStep::kNextJob;
     }
-    ranked.emplace_back(rank, job);
-  }
-  std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) {
-    return std::tie(a.first, a.second->accepted.id) <
-           std::tie(b.first, b.second->accepted.id);
+    const PlaceResult result = this->PlaceJob(job, usable, now);
+    if (result == PlaceResult::kPlaced) {
+      return WalkStep::kNextJob;
+    }
+    if (result == PlaceResult::kNoRoom &&
+        ++without_room >= this->config.backfill_depth) {
+      return WalkStep::kStop;
+    }
+    return ++failed[job->accepted.team] < this->config.team_backfill_depth
+               ? WalkStep::kNextJob
+               : WalkStep::kSkipTeam;
   });
-  for (const auto& [rank, job] : ranked) {
-    const QueueConfig* queue = this->QueueOf(*job);
-    for (ScheduledOccurrence& occurrence : job->occurrences) {
-      for (ScheduledStep& step : occurrence.steps) {
-        if (queue != nullptr && queue->needs_advice) {
-          this->RequestAdvice(&step, *queue, usable, now);
-        }
-        if (step.ready_since == kNever) {
-          continue;
-        }
-        if (step.spec->gang) {
-          this->PlaceGang(&step, queue, usable, now);
-        } else {
-          this->PlaceStep(&step, queue, usable, now);
-        }
-        this->LogStarts(step);
+}
+
+PlaceResult JobScheduler::State::PlaceJob(
+    ScheduledJob* job,
+    const std::vector<EndpointState*>& usable,
+    Instant now) {
+  const QueueConfig* queue = this->QueueOf(*job);
+  PlaceResult worst = PlaceResult::kPlaced;
+  for (ScheduledOccurrence& occurrence : job->occurrences) {
+    for (ScheduledStep& step : occurrence.steps) {
+      if (step.waiting == 0) {
+        continue;
       }
+      if (queue != nullptr && queue->needs_advice) {
+        this->RequestAdvice(&step, *queue, usable, now);
+      }
+      if (step.ready_since == kNever) {
+        continue;
+      }
+      if (step.spec->gang) {
+        this->PlaceGang(&step, queue, usable, now);
+      } else {
+        worst = std::max(worst, this->PlaceStep(&step, queue, usable, now));
+      }
+      this->LogStarts(step);
     }
   }
+  return worst;
 }
 
 //-----------------------------------------------------------------------------
@@ -275,6 +306,7 @@
       }
     }
   }
+  const bool long_running = step.spec->long_running;
   EndpointState* best = nullptr;
   std::tuple<int, int, int, bool, std::int64_t> best_score;
   for (EndpointState* endpoint : usable) {
@@ -294,11 +326,10 @@
     // Long-running tasks of a step are spread, so that the loss of an endpoint
     // stops few of them; endpoints that already run long-running work are
     // preferred.
-    const bool long_running = step.spec->long_running;
     const std::tuple<int, int, int, bool, std::int64_t> score{
         avoided, far,
         long_running ? this->OthersOnEndpoint(step, *endpoint) : 0,
-        long_running && !HasLongRunningTask(*endpoint),
+        long_running && endpoint->long_running == 0,
         step.spec->best_effort ? -left : left};
     if (best == nullptr || score < best_score) {
       best = endpoint;
@@ -315,12 +346,13 @@
       [&](const Resources& failed) { return failed.FitsIn(needed); });
 }
 
-bool JobScheduler::State::PlaceStep(ScheduledStep* step,
-                                    const QueueConfig* queue,
-                                    const std::vector<EndpointState*>& usable,
-                                    Instant now) {
+PlaceResult JobScheduler::State::PlaceStep(
+    ScheduledStep* step,
+    const QueueConfig* queue,
+    const std::vector<EndpointState*>& usable,
+    Instant now) {
   if (this->IsKnownNotToFit(*step->spec)) {
-    return false;
+    return PlaceResult::kNoRoom;
   }
   const TeamId& team = step->job->accepted.team;
   for (ScheduledTask& task : step->tasks) {
@@ -328,7 +360,7 @@
       continue;
     }
     if (!this->WithinTeamLimit(team, step->spec->per_task)) {
-      return false;
+      return PlaceResult::kTeamLimit;
     }
     EndpointState* endpoint =
         this->ChooseEndpoint(*step, task, queue, usable, now);
@@ -341,12 +373,13 @@
           spec.max_per_endpoint == 0 &&
           (queue == nullptr || !queue->needs_advice)) {
         this->unplaceable.push_back(Reserved(spec));
+        return PlaceResult::kNoRoom;
       }
-      return false;  // all tasks of a step need the same
+      return PlaceResult::kPlaced;  // all tasks of a step need the same
     }
     this->Start(&task, endpoint, now);
   }
-  return true;
+  return PlaceResult::kPlaced;
 }
 
 void JobScheduler::State::PlaceGang(ScheduledStep* step,
@@ -413,7 +446,7 @@
                                 Instant now) {
   this->Attach(task, endpoint,
                std::max(task->run, FirstRun(this->config.epoch)) + 1);
-  task->phase = TaskPhase::kStarting;
+  this->SetPhase(task, TaskPhase::kStarting);
   task->since = now;
   task->answered = Instant{};
   task->percent = -1;
--- a/src/coordination/job_scheduler_polls.cc
+++ b/src/coordination/job_scheduler_polls.cc
@@ -24,22 +24,29 @@
 // [SECTION] Why a job waits
 //-----------------------------------------------------------------------------
 
-const ScheduledTask* FirstReadyTask(const ScheduledJob& job) {
+const ScheduledStep* FirstReadyStep(const ScheduledJob& job) {
   for (const ScheduledOccurrence& occurrence : job.occurrences) {
     for (const ScheduledStep& step : occurrence.steps) {
-      if (step.ready_since == kNever) {
-        continue;
-      }
-      for (const ScheduledTask& task : step.tasks) {
-        if (task.phase == TaskPhase::kWaiting) {
-          return &task;
-        }
+      if (step.ready_since != kNever && step.waiting > 0) {
+        return &step;
       }
     }
   }
   return nullptr;
 }
 
+const ScheduledTask* FirstReadyTask(const ScheduledJob& job) {
+  const ScheduledStep* const step = FirstReadyStep(job);
+  if (step == nullptr) {
+    return nullptr;
+  }
+  const auto found = std::find_if(step->tasks.begin(), step->tasks.end(),
+                                  [](const ScheduledTask& task) {
+                                    return task.phase == TaskPhase::kWaiting;
+                                  });
+  return found == step->tasks.end() ? nullptr : &*found;
+}
+
 std::string JobScheduler::ExplainWait(const JobId& id, Instant now) const {
   const State& state = *this->state;
   const ScheduledJob* job = this->state->FindJob(id);
@@ -120,11 +127,7 @@
     const QueueConfig& queue,
     const std::vector<EndpointState*>& usable,
     Instant now) {
-  const bool waiting = std::any_of(step->tasks.begin(), step->tasks.end(),
-                                   [](const ScheduledTask& task) {
-                                     return task.phase == TaskPhase::kWaiting;
-                                   });
-  if (!waiting || step->advice_open || step->advice_after > now ||
+  if (step->waiting == 0 || step->advice_open || step->advice_after > now ||
       this->advice_open >= this->config.advice_calls) {
     return;
   }
@@ -191,6 +194,9 @@
 
 void JobScheduler::State::AdjustPace(Instant now) {
   for (auto& [id, endpoint] : this->endpoints) {
+    if (endpoint->best_effort == 0) {
+      continue;
+    }
     bool over_target = false;
     bool well_below_target = true;
     for (const ScheduledTask* task : endpoint->tasks) {
@@ -237,11 +243,10 @@
     if (endpoint->poll_in_flight || !needed || endpoint->next_poll > now) {
       continue;
     }
-    bool best_effort = false;
+    const bool best_effort = endpoint->best_effort > 0;
     bool latency_critical = false;
     bool needs_answer = false;
     for (const ScheduledTask* task : endpoint->tasks) {
-      best_effort = best_effort || task->step->spec->best_effort;
       latency_critical =
           latency_critical || task->step->spec->target_tail.count() > 0;
       needs_answer = needs_answer || task->unanswered || task->stop_confirmed;
@@ -280,7 +285,8 @@
 
 bool JobScheduler::State::IsStarved(const ScheduledStep& step,
                                     Instant now) const {
-  if (step.ready_since == kNever) {
+  if (step.ready_since == kNever ||
+      now - step.ready_since < this->config.starved_after) {
     return false;
   }
   const ScheduledTask* waiting = nullptr;
@@ -296,13 +302,16 @@
       !this->WithinTeamLimit(step.job->accepted.team, step.spec->per_task)) {
     return false;
   }
-  const ServiceId service = this->ServiceOf(*step.job);
+  const auto service = this->services.find(this->ServiceOf(*step.job));
+  if (service == this->services.end()) {
+    return true;
+  }
   const QueueConfig* queue = this->QueueOf(*step.job);
-  return std::none_of(this->endpoints.begin(), this->endpoints.end(),
-                      [&](const auto& entry) {
-                        return entry.second->row.service == service &&
-                               this->Usable(*entry.second, now) &&
-                               this->Accepts(*entry.second, step, queue, now);
+  return std::none_of(service->second.endpoints.begin(),
+                      service->second.endpoints.end(),
+                      [&](const EndpointState* endpoint) {
+                        return this->Usable(*endpoint, now) &&
+                               this->Accepts(*endpoint, step, queue, now);
                       });
 }
 
--- a/src/coordination/job_scheduler_runs.cc
+++ b/src/coordination/job_scheduler_runs.cc
@@ -26,52 +26,79 @@
 
 void JobScheduler::OnEndpoints(const std::vector<EndpointRow>& rows,
                                Instant now) {
-  State& state = *this->state;
   std::set<EndpointId> listed;
-  std::map<std::string, EndpointId> addresses;
   for (const EndpointRow& row : rows) {
     listed.insert(row.id);
-    addresses[row.address] = row.id;
-    std::unique_ptr<EndpointState>& endpoint = state.endpoints[row.id];
-    if (endpoint == nullptr) {
-      endpoint = std::make_unique<EndpointState>();
-      endpoint->row = row;
-      endpoint->lapse_at = state.recovery_ends;
-    }
-    const bool restarted = endpoint->row.start_time_ms != 0 &&
-                           row.start_time_ms != 0 &&
-                           endpoint->row.start_time_ms != row.start_time_ms;
-    if (!endpoint->listed) {
-      endpoint->listed = true;
-      endpoint->next_poll = now;
-      endpoint->failed_polls = 0;
-    }
-    if (endpoint->row.ready && !row.ready) {
-      state.LogDecision("decision=endpoint_draining endpoint=" + row.id.value);
-    }
-    endpoint->row = row;
-    if (restarted) {
-      state.OnEndpointRestarted(endpoint.get(), now);
-    }
+    this->OnEndpointListed(row, now);
   }
-  for (auto& [id, endpoint] : state.endpoints) {
-    if (listed.contains(id)) {
-      continue;
-    }
-    if (endpoint->listed) {
-      endpoint->listed = false;
-      state.LogDecision("decision=endpoint_gone endpoint=" + id.value +
-                        " runs=" + std::to_string(endpoint->tasks.size()));
+  for (const auto& [id, endpoint] : this->state->endpoints) {
+    if (!listed.contains(id)) {
+      this->OnEndpointUnlisted(id, now);
     }
-    // An address belongs to one endpoint at a time: the previous one has
-    // exited.
-    const auto successor = addresses.find(endpoint->row.address);
-    if (successor != addresses.end() && successor->second != id) {
-      state.ReleaseLapsed(endpoint.get(), "address_reused", now);
+  }
+}
+
+void JobScheduler::OnEndpointListed(const EndpointRow& row, Instant now) {
+  State& state = *this->state;
+  std::unique_ptr<EndpointState>& endpoint = state.endpoints[row.id];
+  if (endpoint == nullptr) {
+    endpoint = std::make_unique<EndpointState>();
+    state.SetRow(endpoint.get(), row);
+    endpoint->lapse_at = state.recovery_ends;
+  }
+  const bool restarted = endpoint->row.start_time_ms != 0 &&
+                         row.start_time_ms != 0 &&
+                         endpoint->row.start_time_ms != row.start_time_ms;
+  if (!endpoint->listed) {
+    endpoint->listed = true;
+    endpoint->next_poll = now;
+    endpoint->failed_polls = 0;
+  }
+  if (endpoint->row.ready && !row.ready) {
+    state.LogDecision("decision=endpoint_draining endpoint=" + row.id.value);
+  }
+  if (endpoint->row != row) {
+    state.SetRow(endpoint.get(), row);
+  }
+  if (restarted) {
+    state.OnEndpointRestarted(endpoint.get(), now);
+  }
+  EndpointId& holder = state.addresses[row.address];
+  if (holder != row.id) {
+    holder = row.id;
+    for (const auto& [id, other] : state.endpoints) {
+      if (!other->listed) {
+        state.ReleaseIfAddressReused(other.get(), now);
+      }
     }
   }
 }
 
+void JobScheduler::OnEndpointUnlisted(const EndpointId& id, Instant now) {
+  State& state = *this->state;
+  const auto found = state.endpoints.find(id);
+  if (found == state.endpoints.end() || !found->second->listed) {
+    return;
+  }
+  EndpointState* const endpoint = found->second.get();
+  endpoint->listed = false;
+  state.LogDecision("decision=endpoint_gone endpoint=" + id.value +
+                    " runs=" + std::to_string(endpoint->tasks.size()));
+  const auto holder = state.addresses.find(endpoint->row.address);
+  if (holder != state.addresses.end() && holder->second == id) {
+    state.addresses.erase(holder);
+  }
+  state.ReleaseIfAddressReused(endpoint, now);
+}
+
+void JobScheduler::State::ReleaseIfAddressReused(EndpointState* endpoint,
+                                                 Instant now) {
+  const auto holder = this->addresses.find(endpoint->row.address);
+  if (holder != this->addresses.end() && holder->second != endpoint->row.id) {
+    this->ReleaseLapsed(endpoint, "address_reused", now);
+  }
+}
+
 void JobScheduler::OnPreviousOwnerEndpoints(
     const std::vector<UsedEndpoint>& endpoints,
     Instant now) {
@@ -79,9 +106,11 @@
     std::unique_ptr<EndpointState>& endpoint = this->state->endpoints[used.id];
     if (endpoint == nullptr) {
       endpoint = std::make_unique<EndpointState>();
-      endpoint->row.id = used.id;
-      endpoint->row.service = used.service;
-      endpoint->row.capacity = used.capacity;
+      EndpointRow row;
+      row.id = used.id;
+      row.service = used.service;
+      row.capacity = used.capacity;
+      this->state->SetRow(endpoint.get(), row);
       endpoint->lapse_at = this->state->recovery_ends;
       if (used.lapse_ms > 0) {
         endpoint->lapse_at =
@@ -106,6 +135,25 @@
   return used;
 }
 
+void JobScheduler::State::SetRow(EndpointState* endpoint,
+                                 const EndpointRow& row) {
+  ServiceState* const service = &this->services[row.service];
+  if (endpoint->service != service) {
+    if (endpoint->service != nullptr) {
+      std::erase(endpoint->service->endpoints, endpoint);
+    }
+    service->endpoints.push_back(endpoint);
+    endpoint->service = service;
+  }
+  endpoint->row = row;
+  this->UpdateExcluded(endpoint);
+}
+
+void JobScheduler::State::UpdateExcluded(EndpointState* endpoint) const {
+  endpoint->excluded = this->zones_out.contains(endpoint->row.zone) ||
+                       this->cordoned.contains(endpoint->row.id);
+}
+
 void JobScheduler::State::OnEndpointRestarted(EndpointState* endpoint,
                                               Instant now) {
   this->LogDecision(
@@ -124,7 +172,7 @@
                                 task->phase == TaskPhase::kStarting ||
                                 task->answered > endpoint->clock_read;
     if (may_start_late) {
-      task->phase = TaskPhase::kRunning;
+      this->SetPhase(task, TaskPhase::kRunning);
       this->RequestStop(task, "endpoint_restarted", now);
     } else {
       this->ReturnToWaiting(task, "endpoint_restarted", now);
@@ -167,24 +215,61 @@
 // [SECTION] Tasks
 //-----------------------------------------------------------------------------
 
+void JobScheduler::State::SetPhase(ScheduledTask* task, TaskPhase phase) {
+  if (task->phase == phase) {
+    return;
+  }
+  const auto count = [task](TaskPhase of, int change) {
+    if (of == TaskPhase::kWaiting) {
+      task->step->waiting += change;
+    } else if (of == TaskPhase::kStopping && task->endpoint != nullptr) {
+      task->endpoint->stopping += change;
+    }
+  };
+  count(task->phase, -1);
+  count(phase, 1);
+  if (task->phase == TaskPhase::kWaiting || phase == TaskPhase::kWaiting) {
+    this->MarkForRanking(task->step->job);
+  }
+  task->phase = phase;
+}
+
 void JobScheduler::State::Attach(ScheduledTask* task,
                                  EndpointState* endpoint,
                                  RunNumber run) {
+  const StepSpec& spec = *task->step->spec;
+  const TeamId& team = task->step->job->accepted.team;
   task->endpoint = endpoint;
+  task->service = endpoint->service;
   task->run = run;
   endpoint->tasks.insert(task);
-  endpoint->used += Reserved(*task->step->spec);
-  this->team_use[task->step->job->accepted.team] += task->step->spec->per_task;
+  endpoint->used += Reserved(spec);
+  endpoint->long_running += spec.long_running ? 1 : 0;
+  endpoint->best_effort += spec.best_effort ? 1 : 0;
+  ++task->step->placed;
+  ++task->step->job->placed;
+  task->service->team_milli_cores[team] += Reserved(spec).milli_cores;
+  this->team_use[team] += spec.per_task;
 }
 
 void JobScheduler::State::Detach(ScheduledTask* task) {
   if (task->endpoint == nullptr) {
     return;
   }
-  task->endpoint->tasks.erase(task);
-  task->endpoint->used -= Reserved(*task->step->spec);
-  this->team_use[task->step->job->accepted.team] -= task->step->spec->per_task;
+  const StepSpec& spec = *task->step->spec;
+  const TeamId& team = task->step->job->accepted.team;
+  EndpointState* const endpoint = task->endpoint;
+  endpoint->tasks.erase(task);
+  endpoint->used -= Reserved(spec);
+  endpoint->long_running -= spec.long_running ? 1 : 0;
+  endpoint->best_effort -= spec.best_effort ? 1 : 0;
+  endpoint->stopping -= task->phase == TaskPhase::kStopping ? 1 : 0;
+  --task->step->placed;
+  --task->step->job->placed;
+  task->service->team_milli_cores[team] -= Reserved(spec).milli_cores;
+  this->team_use[team] -= spec.per_task;
   task->endpoint = nullptr;
+  task->service = nullptr;
   task->unanswered = false;
   task->stop_confirmed = false;
   task->percent = -1;
@@ -200,7 +285,7 @@
                                                : task->endpoint->row.id.value) +
                     " reason=" + reason);
   this->Detach(task);
-  task->phase = PhaseWithoutRun(*task);
+  this->SetPhase(task, PhaseWithoutRun(*task));
   task->since = now;
 }
 
@@ -214,7 +299,7 @@
   this->LogDecision("decision=stop task=" + TaskText(NameOf(*task)) +
                     " run=" + std::to_string(task->run) + " endpoint=" +
                     task->endpoint->row.id.value + " reason=" + reason);
-  task->phase = TaskPhase::kStopping;
+  this->SetPhase(task, TaskPhase::kStopping);
   task->since = now;
   task->stop_confirmed = false;
   this->SendStop(task, now);
@@ -293,7 +378,7 @@
     task->unanswered = false;
     task->answered = now;
     if (task->phase == TaskPhase::kStarting) {
-      task->phase = TaskPhase::kRunning;
+      state.SetPhase(task, TaskPhase::kRunning);
       task->since = now;
     }
     return;
@@ -420,14 +505,14 @@
                       " run=" + std::to_string(row.run) +
                       " endpoint=" + endpoint->row.id.value);
     this->Attach(task, endpoint, row.run);
-    task->phase = TaskPhase::kRunning;
+    this->SetPhase(task, TaskPhase::kRunning);
     task->since = now;
     if (task->step->job->cancelled || IsFinal(task->step->job->decided)) {
       this->RequestStop(task, "job_final", now);
     }
   }
   if (task->phase == TaskPhase::kStarting) {
-    task->phase = TaskPhase::kRunning;
+    this->SetPhase(task, TaskPhase::kRunning);
     task->since = now;
   }
   if (task->unanswered) {
@@ -511,7 +596,7 @@
           std::chrono::duration_cast<Milliseconds>(now - task->since));
     }
     this->Detach(task);
-    task->phase = PhaseWithoutRun(*task);
+    this->SetPhase(task, PhaseWithoutRun(*task));
     task->since = now;
   }
   if (task->phase == TaskPhase::kDone) {
@@ -539,7 +624,7 @@
       }
       // A later run that is being stopped holds its reservation until it ends.
       if (!MayBeRunning(member)) {
-        member.phase = TaskPhase::kDone;
+        this->SetPhase(&member, TaskPhase::kDone);
       }
     }
     this->MarkDirty(job);
@@ -577,7 +662,7 @@
       static_cast<int>(failed.size()) < queue->max_attempts) {
     return;
   }
-  job->decided = JobState::kFailed;
+  this->Decide(job, JobState::kFailed);
   this->LogDecision("decision=fail job=" + job->accepted.id.value +
                     " task=" + TaskText(NameOf(*task)) +
                     " attempts=" + std::to_string(failed.size()));
--- a/src/daemon/job_store.h
+++ b/src/daemon/job_store.h
@@ -37,7 +37,6 @@
 inline constexpr char kOwnerPart[] = "owner";
 inline constexpr char kOwnerKey[] = "lease";
 inline constexpr char kUsedTable[] = "used_endpoints";
-inline constexpr char kUsedKey[] = "all";
 
 // Returns the parts of the tables that all daemons write. The store executes
 // the transactions of one part sequentially.
--- a/src/daemon/owner_load.cc
+++ b/src/daemon/owner_load.cc
@@ -89,6 +89,7 @@
           return;
         }
         for (const StoreRow& row : reply.rows) {
+          this->owned->used_rows.OnRead(row.key.key);
           auto used = DecodeUsedEndpoints(row.value);
           if (used) {
             for (UsedEndpoint& endpoint : used.value()) {
@@ -205,19 +206,18 @@
 
 void OwnerTask::OnEndpointRow(const StoreRow& row) {
   Ownership& owned = *this->owned;
-  owned.endpoints_changed = true;
   const EndpointId id(row.key.key);
   if (row.removed) {
-    owned.endpoint_rows.erase(id);
+    owned.endpoint_changes[id] = std::nullopt;
     return;
   }
   const Result<EndpointRow> endpoint = this->ports->decode_endpoint(row);
   if (!endpoint) {
     LogError(LogLevel::kWarning, "endpoint_row_skipped", endpoint.error());
-    owned.endpoint_rows.erase(id);
+    owned.endpoint_changes[id] = std::nullopt;
     return;
   }
-  owned.endpoint_rows[id] = endpoint.value();
+  owned.endpoint_changes[id] = endpoint.value();
 }
 
 void OwnerTask::OnViewChanged() {
--- a/src/daemon/owner_rounds.cc
+++ b/src/daemon/owner_rounds.cc
@@ -50,13 +50,12 @@
   }
   const Instant now = this->loop->Now();
   owned.scheduler.OnWallClock(UnixMs(), now);
-  if (owned.endpoints_changed) {
-    owned.endpoints_changed = false;
-    std::vector<EndpointRow> rows;
-    for (const auto& [id, row] : owned.endpoint_rows) {
-      rows.push_back(row);
+  for (const auto& [id, row] : std::exchange(owned.endpoint_changes, {})) {
+    if (row) {
+      owned.scheduler.OnEndpointListed(*row, now);
+    } else {
+      owned.scheduler.OnEndpointUnlisted(id, now);
     }
-    owned.scheduler.OnEndpoints(rows, now);
   }
   if (owned.loaded) {
     this->ExecuteActions(owned.scheduler.Advance(this->lease.Valid(now), now));
@@ -197,15 +196,6 @@
       !(owned.loaded && owned.scheduler.HasHeldJobs())) {
     return;
   }
-  owned.used_writing = owned.scheduler.UsedEndpoints(now);
-  for (UsedEndpoint& used : owned.used_writing) {
-    if (used.lapse_ms > 0) {
-      // Rounded up, so that the row does not change with every write.
-      used.lapse_ms =
-          (used.lapse_ms + this->StoreMs()) / kLapseUnitMs * kLapseUnitMs +
-          kLapseUnitMs;
-    }
-  }
   // Each write renews the lease and fails if another daemon holds it.
   OwnerRow row = this->lease.NextRow(this->StoreMs(), false);
   if (owned.loaded) {
@@ -220,10 +210,19 @@
         StoreKey{kProgressTable, kOwnerPart, progress.id.value},
         EncodeProgress(progress));
   }
-  if (owned.loaded && owned.used_writing != owned.used_written) {
-    transaction.puts.emplace_back(StoreKey{kUsedTable, kOwnerPart, kUsedKey},
-                                  EncodeUsedEndpoints(owned.used_writing));
+  if (owned.loaded) {
+    std::vector<UsedEndpoint> used = owned.scheduler.UsedEndpoints(now);
+    for (UsedEndpoint& endpoint : used) {
+      if (endpoint.lapse_ms > 0) {
+        // Rounded up, so that the row does not change with every write.
+        endpoint.lapse_ms = (endpoint.lapse_ms + this->StoreMs()) /
+                                kLapseUnitMs * kLapseUnitMs +
+                            kLapseUnitMs;
+      }
+    }
+    owned.used_rows.AddChanges(used, &transaction);
   }
+  owned.used_in_write = owned.loaded;
   for (const auto& [name, progress] : owned.waves_to_write) {
     transaction.puts.emplace_back(StoreKey{kWaveTable, kOwnerPart, name},
                                   EncodeWaveProgress(progress));
@@ -250,8 +249,8 @@
     this->lease.OnWritten(row, reply.version, sent);
     this->write_answered = now;
     owned.scheduler.OnStartable(row.jobs_version);
-    if (owned.loaded) {
-      owned.used_written = owned.used_writing;
+    if (owned.used_in_write) {
+      owned.used_rows.OnStored();
     }
     owned.scheduler.OnRecorded(batch, true, now);
     for (const auto& [name, progress] : owned.waves_to_write) {
--- a/src/daemon/owner_task.h
+++ b/src/daemon/owner_task.h
@@ -62,7 +62,9 @@
   // Age of the last successful answer of the job feed up to which the count of
   // waiting jobs is reported: the feed's wait of 1.2 s plus the transfer time.
   Milliseconds max_jobs_feed_age{1600};
-  std::size_t max_batch = 80;  // jobs; a call of the store takes 100 rows
+  // Jobs in one write. A call of the store takes 100 rows; the others hold the
+  // lease, the used endpoints and the waves.
+  std::size_t max_batch = 70;
   // Time for which a job with a final state stays readable: the longest time
   // guaranteed to callers.
   Milliseconds final_job_retention{150000};
--- a/src/daemon/owner_task_internal.h
+++ b/src/daemon/owner_task_internal.h
@@ -9,11 +9,13 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "src/daemon/owner_task.h"
+#include "src/daemon/used_endpoint_rows.h"
 
 namespace peridot {
 
@@ -28,10 +30,10 @@
   std::unique_ptr<TableFollower> jobs;
   std::unique_ptr<TableFollower> cancels;
   std::unique_ptr<TableFollower> endpoints;
-  std::map<EndpointId, EndpointRow> endpoint_rows;
+  // Changes since the last round; none: the endpoint is no longer listed.
+  std::map<EndpointId, std::optional<EndpointRow>> endpoint_changes;
   std::vector<StoreRow> deferred_jobs;  // jobs read before pending_loads is 0
-  std::vector<UsedEndpoint> used_written;  // as stored last
-  std::vector<UsedEndpoint> used_writing;
+  UsedEndpointRows used_rows;
   std::map<std::string, WaveProgress> waves_to_write;
   WatchId timer = kNoWatch;
   Instant began_at{};
@@ -42,11 +44,11 @@
   Instant next_explanation{};
   Duration round_duration{};  // processing time of the last round
   int pending_loads = 3;  // unanswered reads: progress, waves, used endpoints
-  bool endpoints_changed = false;
-  bool loaded = false;  // all jobs and endpoints have been read
+  bool loaded = false;    // all jobs and endpoints have been read
   bool round_due = false;
   bool writing = false;
-  bool closing = false;  // a write that closes jobs is under way
+  bool used_in_write = false;  // the write includes the used endpoints
+  bool closing = false;        // a write that closes jobs is under way
   bool reading_hosts = false;
 };
 
--- a/tests/job_scheduler_test.cc
+++ b/tests/job_scheduler_test.cc
@@ -368,6 +368,88 @@
   CHECK(fixture.scheduler.StateOf(JobId("j")) == JobState::kCompleted);
 }
 
+TEST_CASE("jobs of a team at its limit do not hide the jobs of others",
+          "[job_scheduler]") {
+  // Guards the bound on a round's work: many jobs that cannot start precede
+  // one that can.
+  SchedulerFixture fixture({Endpoint("e1"), Endpoint("e2")});
+  FleetConfig fleet = Fleet();
+  fleet.teams[TeamId("full")].limit.milli_cores = 1000;
+  fixture.scheduler.OnFleetConfig(fleet);
+  for (int i = 0; i < 200; ++i) {
+    AcceptedJob job = Job("a" + std::to_string(i), 1);
+    job.team = TeamId("full");
+    fixture.scheduler.OnJob(job, RowVersion(0), false, milliseconds(0),
+                            fixture.now);
+  }
+  AcceptedJob last = Job("z", 2);
+  last.team = TeamId("other");
+  fixture.scheduler.OnJob(last, RowVersion(0), false, milliseconds(0),
+                          fixture.now);
+  int of_other = 0;
+  for (const StartRun& start : fixture.Starts()) {
+    of_other += start.task.job == JobId("z") ? 1 : 0;
+  }
+  CHECK(of_other == 2);
+}
+
+TEST_CASE("an endpoint whose address was reused has lost its work",
+          "[job_scheduler]") {
+  // Guards against work that waits for the lease of a process that has exited,
+  // in either order of the two changes of the list.
+  const bool listed_first = GENERATE(true, false);
+  SchedulerFixture fixture({Endpoint("e1")});
+  fixture.scheduler.OnJob(Job("a", 1), RowVersion(0), false, milliseconds(0),
+                          fixture.now);
+  const std::vector<StartRun> starts = fixture.Starts();
+  REQUIRE(starts.size() == 1);
+  fixture.Confirm(starts[0]);
+  EndpointRow successor = Endpoint("e2");
+  successor.address = Endpoint("e1").address;
+  if (listed_first) {
+    fixture.scheduler.OnEndpointListed(successor, fixture.now);
+    fixture.scheduler.OnEndpointUnlisted(EndpointId("e1"), fixture.now);
+  } else {
+    fixture.scheduler.OnEndpointUnlisted(EndpointId("e1"), fixture.now);
+    fixture.scheduler.OnEndpointListed(successor, fixture.now);
+  }
+  fixture.AnswerPoll(EndpointId("e2"), {});
+  const std::vector<StartRun> again = fixture.Starts();
+  REQUIRE(again.size() == 1);
+  CHECK(again[0].target.endpoint == EndpointId("e2"));
+  CHECK(again[0].run > starts[0].run);
+}
+
+TEST_CASE("a job that has become late is ranked behind those in time",
+          "[job_scheduler]") {
+  // Guards the instants at which the rank of a waiting job changes without any
+  // event: ranks are kept between rounds.
+  SchedulerFixture fixture({Endpoint("e1")});
+  AcceptedJob blocker = Job("blocker", 4);
+  fixture.scheduler.OnJob(blocker, RowVersion(0), false, milliseconds(0),
+                          fixture.now);
+  const std::vector<StartRun> running = fixture.Starts();
+  REQUIRE(running.size() == 4);
+  AcceptedJob early = Job("early", 4);
+  early.spec.steps[0].estimate = milliseconds(100);
+  fixture.scheduler.OnJob(early, RowVersion(0), false, milliseconds(0),
+                          fixture.now);
+  CHECK(fixture.Starts().empty());
+  fixture.now += milliseconds(200);
+  AcceptedJob fresh = Job("fresh", 4);
+  fixture.scheduler.OnJob(fresh, RowVersion(0), false, milliseconds(0),
+                          fixture.now);
+  EndpointReportRows report;
+  for (std::size_t i = 0; i < running.size(); ++i) {
+    fixture.Confirm(running[i]);
+    report.ended.push_back(End(i + 1, running[i], EndKind::kDone));
+  }
+  fixture.AnswerPoll(EndpointId("e1"), report);
+  const std::vector<StartRun> next = fixture.Starts();
+  REQUIRE(next.size() == 4);
+  CHECK(next[0].task.job == JobId("fresh"));
+}
+
 TEST_CASE("the explanation of a waiting job names the binding constraint",
           "[job_scheduler]") {
   // Guards the explanation that operators see for a waiting job.
--- /dev/null
+++ b/tests/used_endpoint_rows_test.cc
@@ -0,0 +1,83 @@
+// Tests of the rows that list the used endpoints.
+
+#include "src/daemon/used_endpoint_rows.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "src/protocol/job_json.h"
+
+namespace peridot {
+namespace {
+
+// Limits of the store: a row's value in base64, and the entries of a call.
+constexpr std::size_t kMaxRowBytes = 65536;
+constexpr std::size_t kMaxEntries = 100;
+
+std::vector<UsedEndpoint> Endpoints(int count) {
+  std::vector<UsedEndpoint> endpoints;
+  for (int i = 0; i < count; ++i) {
+    endpoints.push_back(UsedEndpoint{
+        EndpointId("executor-" + std::to_string(100000 + i)),
+        ServiceId("municipal-service"), Resources{64000, 262144, 0}, 0});
+  }
+  return endpoints;
+}
+
+TEST_CASE("the used endpoints of a large fleet fit into the rows of the store",
+          "[used_endpoint_rows]") {
+  // Guards against a row above the store's limit: the store rejects the whole
+  // write, so that the owner can neither renew its lease nor start a job.
+  UsedEndpointRows rows;
+  StoreTransaction transaction;
+  rows.AddChanges(Endpoints(10000), &transaction);
+  CHECK(transaction.puts.size() <= UsedEndpointRows::kRows);
+  std::size_t listed = 0;
+  for (const auto& [key, value] : transaction.puts) {
+    CHECK((value.size() + 2) / 3 * 4 <= kMaxRowBytes);
+    listed += DecodeUsedEndpoints(value).value().size();
+  }
+  CHECK(listed == 10000);
+  // Beside the lease, two waves and a full batch of progress.
+  CHECK(UsedEndpointRows::kRows + 1 + 2 + 70 <= kMaxEntries);
+}
+
+TEST_CASE("only rows with a change are written again", "[used_endpoint_rows]") {
+  // Guards the bytes written for each change, and that a change whose write
+  // failed is written again.
+  UsedEndpointRows rows;
+  std::vector<UsedEndpoint> endpoints = Endpoints(500);
+  StoreTransaction first;
+  rows.AddChanges(endpoints, &first);
+  rows.OnStored();
+  StoreTransaction unchanged;
+  rows.AddChanges(endpoints, &unchanged);
+  CHECK(unchanged.puts.empty());
+  endpoints[7].lapse_ms = 900;
+  StoreTransaction failed;
+  rows.AddChanges(endpoints, &failed);
+  CHECK(failed.puts.size() == 1);
+  StoreTransaction repeated;
+  rows.AddChanges(endpoints, &repeated);
+  CHECK(repeated.puts.size() == 1);
+}
+
+TEST_CASE("the row of an older version is removed", "[used_endpoint_rows]") {
+  // Guards against endpoints of an outdated list that count as used for good.
+  UsedEndpointRows rows;
+  rows.OnRead("all");
+  rows.OnRead("row-3");
+  StoreTransaction transaction;
+  rows.AddChanges(Endpoints(3), &transaction);
+  REQUIRE(transaction.removals.size() == 1);
+  CHECK(transaction.removals[0].key == "all");
+  rows.OnStored();
+  StoreTransaction next;
+  rows.AddChanges(Endpoints(3), &next);
+  CHECK(next.removals.empty());
+}
+
+}  // namespace
+}  // namespace peridot
