--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -251,6 +251,7 @@
   void CloseConnections(const HttpPeer& peer);
   std::optional<Instant> LastResponseTime(ConnectionId id) const;
   std::size_t OpenConnections(const HttpPeer& peer) const;
+  std::size_t OpenConnections() const { return this->connections.size(); }
   std::size_t WaitingRequests(const HttpPeer& peer) const;
   void Shutdown();
 
@@ -264,6 +265,7 @@
     bool request_written = false;   // bytes were written to a connected socket
     bool used = false;              // has received a response
     bool ended = false;             // closed by the peer or by evhttp
+    std::uint64_t idle_order = 0;   // key in Pools::idle; 0: in use
     std::optional<evhttp_request_error> error;
     std::optional<Instant> last_response_time;
   };
@@ -321,6 +323,9 @@
                   const PendingRequest& pending_request,
                   const HttpOutcome& outcome) const;
   void Release(Connection* connection);
+  // Removes the connection from the idle ones of its pool.
+  void RemoveFromIdle(PeerPool* pool, Connection* connection);
+  void CloseLongestIdle();
   void Finish(RequestId id, HttpOutcome outcome);
   void FailRequest(RequestId id,
                    HttpResult result,
@@ -336,6 +341,8 @@
   std::unordered_map<RequestId, PendingRequest> pending_requests;
   std::unordered_map<ConnectionId, std::unique_ptr<Connection>> connections;
   std::map<HttpPeer, PeerPool> peers;
+  std::map<std::uint64_t, ConnectionId> idle;  // of all peers, oldest first
+  std::uint64_t next_idle_order = 1;
   std::vector<Finished> finished;
   std::vector<ConnectionId> ended;
 };
@@ -551,7 +558,7 @@
     const ConnectionId id = pool->idle.back();
     Connection* connection = this->connections.at(id).get();
     if (connection->last_response_time >= oldest) {
-      pool->idle.pop_back();
+      this->RemoveFromIdle(pool, connection);
       return connection;
     }
     this->FreeConnection(id);
@@ -574,7 +581,7 @@
     }
   }
   if (best != nullptr) {
-    std::erase(pool->idle, best->id);
+    this->RemoveFromIdle(pool, best);
   }
   return best;
 }
@@ -584,6 +591,10 @@
   if (pool->connections.size() >= this->options.max_connections_per_peer) {
     return nullptr;
   }
+  if (this->options.max_connections > 0 &&
+      this->connections.size() >= this->options.max_connections) {
+    this->CloseLongestIdle();
+  }
   evhttp_connection* evhttp = evhttp_connection_base_new(
       this->loop->Base(), nullptr, peer.address.c_str(), peer.port);
   if (evhttp == nullptr) {
@@ -753,6 +764,27 @@
     return;
   }
   pool.idle.push_back(connection->id);
+  connection->idle_order = this->next_idle_order++;
+  this->idle[connection->idle_order] = connection->id;
+}
+
+void HttpClient::Pools::RemoveFromIdle(PeerPool* pool, Connection* connection) {
+  if (connection->idle_order == 0) {
+    return;
+  }
+  std::erase(pool->idle, connection->id);
+  this->idle.erase(connection->idle_order);
+  connection->idle_order = 0;
+}
+
+void HttpClient::Pools::CloseLongestIdle() {
+  if (this->idle.empty()) {
+    return;
+  }
+  const ConnectionId id = this->idle.begin()->second;
+  const HttpPeer peer = this->connections.at(id)->peer;
+  this->FreeConnection(id);
+  this->PostDispatchWaiting(peer);
 }
 
 void HttpClient::Pools::Finish(RequestId id, HttpOutcome outcome) {
@@ -807,7 +839,7 @@
   connection->ended = true;
   PeerPool& pool = this->peers[connection->peer];
   std::erase(pool.connections, connection->id);
-  std::erase(pool.idle, connection->id);
+  this->RemoveFromIdle(&pool, connection);
   if (this->ended.empty()) {
     this->PostCall(&Pools::FreeEnded);
   }
@@ -824,7 +856,7 @@
   const auto pool = this->peers.find(connection->peer);
   if (pool != this->peers.end()) {
     std::erase(pool->second.connections, id);
-    std::erase(pool->second.idle, id);
+    this->RemoveFromIdle(&pool->second, connection);
   }
   if (!connection->ended) {
     DropUnsentBytes(connection->evhttp);
@@ -872,6 +904,10 @@
   return this->pools->OpenConnections(peer);
 }
 
+std::size_t HttpClient::OpenConnections() const {
+  return this->pools->OpenConnections();
+}
+
 std::size_t HttpClient::WaitingRequests(const HttpPeer& peer) const {
   return this->pools->WaitingRequests(peer);
 }
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -126,6 +126,10 @@
   std::size_t max_waiting_per_peer = 1024;
   // Idle connections above this number are closed when they return to the pool.
   std::size_t max_idle_per_peer = 16;
+  // Connections to all peers above which the connection that has been idle for
+  // longest is closed before another one is opened; 0: no limit. Keeps a client
+  // of thousands of peers within the process's limit of descriptors.
+  std::size_t max_connections = 0;
   // Servers commonly close idle connections after a minute. A request sent
   // while the server closes the connection has an unknown outcome.
   Duration max_idle_time = std::chrono::seconds(30);
@@ -172,6 +176,8 @@
   std::optional<Instant> LastResponseTime(ConnectionId id) const;
 
   std::size_t OpenConnections(const HttpPeer& peer) const;
+  // Connections to all peers.
+  std::size_t OpenConnections() const;
   std::size_t WaitingRequests(const HttpPeer& peer) const;
 
  private:
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -136,6 +136,34 @@
 // [SECTION] Responses
 //-----------------------------------------------------------------------------
 
+TEST_CASE("the connection that is idle for longest makes room for another",
+          "[http_client]") {
+  // Guards the descriptors of a daemon that polls thousands of endpoints: each
+  // keeps idle connections, and without a limit on all of them together the
+  // process could neither accept callers nor reach the store.
+  Fixture f(HttpClientOptions{.max_connections = 3});
+  testing::RawServer other(f.loop.get());
+  for (std::size_t i = 0; i < 2; ++i) {
+    f.Get("/");
+  }
+  f.WriteResponse(0, kOk);
+  f.WriteResponse(1, kOk);
+  f.AwaitOutcome(1);
+  CHECK(f.client->OpenConnections() == 2);
+  for (int i = 0; i < 2; ++i) {
+    HttpRequest request;
+    request.path = "/";
+    request.timeout = kAwaitTimeout;
+    f.client->Send(
+        HttpPeer{"127.0.0.1", other.Port()}, std::move(request),
+        [&](HttpOutcome outcome) { f.outcomes.push_back(std::move(outcome)); });
+  }
+  REQUIRE(other.AwaitHeader(0));
+  REQUIRE(other.AwaitHeader(1));
+  CHECK(f.client->OpenConnections() == 3);
+  CHECK(f.client->OpenConnections(f.Peer()) == 1);
+}
+
 TEST_CASE("a request is sent and its response received", "[http_client]") {
   Fixture f;
   HttpRequest request;
