Count an endpoint that was not polled yet as busy

After a takeover the endpoints that the new owner has not polled have no known tasks, so their hosts counted as idle.

Ruled out: two owners that order the same host: the record excludes it.

Change: such an endpoint is idle only after the lease of earlier work has lapsed. A new owner sends no host order for 500 ms, because endpoints that were not polled would count as missing capacity.

Tests: job_scheduler_test "an endpoint that this owner has not polled".

--- a/src/coordination/host_planner.cc
+++ b/src/coordination/host_planner.cc
@@ -53,7 +53,7 @@
 
 void HostPlanner::OnPreviousOrders(
     const std::vector<PreviousHostOrder>& orders) {
-  this->orders_from = this->started;
+  this->orders_from = this->started + this->config.settle_time;
   for (const PreviousHostOrder& order : orders) {
     this->previous_orders[order.host] =
         order.latest + this->config.order_delay_after_takeover;
--- a/src/coordination/host_planner.h
+++ b/src/coordination/host_planner.h
@@ -34,6 +34,9 @@
   // previous owner may still be in flight. Without a record of those orders, a
   // new owner waits this long before its first order.
   Milliseconds order_delay_after_takeover{3500};
+  // No order for this long after a takeover in any case: the endpoints that
+  // were not polled yet would count as missing capacity.
+  Milliseconds settle_time{500};
   // Number of busy hosts of a wave that are cordoned ahead of time, so that
   // their running work ends while other hosts are down.
   std::size_t cordon_ahead = 2;
--- a/src/coordination/job_scheduler.cc
+++ b/src/coordination/job_scheduler.cc
@@ -620,7 +620,9 @@
     summary.service = endpoint->row.service;
     summary.zone = endpoint->row.zone;
     summary.usable = this->state->Usable(*endpoint, now);
-    summary.idle = endpoint->tasks.empty();
+    // An endpoint that was not polled yet may run work of a previous owner.
+    summary.idle = endpoint->tasks.empty() &&
+                   (endpoint->fenced || endpoint->lapse_at <= now);
     summary.used = endpoint->used;
     summary.capacity = endpoint->row.capacity;
     summary.long_running = endpoint->long_running;
--- a/tests/job_scheduler_test.cc
+++ b/tests/job_scheduler_test.cc
@@ -420,6 +420,27 @@
   CHECK(again[0].run > starts[0].run);
 }
 
+TEST_CASE("an endpoint that this owner has not polled is not idle",
+          "[job_scheduler]") {
+  // Guards running work after a takeover: the host of an idle endpoint may be
+  // moved or taken down, which ends everything on it.
+  JobScheduler scheduler(JobSchedulerConfig{.epoch = OwnerEpoch(2)}, kStart);
+  scheduler.OnFleetConfig(Fleet());
+  scheduler.OnEndpoints({Endpoint("e1"), Endpoint("e2")}, kStart);
+  PollEndpoint poll;
+  poll.target.endpoint = EndpointId("e1");
+  scheduler.OnPollResult(poll, EndpointReportRows{.clock_ms = 1}, kStart,
+                         kStart);
+  const std::vector<EndpointSummary> before = scheduler.Endpoints(kStart);
+  REQUIRE(before.size() == 2);
+  CHECK(before[0].idle);
+  CHECK_FALSE(before[1].idle);
+  // By then the lease of any earlier work has lapsed.
+  const std::vector<EndpointSummary> later =
+      scheduler.Endpoints(kStart + std::chrono::seconds(6));
+  CHECK(later[1].idle);
+}
+
 TEST_CASE("a job that has become late is ranked behind those in time",
           "[job_scheduler]") {
   // Guards the instants at which the rank of a waiting job changes without any
