Keep the time of a maintenance wave across takeovers

Each new owner counted the wave's time from its own first sight of it. The owner that took over at 22.4 s would have cordoned busy hosts from 32.8 s on, after the end at 29.9 s.

Ruled out: a limit of hosts that are down: 114 at once, 2 s each.

Change: the wave's row holds the store's time at which the first owner saw it.

Tests: host_planner_test "the time of a wave runs on across takeovers".

--- a/src/coordination/host_planner.cc
+++ b/src/coordination/host_planner.cc
@@ -44,6 +44,9 @@
     const auto found = this->earlier.find(row.name);
     if (found != this->earlier.end()) {
       wave.begun = found->second.begun;
+      if (found->second.first_seen != Instant{}) {
+        wave.first_seen = found->second.first_seen;
+      }
       wave.reported_complete = found->second.completed;
       wave.changed = false;
       this->earlier.erase(found);
@@ -584,7 +587,8 @@
   for (auto& [name, wave] : this->waves) {
     if (wave.changed) {
       wave.changed = false;
-      changed.push_back(WaveProgress{name, wave.begun, wave.reported_complete});
+      changed.push_back(WaveProgress{name, wave.begun, wave.reported_complete,
+                                     wave.first_seen});
     }
   }
   return changed;
--- a/src/coordination/host_planner.h
+++ b/src/coordination/host_planner.h
@@ -126,6 +126,8 @@
   std::string name;
   std::set<HostId> begun;
   bool completed = false;
+  // When an owner first saw the wave: its time runs on across takeovers.
+  Instant first_seen{};
 };
 
 // The previous owner recorded an order for this host before it sent the order.
--- a/src/daemon/owner_load.cc
+++ b/src/daemon/owner_load.cc
@@ -65,12 +65,17 @@
           return;
         }
         for (const StoreRow& row : reply.rows) {
-          const Result<WaveProgress> progress = DecodeWaveProgress(row.value);
-          if (progress) {
-            this->owned->planner.OnWaveProgress(progress.value());
-          } else {
-            LogError(LogLevel::kError, "wave_row", progress.error());
+          Result<WaveRow> wave = DecodeWave(row.value);
+          if (!wave) {
+            LogError(LogLevel::kError, "wave_row", wave.error());
+            continue;
+          }
+          if (wave.value().first_seen_ms > 0) {
+            wave.value().progress.first_seen =
+                this->loop->Now() +
+                Milliseconds(wave.value().first_seen_ms - this->StoreMs());
           }
+          this->owned->planner.OnWaveProgress(wave.value().progress);
         }
         this->owned->planner.OnWaves(this->view->Waves(), this->loop->Now());
         this->OnLoaded();
--- a/src/daemon/owner_rounds.cc
+++ b/src/daemon/owner_rounds.cc
@@ -267,8 +267,12 @@
   owned.used_in_write = owned.loaded;
   this->RecordHostOrders(row, &transaction);
   for (const auto& [name, progress] : owned.waves_to_write) {
+    const std::int64_t first_seen_ms =
+        this->StoreMs() -
+        std::chrono::duration_cast<Milliseconds>(now - progress.first_seen)
+            .count();
     transaction.puts.emplace_back(StoreKey{kWaveTable, kOwnerPart, name},
-                                  EncodeWaveProgress(progress));
+                                  EncodeWave(WaveRow{progress, first_seen_ms}));
   }
   owned.writing = true;
   owned.next_write = now + this->config.min_write_interval;
--- a/src/protocol/job_json.cc
+++ b/src/protocol/job_json.cc
@@ -315,26 +315,31 @@
   });
 }
 
-std::string EncodeWaveProgress(const WaveProgress& progress) {
+std::string EncodeWave(const WaveRow& row) {
+  const WaveProgress& progress = row.progress;
   Json hosts = Json::array();
   for (const HostId& host : progress.begun) {
     hosts.push_back(host.value);
   }
   return Json{{"name", progress.name},
               {"begun", std::move(hosts)},
-              {"completed", progress.completed}}
+              {"completed", progress.completed},
+              {"first_seen_ms", row.first_seen_ms}}
       .dump();
 }
 
-Result<WaveProgress> DecodeWaveProgress(std::string_view text) {
-  return Decode<WaveProgress>("wave", text, [](const Json& in) {
-    WaveProgress progress;
+Result<WaveRow> DecodeWave(std::string_view text) {
+  return Decode<WaveRow>("wave", text, [](const Json& in) {
+    WaveRow row;
+    WaveProgress& progress = row.progress;
+    // Rows of an older version have no such field.
+    row.first_seen_ms = in.value("first_seen_ms", std::int64_t{0});
     progress.name = in.at("name").get<std::string>();
     progress.completed = in.at("completed").get<bool>();
     for (const Json& host : in.at("begun")) {
       progress.begun.insert(HostId(host.get<std::string>()));
     }
-    return progress;
+    return row;
   });
 }
 
--- a/src/protocol/job_json.h
+++ b/src/protocol/job_json.h
@@ -64,8 +64,14 @@
 std::string EncodeHostOrders(const std::map<HostId, std::int64_t>& latest_ms);
 Result<std::map<HostId, std::int64_t>> DecodeHostOrders(std::string_view text);
 
-std::string EncodeWaveProgress(const WaveProgress& progress);
-Result<WaveProgress> DecodeWaveProgress(std::string_view text);
+// A stored wave. Its first_seen is a time of the store's clock, because the
+// clocks of two owners differ; progress.first_seen is not stored.
+struct WaveRow {
+  WaveProgress progress;
+  std::int64_t first_seen_ms = 0;  // 0: unknown
+};
+std::string EncodeWave(const WaveRow& row);
+Result<WaveRow> DecodeWave(std::string_view text);
 
 }  // namespace peridot
 
--- a/tests/host_planner_test.cc
+++ b/tests/host_planner_test.cc
@@ -148,6 +148,22 @@
         std::set<HostId>{HostId("h0")});
 }
 
+TEST_CASE("the time of a wave runs on across takeovers", "[host_planner]") {
+  // Guards a wave's deadline: a new owner that started its time anew cordoned
+  // busy hosts only after the deadline.
+  Fleet fleet;
+  WaveProgress progress{.name = "1"};
+  progress.first_seen = kStart - std::chrono::seconds(10);
+  fleet.planner.OnWaveProgress(progress);
+  fleet.planner.OnHosts({Host(0, "a")}, kStart, kStart);
+  fleet.endpoints = {Summary(0, "a")};
+  fleet.endpoints[0].idle = false;
+  fleet.endpoints[0].short_running = 1;
+  fleet.planner.OnWaves({Wave(1, 1)}, kStart);
+  fleet.Advance(kReady);
+  CHECK(fleet.planner.Cordoned().contains(EndpointId("e0")));
+}
+
 TEST_CASE("a wave is completed only once each host has begun maintenance",
           "[host_planner]") {
   // Guards the progress of a wave that operators see.
--- a/tests/job_store_test.cc
+++ b/tests/job_store_test.cc
@@ -223,12 +223,21 @@
   const std::vector<UsedEndpoint> used = {
       {EndpointId("e"), ServiceId("s"), Resources{1, 2, 3}, 40}};
   CHECK(DecodeUsedEndpoints(EncodeUsedEndpoints(used)).value() == used);
+  const WaveRow wave{.progress = {.name = "3", .begun = {HostId("h")}},
+                     .first_seen_ms = 1234};
+  const Result<WaveRow> read_wave = DecodeWave(EncodeWave(wave));
+  REQUIRE(read_wave);
+  CHECK(read_wave.value().progress.begun == wave.progress.begun);
+  CHECK(read_wave.value().first_seen_ms == 1234);
+  CHECK(DecodeWave(R"({"name":"3","begun":[],"completed":false})"));
+  const std::map<HostId, std::int64_t> orders = {{HostId("h"), 77}};
+  CHECK(DecodeHostOrders(EncodeHostOrders(orders)).value() == orders);
   for (const char* bad : {"", "{}", "[1]", R"({"id":1})"}) {
     CAPTURE(bad);
     CHECK_FALSE(DecodeJob(bad));
     CHECK_FALSE(DecodeProgress(bad));
     CHECK_FALSE(DecodeOwner(bad));
-    CHECK_FALSE(DecodeWaveProgress(bad));
+    CHECK_FALSE(DecodeWave(bad));
   }
 }
 
