--- a/src/coordination/job_scheduler.cc
+++ b/src/coordination/job_scheduler.cc
@@ -494,6 +494,7 @@
     state.endpoints.erase(found);
   }
   state.RankDueJobs(now);
+  state.may_start = may_start;
   if (may_start && !state.fenced) {
     state.Place(now);
     state.AdjustPace(now);
--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -200,6 +200,7 @@
   RowVersion newest_job;            // newest version of a job's row received
   RowVersion startable;             // jobs up to this version may start
   bool fenced = false;
+  bool may_start = false;  // as of the last Advance()
   std::size_t advice_open = 0;
   std::uint64_t batch = 0;  // number of the open batch; 0: none
   std::uint64_t last_batch = 0;
--- a/src/coordination/job_scheduler_polls.cc
+++ b/src/coordination/job_scheduler_polls.cc
@@ -76,7 +76,11 @@
   const bool within_limit =
       state.WithinTeamLimit(job->accepted.team, step.spec->per_task);
   const char* constraint = "order";
-  if (job->before_takeover && state.unrecovered.contains(service)) {
+  if (!state.may_start) {
+    constraint = "no_lease";
+  } else if (job->version > state.startable) {
+    constraint = "not_recorded";
+  } else if (job->before_takeover && state.unrecovered.contains(service)) {
     constraint = "takeover";
   } else if (!within_limit) {
     constraint = "team_limit";
--- a/tests/job_scheduler_test.cc
+++ b/tests/job_scheduler_test.cc
@@ -485,6 +485,10 @@
   fixture.scheduler.OnCordoned({EndpointId("e1")});
   CHECK(fixture.scheduler.ExplainWait(JobId("j"), fixture.now)
             .find("constraint=no_usable_endpoint") != std::string::npos);
+  // Without a lease the owner places nothing, whatever room there is.
+  fixture.scheduler.Advance(false, fixture.now);
+  CHECK(fixture.scheduler.ExplainWait(JobId("j"), fixture.now)
+            .find("constraint=no_lease") != std::string::npos);
 }
 
 }  // namespace
