Keep the recorded host orders of earlier owners in the next record

Cause: found in review of the record. A new owner wrote only its own orders, so that a third owner within seconds of the first would have ordered a host whose order by the first may still be in flight.

Ruled out: a longer settle time, which would delay every takeover.

Change: the orders that were read stay in the record until their time passes.

Test: owner_task_test "a host order is sent only after its record", which failed without the change.

--- a/src/daemon/owner_load.cc
+++ b/src/daemon/owner_load.cc
@@ -102,6 +102,9 @@
             continue;
           }
           recorded = true;
+          // Kept in the next record: an order of the owner before the previous
+          // one may be in flight as well.
+          this->owned->recorded_orders = latest.value();
           for (const auto& [host, latest_ms] : latest.value()) {
             orders.push_back(PreviousHostOrder{
                 host,
--- a/tests/owner_task_test.cc
+++ b/tests/owner_task_test.cc
@@ -115,6 +115,12 @@
   // Guards against orders of two owners for one host: the next owner spares
   // exactly the hosts in the record.
   OwnerFixture fixture;
+  // Order of an earlier owner, whose time has not passed when this one orders.
+  StoreTransaction earlier;
+  earlier.puts.emplace_back(
+      StoreKey{kHostOrderTable, kOwnerPart, kHostOrderKey},
+      EncodeHostOrders({{HostId("h9"), 1'000'000'000'000}}));
+  fixture.store.Transact(earlier);
   fixture.ports.read_hosts =
       [&](std::function<void(std::optional<std::vector<FleetHost>>)> done) {
         fixture.loop->Post([done = std::move(done)] {
@@ -141,20 +147,23 @@
   };
   int orders = 0;
   bool recorded = false;
+  bool kept = false;
   fixture.ports.order_host = [&](const HostOrder& order, const DaemonId&,
                                  OwnerEpoch, const auto&) {
     ++orders;
     const StoreReply read = fixture.store.Read(
         StoreKey{kHostOrderTable, kOwnerPart, kHostOrderKey}, "", 1);
-    recorded =
-        read.rows.size() == 1 &&
-        DecodeHostOrders(read.rows[0].value).value().contains(order.host);
+    REQUIRE(read.rows.size() == 1);
+    const auto orders_of_row = DecodeHostOrders(read.rows[0].value).value();
+    recorded = orders_of_row.contains(order.host);
+    kept = orders_of_row.contains(HostId("h9"));
   };
   StoreTransaction wave;
   wave.puts.emplace_back(StoreKey{"op", "", "wave/1"}, "{}");
   fixture.store.Transact(wave);
   REQUIRE(fixture.loop->RunUntil([&] { return orders > 0; }, kLimit));
   CHECK(recorded);
+  CHECK(kept);
 }
 
 TEST_CASE("no count of waiting jobs is reported while the job feed is stale",
