Delay maintenance after a takeover; spare hosts with an unknown endpoint

Ruled out: two orders for one host (ONE was not broken).

Change: evictions and maintenance wait for order_delay_after_takeover as they did before; a host outside the spare pool with an unknown endpoint is busy. Moves of idle hosts still start after 0.5 s.

--- a/src/coordination/host_planner.cc
+++ b/src/coordination/host_planner.cc
@@ -158,7 +158,10 @@
   }
   for (auto& [id, host] : this->hosts) {
     const auto found = by_id.find(host.row.endpoint);
-    const bool idle = found == by_id.end() || found->second->idle;
+    // The endpoint of a host outside the spare pool may run work that is not
+    // known yet, for example after a takeover.
+    const bool idle = found == by_id.end() ? this->IsSpare(host.row.pool)
+                                           : found->second->idle;
     if (idle && !host.idle) {
       host.idle_since = now;
     }
@@ -166,7 +169,9 @@
   }
   this->MeasurePools(by_id, demand, zones_out, now);
   this->LogPools(now);
-  this->PlanWaves(by_id, &plan, now);
+  if (now - this->started >= this->config.order_delay_after_takeover) {
+    this->PlanWaves(by_id, &plan, now);
+  }
   this->MarkHostsInOpenWaves();
   if (this->config.moves_enabled) {
     this->AddHostsToPools(zones_out, &plan, now);
--- a/src/coordination/host_planner.h
+++ b/src/coordination/host_planner.h
@@ -35,7 +35,8 @@
   // new owner waits this long before its first order.
   Milliseconds order_delay_after_takeover{3500};
   // No order for this long after a takeover in any case: the endpoints that
-  // were not polled yet would count as missing capacity.
+  // were not polled yet would count as missing capacity. Maintenance ends
+  // running work and always waits for order_delay_after_takeover.
   Milliseconds settle_time{500};
   // Number of busy hosts of a wave that are cordoned ahead of time, so that
   // their running work ends while other hosts are down.
