--- a/src/coordination/owner_lease.cc
+++ b/src/coordination/owner_lease.cc
@@ -4,6 +4,10 @@
 
 namespace peridot {
 
+bool IsSameWrite(const OwnerRow& a, const OwnerRow& b) {
+  return a.instance == b.instance && a.sequence == b.sequence;
+}
+
 bool OwnerLease::OnRow(const OwnerRow& read, RowVersion read_version) {
   if (read_version < this->version) {
     return true;  // an outdated answer
@@ -77,11 +81,11 @@
   return true;
 }
 
-OwnerRow OwnerLease::NextRow(std::int64_t store_ms, bool release) const {
+OwnerRow OwnerLease::NextRow(std::int64_t store_ms, bool release) {
   OwnerRow next;
   next.epoch =
       this->held ? this->row.epoch : OwnerEpoch(this->row.epoch.value + 1);
-  next.sequence = this->held ? this->row.sequence + 1 : 1;
+  next.sequence = ++this->last_sequence;
   next.instance = this->config.instance;
   next.jobs_version = this->row.jobs_version;
   next.strength = this->config.strength;
--- a/src/coordination/owner_lease.h
+++ b/src/coordination/owner_lease.h
@@ -62,7 +62,7 @@
   std::string address;
   OwnerEpoch epoch;
   std::int64_t expires_ms = 0;  // on the store's clock
-  std::uint64_t sequence = 0;   // number of writes by this holder
+  std::uint64_t sequence = 0;   // unique among the rows of this instance
   // Newest version of a job's row of which any owner may have started a task.
   // The next owner may start jobs of later versions at once.
   RowVersion jobs_version;
@@ -70,6 +70,11 @@
   int best_strength = 0;  // highest one known of any host; 0: unknown
 };
 
+// Returns whether both rows come from the same write. A write without an answer
+// may be performed after its replacement was sent, so the time or the content
+// of a row does not identify it.
+bool IsSameWrite(const OwnerRow& a, const OwnerRow& b);
+
 //-----------------------------------------------------------------------------
 // [SECTION] OwnerLease
 //-----------------------------------------------------------------------------
@@ -101,8 +106,9 @@
   Milliseconds PreviousLeaseLeft(std::int64_t store_ms) const;
 
   // Returns the row to write: a claim with the next epoch if the lease is not
-  // held, otherwise a renewal. `release` writes it without a holder.
-  OwnerRow NextRow(std::int64_t store_ms, bool release) const;
+  // held, otherwise a renewal. `release` writes it without a holder. Each call
+  // numbers its row anew, so that IsSameWrite() tells the writes apart.
+  OwnerRow NextRow(std::int64_t store_ms, bool release);
 
   // The conditional write of the row succeeded. `sent` is when it was sent.
   void OnWritten(const OwnerRow& row, RowVersion version, Instant sent);
@@ -128,6 +134,7 @@
   RowVersion version;
   bool seen = false;
   bool held = false;
+  std::uint64_t last_sequence = 0;  // of the last row that NextRow() returned
   OwnerEpoch gone_epoch;  // epoch whose holder seems to be gone; 0: none
   bool gone_is_certain = false;
   int best_strength = 0;  // highest one in the row or in a request since
--- a/src/daemon/owner_rounds.cc
+++ b/src/daemon/owner_rounds.cc
@@ -348,7 +348,7 @@
         this->EndOwnership("lease_taken");
         return;
       }
-      if (row.value().sequence == written.sequence) {
+      if (IsSameWrite(row.value(), written)) {
         // The write took effect; only its answer was lost.
         this->OnWritten(
             StoreReply{.outcome = StoreOutcome::kOk, .version = found.version},
--- a/tests/owner_lease_test.cc
+++ b/tests/owner_lease_test.cc
@@ -84,6 +84,23 @@
   CHECK(lease.RenewalDue(kStart + config.renew_after));
 }
 
+TEST_CASE("each row to write has a number of its own", "[owner_lease]") {
+  // Guards against a write without an answer that cannot be told from the write
+  // that replaced it.
+  OwnerLease lease = Lease("a", "a1");
+  lease.OnRow(OwnerRow{}, RowVersion(0));
+  lease.OnWritten(lease.NextRow(0, false), RowVersion(7), kStart);
+  const OwnerRow unanswered = lease.NextRow(100, false);
+  const OwnerRow replacement = lease.NextRow(200, false);
+  CHECK_FALSE(IsSameWrite(unanswered, replacement));
+  CHECK(IsSameWrite(unanswered, unanswered));
+  // Still so after a release and another claim of the same process.
+  lease.OnWritten(lease.NextRow(300, true), RowVersion(8), kStart);
+  const OwnerRow claim = lease.NextRow(400, false);
+  CHECK_FALSE(IsSameWrite(claim, replacement));
+  CHECK_FALSE(IsSameWrite(claim, unanswered));
+}
+
 TEST_CASE("a holder that reads the row of another has lost the lease",
           "[owner_lease]") {
   // Guards against writes by an owner that has been replaced.
--- a/tests/owner_task_test.cc
+++ b/tests/owner_task_test.cc
@@ -2,7 +2,9 @@
 
 #include "src/daemon/owner_task.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <functional>
 #include <memory>
 #include <string>
 #include <utility>
@@ -25,6 +27,10 @@
     this->ports.operator_table = "op";
     this->ports.endpoint_table = "servers";
     this->ports.transact = [this](StoreTransaction call, StoreCallback done) {
+      if (this->on_transact && !this->on_transact(call)) {
+        this->Post(std::move(done), StoreReply{});  // kUnknown
+        return;
+      }
       const StoreReply reply = this->store.Transact(call);
       if (this->lost_answers > 0) {
         --this->lost_answers;
@@ -69,6 +75,67 @@
     this->task->Start();
   }
 
+  // Adds one endpoint and one job with one task. The endpoint starts the task
+  // when asked, and lists it as done while `ended` is set.
+  void AddEndpointAndJob() {
+    this->ports.decode_operator_row =
+        [](const StoreRow&) -> Result<OperatorRow> {
+      OperatorRow row;
+      row.config = OperatorConfig{.version = Revision(1)};
+      row.config->fleet.queues["q"] =
+          QueueConfig{.name = "q", .service = ServiceId("s")};
+      row.config->fleet.services[ServiceId("s")] = ServiceConfig{};
+      return row;
+    };
+    this->ports.decode_endpoint = [](const StoreRow&) -> Result<EndpointRow> {
+      return EndpointRow{.id = EndpointId("e1"),
+                         .start_time_ms = 7,
+                         .service = ServiceId("s"),
+                         .zone = ZoneId("z1"),
+                         .address = "10.0.0.1:1",
+                         .ready = true,
+                         .capacity = Resources{4000, 8000, 0}};
+    };
+    this->ports.start = [this](const StartRun& order, OwnerEpoch,
+                               std::function<void(OrderReply)> done) {
+      this->run = order;
+      this->started = true;
+      this->loop->Post([done = std::move(done)] { done(OrderReply::kDone); });
+    };
+    this->ports.stop = [](const StopRun&, OwnerEpoch, const auto& done) {
+      (void)done;
+    };
+    this->ports.poll = [this](const PollEndpoint& poll, OwnerEpoch,
+                              FleetPorts::PollCallback done) {
+      this->acknowledged = std::max(this->acknowledged, poll.acknowledged);
+      this->loop->After(milliseconds(5), [this, done = std::move(done)] {
+        done(this->Report(), OrderReply::kDone);
+      });
+    };
+    this->job.id = JobId("5c0e7a21d94b36f8");
+    this->job.queue = "q";
+    this->job.service = ServiceId("s");
+    this->job.spec.steps = {StepSpec{.per_task = Resources{1000, 100, 0},
+                                     .estimate = milliseconds(500)}};
+    StoreTransaction rows;
+    rows.puts.emplace_back(StoreKey{"servers", "", "e1"}, "{}");
+    rows.puts.emplace_back(
+        StoreKey{kJobTable, PartOf(this->job.id), this->job.id.value},
+        EncodeJob(this->job));
+    this->store.Transact(rows);
+  }
+
+  EndpointReportRows Report() const {
+    EndpointReportRows report{.clock_ms = 1000, .start_time_ms = 7};
+    if (this->ended) {
+      report.ended.push_back(
+          RunEnd{1, this->run.task, this->run.run, EndKind::kDone, ""});
+    } else if (this->started) {
+      report.running.push_back(RunningTask{this->run.task, this->run.run});
+    }
+    return report;
+  }
+
   void Post(StoreCallback done, StoreReply reply) {
     this->loop->Post(
         [done = std::move(done), reply = std::move(reply)] { done(reply); });
@@ -85,6 +152,14 @@
   std::unique_ptr<EventLoop> loop;
   RowStore store;
   int lost_answers = 0;
+  // Called before each write; false: the write is not performed and gets no
+  // answer.
+  std::function<bool(const StoreTransaction&)> on_transact;
+  AcceptedJob job;
+  StartRun run;          // the last start order
+  bool started = false;  // the endpoint has started the run
+  bool ended = false;    // the run is done
+  EndNumber acknowledged = 0;
   FleetPorts ports;
   Metrics metrics;
   FleetNodeSettings settings;
@@ -110,6 +185,38 @@
   CHECK(fixture.Row().epoch == epoch);
 }
 
+TEST_CASE("a late write is not taken for the write that replaced it",
+          "[owner_task]") {
+  // Guards against ends that are acknowledged without a record: a write without
+  // an answer is performed while its replacement is open, and the replacement,
+  // which carries the ends and fails, counts as stored.
+  OwnerFixture fixture;
+  fixture.AddEndpointAndJob();
+  REQUIRE(fixture.loop->RunUntil([&] { return fixture.started; }, kLimit));
+  StoreTransaction late;
+  StoreTransaction replacement;
+  fixture.on_transact = [&](const StoreTransaction& call) {
+    if (late.puts.empty()) {
+      late = call;  // performed with the next write
+      fixture.ended = true;
+      return false;
+    }
+    if (replacement.puts.empty()) {
+      replacement = call;
+      CHECK(fixture.store.Transact(late).outcome == StoreOutcome::kOk);
+    }
+    return true;
+  };
+  REQUIRE(
+      fixture.loop->RunUntil([&] { return fixture.acknowledged > 0; }, kLimit));
+  REQUIRE(replacement.puts.size() > late.puts.size());  // it carries the end
+  const StoreReply read = fixture.store.Read(
+      StoreKey{kProgressTable, kOwnerPart, fixture.job.id.value}, "", 1);
+  REQUIRE(read.rows.size() == 1);
+  CHECK(DecodeProgress(read.rows[0].value).value().state ==
+        JobState::kCompleted);
+}
+
 TEST_CASE("a host order is sent only after its record has been stored",
           "[owner_task]") {
   // Guards against orders of two owners for one host: the next owner spares
