--- a/src/daemon/used_endpoint_rows.cc
+++ b/src/daemon/used_endpoint_rows.cc
@@ -43,6 +43,7 @@
   }
   for (std::size_t row = 0; row < kRows; ++row) {
     if (this->stored[row] != this->writing[row]) {
+      this->stored[row].reset();
       transaction->puts.emplace_back(
           StoreKey{kUsedTable, kOwnerPart, RowKey(row)},
           EncodeUsedEndpoints(this->writing[row]));
--- a/src/daemon/used_endpoint_rows.h
+++ b/src/daemon/used_endpoint_rows.h
@@ -50,7 +50,9 @@
  private:
   using Row = std::vector<UsedEndpoint>;
 
-  // As stored; none: unknown.
+  // As stored; none: unknown. A row is unknown from the moment it is written
+  // until OnStored(): a write without an answer may still be performed, and the
+  // next write must then replace the row.
   std::array<std::optional<Row>, kRows> stored;
   std::array<Row, kRows> writing;
   std::set<std::string> obsolete;  // keys that this version does not write
--- a/tests/used_endpoint_rows_test.cc
+++ b/tests/used_endpoint_rows_test.cc
@@ -64,6 +64,31 @@
   CHECK(repeated.puts.size() == 1);
 }
 
+TEST_CASE("a change that is undone after an unanswered write is written",
+          "[used_endpoint_rows]") {
+  // Guards against an endpoint that is missing in the store: the write without
+  // it is performed late, and the row then seems to be as stored before.
+  UsedEndpointRows rows;
+  std::vector<UsedEndpoint> endpoints = Endpoints(500);
+  StoreTransaction first;
+  rows.AddChanges(endpoints, &first);
+  rows.OnStored();
+  const UsedEndpoint removed = endpoints.back();
+  endpoints.pop_back();
+  StoreTransaction unanswered;
+  rows.AddChanges(endpoints, &unanswered);
+  REQUIRE(unanswered.puts.size() == 1);
+  endpoints.push_back(removed);
+  StoreTransaction replacement;
+  rows.AddChanges(endpoints, &replacement);
+  REQUIRE(replacement.puts.size() == 1);
+  CHECK(replacement.puts[0].first.key == unanswered.puts[0].first.key);
+  rows.OnStored();
+  StoreTransaction unchanged;
+  rows.AddChanges(endpoints, &unchanged);
+  CHECK(unchanged.puts.empty());
+}
+
 TEST_CASE("the row of an older version is removed", "[used_endpoint_rows]") {
   // Guards against endpoints of an outdated list that count as used for good.
   UsedEndpointRows rows;
