--- a/bench/job_scheduler_bench.cc
+++ b/bench/job_scheduler_bench.cc
@@ -195,8 +195,8 @@
           ScheduledEnd{this->now + milliseconds(300 + this->random() % 1200),
                        start.target.endpoint, start.task, start.run});
     }
-    const RecordBatch batch = this->scheduler.TakeBatch(80);
-    this->scheduler.OnRecorded(batch.number, true, this->now);
+    const RecordBatch batch = this->scheduler.TakeBatch({.rows = 80});
+    this->scheduler.OnRecorded(batch.number, RecordResult::kStored, this->now);
     this->scheduler.TakeDecisions();
   }
 
--- a/src/coordination/job.h
+++ b/src/coordination/job.h
@@ -16,6 +16,8 @@
 #define SRC_COORDINATION_JOB_H_
 
 #include <chrono>
+#include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -203,18 +205,47 @@
 // [SECTION] Progress of a job
 //-----------------------------------------------------------------------------
 
+// Row of the store that holds the progress of a task. A job with few tasks has
+// its main row only. A job with many has a row for each block of consecutive
+// tasks as well, because a single row would outgrow the store's limit and each
+// end of a run would write the progress of all tasks again.
+struct ProgressBlock {
+  bool main = true;  // the other fields are 0
+  int occurrence = 0;
+  int step = 0;
+  int number = 0;  // of the block within the step
+
+  friend auto operator<=>(const ProgressBlock&, const ProgressBlock&) = default;
+};
+
+struct ProgressLayout {
+  // Number of tasks up to which a job has its main row only.
+  int max_tasks_in_main_row = 256;
+  // Tasks in a block. A task takes about 50 bytes and 8 for each failed run.
+  int tasks_per_block = 64;
+};
+
+// Returns the row of a task of this job.
+ProgressBlock BlockOf(const JobSpec& spec,
+                      const TaskName& task,
+                      const ProgressLayout& layout);
+
 // Progress that the next owner needs: it is stored before the end of a run is
-// acknowledged to the endpoint.
+// acknowledged to the endpoint. Holds one row of a job.
 struct JobProgress {
   JobId id;
-  JobState state = JobState::kPending;
-  std::set<TaskName> done;  // tasks that completed
+  ProgressBlock block;
+  JobState state = JobState::kPending;  // of the job; set in its main row
+  std::set<TaskName> done;              // tasks that completed
   // Runs that ended "failed". An endpoint lists an end until it is
   // acknowledged, so the next owner may receive it again; each run counts once.
   std::map<TaskName, std::set<RunNumber>> failures;
   std::map<TaskName, std::string> checkpoints;  // of incomplete tasks
 };
 
+// Returns an estimate of the row's size in bytes.
+std::size_t EstimateBytes(const JobProgress& progress);
+
 }  // namespace peridot
 
 #endif  // SRC_COORDINATION_JOB_H_
--- a/src/coordination/job_scheduler.cc
+++ b/src/coordination/job_scheduler.cc
@@ -1,6 +1,7 @@
 #include "src/coordination/job_scheduler.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "src/coordination/job_scheduler_internal.h"
@@ -117,10 +118,12 @@
   state.jobs.emplace(id, std::move(owned));
   const auto earlier = state.earlier.find(id);
   if (earlier != state.earlier.end()) {
-    added->decided = added->recorded = earlier->second.state;
-    added->done = std::move(earlier->second.done);
-    added->failures = std::move(earlier->second.failures);
-    added->checkpoints = std::move(earlier->second.checkpoints);
+    JobProgress& progress = earlier->second.progress;
+    added->decided = added->recorded = progress.state;
+    added->blocks = std::move(earlier->second.blocks);
+    added->done = std::move(progress.done);
+    added->failures = std::move(progress.failures);
+    added->checkpoints = std::move(progress.checkpoints);
     state.earlier.erase(earlier);
   }
   if (added->accepted.closed_as) {
@@ -137,6 +140,7 @@
     return;
   }
   added->begun = !added->done.empty() || !added->failures.empty();
+  state.MoveToOwnRows(added);
   added->active_index = state.active.size();
   state.active.push_back(added);
   if (added->accepted.spec.occurrences > 0) {
@@ -168,8 +172,14 @@
 }
 
 void JobScheduler::OnProgress(JobProgress progress) {
-  const JobId id = progress.id;
-  this->state->earlier[id] = std::move(progress);
+  EarlierProgress& earlier = this->state->earlier[progress.id];
+  earlier.blocks.insert(progress.block);
+  if (progress.block.main) {
+    earlier.progress.state = progress.state;
+  }
+  earlier.progress.done.merge(progress.done);
+  earlier.progress.failures.merge(progress.failures);
+  earlier.progress.checkpoints.merge(progress.checkpoints);
 }
 
 void JobScheduler::OnCancel(const JobId& id, Instant now) {
@@ -356,7 +366,7 @@
 
 void JobScheduler::State::Decide(ScheduledJob* job, JobState decided) {
   job->decided = decided;
-  this->MarkDirty(job);
+  this->MarkDirty(job, ProgressBlock{});
   this->MarkForRanking(job);
   if (!job->finishing) {
     job->finishing = true;
@@ -378,16 +388,46 @@
   }
 }
 
-void JobScheduler::State::MarkDirty(ScheduledJob* job) {
-  if (!job->dirty) {
-    job->dirty = true;
-    this->dirty.push_back(job);
+void JobScheduler::State::MarkDirty(ScheduledJob* job,
+                                    const ProgressBlock& block) {
+  if (job->dirty.insert(block).second) {
+    this->dirty.push_back(DirtyRow{job->accepted.id, block});
+  }
+}
+
+void JobScheduler::State::MarkTaskDirty(ScheduledJob* job,
+                                        const TaskName& task) {
+  if (IsFinal(job->decided)) {
+    return;  // its main row needs no tasks
+  }
+  this->MarkDirty(
+      job, BlockOf(job->accepted.spec, task, this->config.progress_layout));
+  // Other daemons read from the main row that the job has begun.
+  if (!job->blocks.contains(ProgressBlock{})) {
+    this->MarkDirty(job, ProgressBlock{});
+  }
+}
+
+void JobScheduler::State::MoveToOwnRows(ScheduledJob* job) {
+  const auto move = [&](const TaskName& task) {
+    const ProgressBlock block =
+        BlockOf(job->accepted.spec, task, this->config.progress_layout);
+    if (!job->blocks.contains(block)) {
+      this->MarkDirty(job, block);
+    }
+  };
+  std::for_each(job->done.begin(), job->done.end(), move);
+  for (const auto& [task, runs] : job->failures) {
+    move(task);
+  }
+  for (const auto& [task, checkpoint] : job->checkpoints) {
+    move(task);
   }
 }
 
 void JobScheduler::State::RemoveInactiveJobs() {
   std::erase_if(this->finishing, [&](ScheduledJob* job) {
-    if (!IsFinal(job->recorded) || job->dirty || job->placed > 0) {
+    if (!IsFinal(job->recorded) || !job->dirty.empty() || job->placed > 0) {
       return false;
     }
     for (const ScheduledOccurrence& occurrence : job->occurrences) {
@@ -433,17 +473,40 @@
   }
 }
 
-JobProgress JobScheduler::State::ProgressOf(const ScheduledJob& job) const {
+JobProgress JobScheduler::State::ProgressOf(const ScheduledJob& job,
+                                            const ProgressBlock& block) const {
   JobProgress progress;
   progress.id = job.accepted.id;
+  progress.block = block;
   progress.state = job.decided;
-  if (IsFinal(job.decided)) {
+  // The other rows keep their tasks until the final state is stored.
+  if (block.main && IsFinal(job.decided)) {
     return progress;
   }
   progress.state = JobState::kRunning;
-  progress.done = job.done;
-  progress.failures = job.failures;
-  progress.checkpoints = job.checkpoints;
+  const auto is_other = [&](const TaskName& task) {
+    return BlockOf(job.accepted.spec, task, this->config.progress_layout) !=
+           block;
+  };
+  if (block.main) {
+    // A job has either all of its tasks in the main row or none.
+    if (!is_other(TaskName{job.accepted.id})) {
+      progress.done = job.done;
+      progress.failures = job.failures;
+      progress.checkpoints = job.checkpoints;
+    }
+    return progress;
+  }
+  const int tasks = this->config.progress_layout.tasks_per_block;
+  const TaskName first{job.accepted.id, block.occurrence, block.step,
+                       block.number * tasks};
+  const TaskName end{job.accepted.id, block.occurrence, block.step,
+                     (block.number + 1) * tasks};
+  progress.done.insert(job.done.lower_bound(first), job.done.lower_bound(end));
+  progress.failures.insert(job.failures.lower_bound(first),
+                           job.failures.lower_bound(end));
+  progress.checkpoints.insert(job.checkpoints.lower_bound(first),
+                              job.checkpoints.lower_bound(end));
   return progress;
 }
 
@@ -503,37 +566,62 @@
   return std::exchange(state.actions, SchedulerActions{});
 }
 
-RecordBatch JobScheduler::TakeBatch(std::size_t limit) {
+void JobScheduler::State::OpenPass() {
+  if (this->pass_rows > 0) {
+    return;
+  }
+  this->pass_rows = this->dirty.size();
+  for (const auto& [id, endpoint] : this->endpoints) {
+    endpoint->in_pass = endpoint->processed;
+  }
+}
+
+void JobScheduler::State::ClosePass(Instant now) {
+  for (const auto& [id, endpoint] : this->endpoints) {
+    if (endpoint->in_pass > endpoint->recorded) {
+      endpoint->recorded = endpoint->in_pass;
+      endpoint->next_poll = now;
+    }
+  }
+}
+
+RecordBatch JobScheduler::TakeBatch(const BatchLimits& limits) {
   State& state = *this->state;
   RecordBatch batch;
   if (state.batch != 0) {
     return batch;
   }
-  state.batch_jobs.clear();
-  bool covers_ends = false;
-  const std::size_t count = std::min(limit, state.dirty.size());
-  const bool all = count == state.dirty.size();
-  for (std::size_t i = 0; i < count; ++i) {
-    ScheduledJob* job = state.dirty[i];
-    batch.progress.push_back(state.ProgressOf(*job));
-    state.batch_jobs.emplace_back(job->accepted.id, job->decided);
-    job->dirty = false;
-  }
-  state.dirty.erase(state.dirty.begin(),
-                    state.dirty.begin() + static_cast<std::ptrdiff_t>(count));
-  // If not all changed jobs fit, the batch covers no ends: each may belong to a
-  // job outside the batch.
-  for (auto& [id, endpoint] : state.endpoints) {
-    endpoint->in_batch = all ? endpoint->processed : endpoint->recorded;
-    covers_ends = covers_ends || endpoint->in_batch > endpoint->recorded;
+  state.batch_rows.clear();
+  state.batch_states.clear();
+  state.OpenPass();
+  std::size_t bytes = 0;
+  while (state.pass_rows > 0 && batch.progress.size() < limits.rows) {
+    const DirtyRow row = state.dirty.front();
+    ScheduledJob* job = state.FindJob(row.job);
+    if (job != nullptr && IsFinal(job->recorded)) {
+      job->dirty.clear();  // the main row is stored and needs no other rows
+    }
+    if (job != nullptr && job->dirty.contains(row.block)) {
+      JobProgress progress = state.ProgressOf(*job, row.block);
+      bytes += EstimateBytes(progress);
+      if (bytes > limits.bytes && !batch.progress.empty()) {
+        break;
+      }
+      batch.progress.push_back(std::move(progress));
+      state.batch_rows.push_back(row);
+      if (row.block.main) {
+        state.batch_states[row.job] = job->decided;
+      }
+      job->dirty.erase(row.block);
+      job->blocks.insert(row.block);
+    }
+    state.dirty.pop_front();
+    --state.pass_rows;
   }
   if (batch.progress.empty()) {
-    // Ends that change no stored progress need no write.
-    for (auto& [id, endpoint] : state.endpoints) {
-      if (endpoint->in_batch > endpoint->recorded) {
-        endpoint->recorded = endpoint->in_batch;
-        endpoint->next_poll = Instant{};
-      }
+    if (state.pass_rows == 0) {
+      // Ends that change no stored progress need no write.
+      state.ClosePass(Instant{});
     }
     return batch;
   }
@@ -541,35 +629,50 @@
   return batch;
 }
 
-void JobScheduler::OnRecorded(std::uint64_t number, bool stored, Instant now) {
+void JobScheduler::OnRecorded(std::uint64_t number,
+                              RecordResult result,
+                              Instant now) {
   State& state = *this->state;
   if (number == 0 || number != state.batch) {
     return;
   }
   state.batch = 0;
-  for (const auto& [id, decided] : state.batch_jobs) {
+  if (result != RecordResult::kStored) {
+    if (result == RecordResult::kRejected) {
+      state.pass_rows = state.dirty.size();
+    }
+    for (auto row = state.batch_rows.rbegin(); row != state.batch_rows.rend();
+         ++row) {
+      ScheduledJob* job = state.FindJob(row->job);
+      if (job == nullptr || IsFinal(job->recorded)) {
+        continue;  // the main row is stored and needs no other rows
+      }
+      // The row stays in the pass. If it changed meanwhile, its later entry in
+      // the queue is out of date once this one is taken.
+      job->dirty.insert(row->block);
+      if (result == RecordResult::kRejected) {
+        state.dirty.push_back(*row);
+      } else {
+        state.dirty.push_front(*row);
+      }
+      ++state.pass_rows;
+    }
+    state.batch_rows.clear();
+    return;
+  }
+  for (const auto& [id, decided] : state.batch_states) {
     ScheduledJob* job = state.FindJob(id);
     if (job == nullptr) {
       continue;
     }
-    if (!stored) {
-      state.MarkDirty(job);
-      continue;
-    }
     job->recorded = decided;
     if (IsFinal(decided)) {
       job->recorded_at = now;
     }
   }
-  state.batch_jobs.clear();
-  if (!stored) {
-    return;
-  }
-  for (auto& [id, endpoint] : state.endpoints) {
-    if (endpoint->in_batch > endpoint->recorded) {
-      endpoint->recorded = endpoint->in_batch;
-      endpoint->next_poll = now;
-    }
+  state.batch_rows.clear();
+  if (state.pass_rows == 0) {
+    state.ClosePass(now);
   }
 }
 
@@ -697,6 +800,25 @@
   this->state->jobs.erase(id);
 }
 
+std::vector<ProgressBlock> JobScheduler::BlocksOf(const JobId& id) const {
+  std::vector<ProgressBlock> blocks;
+  if (const ScheduledJob* job = this->state->FindJob(id)) {
+    std::copy_if(job->blocks.begin(), job->blocks.end(),
+                 std::back_inserter(blocks),
+                 [](const ProgressBlock& block) { return !block.main; });
+  }
+  return blocks;
+}
+
+void JobScheduler::OnBlocksRemoved(const JobId& id,
+                                   const std::vector<ProgressBlock>& blocks) {
+  if (ScheduledJob* job = this->state->FindJob(id)) {
+    for (const ProgressBlock& block : blocks) {
+      job->blocks.erase(block);
+    }
+  }
+}
+
 std::vector<ClosableJob> JobScheduler::JobsToClose(std::size_t limit) const {
   std::vector<ClosableJob> jobs;
   for (const ScheduledJob* job : this->state->closable) {
--- a/src/coordination/job_scheduler.h
+++ b/src/coordination/job_scheduler.h
@@ -113,6 +113,9 @@
   // Maximum number of concurrent calls; the service handles them one by one.
   std::size_t advice_calls = 4;
 
+  // Rows in which the progress of a job is recorded.
+  ProgressLayout progress_layout;
+
   // Tail latency of a task as a fraction of its target. Best-effort work beside
   // it is throttled above pace_down_at and sped up again below pace_up_at.
   double pace_down_at = 0.85;
@@ -204,6 +207,18 @@
   std::string ticket;
 };
 
+// Largest batch that TakeBatch() returns.
+struct BatchLimits {
+  std::size_t rows = 0;
+  std::size_t bytes = 400000;  // by EstimateBytes(); one row may exceed it
+};
+
+enum class RecordResult {
+  kStored,
+  kNotStored,  // failed: the rows are part of the next batch
+  kRejected,   // the store refuses a row: they are taken after all others
+};
+
 // Job progress to store before the ends of runs are acknowledged.
 struct RecordBatch {
   std::uint64_t number = 0;  // 0: no batch
@@ -283,8 +298,8 @@
   // owner can tell which jobs have certainly not started.
   void OnStartable(RowVersion up_to);
 
-  // Progress of a job that a previous owner recorded. Must be followed by
-  // OnJob().
+  // One row of the progress of a job that a previous owner recorded. Must be
+  // followed by OnJob().
   void OnProgress(JobProgress progress);
 
   // Current Unix time; recurring jobs are due at Unix times.
@@ -339,12 +354,12 @@
   // of an endpoint is renewed.
   SchedulerActions Advance(bool may_start, Instant now);
 
-  // Returns progress of at most `limit` jobs to store, or a batch with number 0
-  // if there is none or the previous batch is still open.
-  RecordBatch TakeBatch(std::size_t limit);
-  // The open batch has been stored. If storing failed, its jobs are part of a
-  // later batch.
-  void OnRecorded(std::uint64_t number, bool stored, Instant now);
+  // Returns rows of progress to store, or a batch with number 0 if there is
+  // none or the previous batch is still open. Ends of runs are acknowledged
+  // once all rows that changed before them are stored, in one or more batches.
+  RecordBatch TakeBatch(const BatchLimits& limits);
+  // The store has answered the write of the open batch.
+  void OnRecorded(std::uint64_t number, RecordResult result, Instant now);
 
   // Queries. ----------------------------------------------------------------
 
@@ -374,6 +389,11 @@
   // Forget().
   std::vector<JobId> FinalBefore(Instant instant) const;
   void Forget(const JobId& id);
+  // Rows of the job's progress that may be stored, the main row excepted.
+  std::vector<ProgressBlock> BlocksOf(const JobId& id) const;
+  // These rows have been removed from the store.
+  void OnBlocksRemoved(const JobId& id,
+                       const std::vector<ProgressBlock>& blocks);
   // Jobs that are recorded as final and whose rows still hold the whole job.
   std::vector<ClosableJob> JobsToClose(std::size_t limit) const;
   // The rows of these jobs have been compacted to their final states.
--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -107,7 +107,6 @@
   bool active = true;  // in State::active
   std::size_t active_index = 0;  // position there
   bool closed = false;           // the row holds only the final state
-  bool dirty = false;            // has progress to record; in State::dirty
   bool finishing = false;        // final; in State::finishing
   bool rank_due = false;         // in State::rank_due
   JobRank rank;                  // as of the last ranking
@@ -119,7 +118,9 @@
   std::deque<ScheduledOccurrence> occurrences;  // a deque: addresses stay valid
   int next_occurrence = 0;                      // the first one not created yet
   int open_tasks = 0;                           // tasks that are not completed
-  int placed = 0;  // tasks of which a run may exist
+  int placed = 0;                  // tasks of which a run may exist
+  std::set<ProgressBlock> dirty;   // rows to record; in State::dirty
+  std::set<ProgressBlock> blocks;  // rows that may be in the store
   std::map<TaskName, std::set<RunNumber>> failures;  // runs that failed
   std::set<TaskName> done;
   std::map<TaskName, std::string> checkpoints;
@@ -152,7 +153,7 @@
   int best_effort = 0;
   int stopping = 0;
   EndNumber processed = 0;  // ends up to here are processed in memory
-  EndNumber in_batch = 0;   // ends up to here are covered by the open batch
+  EndNumber in_pass = 0;    // ends up to here are covered by the open pass
   EndNumber recorded = 0;   // ends up to here may be acknowledged
   bool poll_in_flight = false;
   Instant next_poll{};
@@ -168,6 +169,18 @@
 // [SECTION] State
 //-----------------------------------------------------------------------------
 
+// A row of progress that waits to be recorded.
+struct DirtyRow {
+  JobId job;
+  ProgressBlock block;
+};
+
+// Progress that previous owners recorded of a job that is not added yet.
+struct EarlierProgress {
+  JobProgress progress;  // of all rows read
+  std::set<ProgressBlock> blocks;
+};
+
 struct JobScheduler::State {
   JobSchedulerConfig config;
   Instant started{};
@@ -180,13 +193,17 @@
   // Jobs whose rank must be determined anew, now or at an instant.
   std::vector<ScheduledJob*> rank_due;
   std::set<std::pair<Instant, JobId>> rank_timers;
-  std::vector<ScheduledJob*> dirty;     // jobs with progress to record
+  // Rows to record. One that ScheduledJob::dirty does not list any more is out
+  // of date. The first `pass_rows` belong to the open pass: when all of them
+  // are stored, the ends up to EndpointState::in_pass may be acknowledged.
+  std::deque<DirtyRow> dirty;
+  std::size_t pass_rows = 0;
   std::vector<ScheduledJob*> closable;  // final, row not compacted yet
   std::map<EndpointId, std::unique_ptr<EndpointState>> endpoints;
   std::map<ServiceId, ServiceState> services;
   std::map<std::string, EndpointId> addresses;  // of listed endpoints
-  std::map<JobId, JobProgress> earlier;  // progress of jobs not added yet
-  std::set<JobId> cancelled_early;       // cancelled before they were added
+  std::map<JobId, EarlierProgress> earlier;
+  std::set<JobId> cancelled_early;  // cancelled before they were added
   std::set<ZoneId> zones_out;
   std::set<EndpointId> cordoned;
   std::map<TeamId, Resources> team_use;
@@ -204,7 +221,8 @@
   std::size_t advice_open = 0;
   std::uint64_t batch = 0;  // number of the open batch; 0: none
   std::uint64_t last_batch = 0;
-  std::vector<std::pair<JobId, JobState>> batch_jobs;
+  std::vector<DirtyRow> batch_rows;
+  std::map<JobId, JobState> batch_states;  // of the main rows in the batch
   Counters counters;
   std::vector<std::string> decisions;
   std::vector<Resources>
@@ -226,7 +244,16 @@
   // The job has reached a final state in memory.
   void Decide(ScheduledJob* job, JobState decided);
   void StopAll(ScheduledJob* job, const char* reason, Instant now);
-  void MarkDirty(ScheduledJob* job);
+  void MarkDirty(ScheduledJob* job, const ProgressBlock& block);
+  // As above for the row of a task.
+  void MarkTaskDirty(ScheduledJob* job, const TaskName& task);
+  // Marks the rows of tasks that were read from another row, such as one that a
+  // previous version wrote.
+  void MoveToOwnRows(ScheduledJob* job);
+  // Opens a pass over all rows to record, if none is open.
+  void OpenPass();
+  // All rows of the open pass are stored.
+  void ClosePass(Instant now);
   // Removes final jobs that need no more decisions from the active ones and
   // releases most of their memory.
   void RemoveInactiveJobs();
@@ -235,7 +262,8 @@
   void RankDueJobs(Instant now);
   void RankJob(ScheduledJob* job, Instant now);
   void RemoveFromQueue(ScheduledJob* job);
-  JobProgress ProgressOf(const ScheduledJob& job) const;
+  JobProgress ProgressOf(const ScheduledJob& job,
+                         const ProgressBlock& block) const;
   void LogDecision(std::string text);
 
   // Runs (job_scheduler_runs.cc) --------------------------------------------
--- a/src/coordination/job_scheduler_runs.cc
+++ b/src/coordination/job_scheduler_runs.cc
@@ -161,7 +161,7 @@
       " runs=" + std::to_string(endpoint->tasks.size()));
   endpoint->fenced = false;
   endpoint->has_clock = false;
-  endpoint->processed = endpoint->in_batch = endpoint->recorded = 0;
+  endpoint->processed = endpoint->in_pass = endpoint->recorded = 0;
   endpoint->next_poll = now;
   const std::set<ScheduledTask*> tasks = endpoint->tasks;
   for (ScheduledTask* task : tasks) {
@@ -586,7 +586,7 @@
   if (!end.checkpoint.empty()) {
     task->checkpoint = end.checkpoint;
     job->checkpoints[end.task] = end.checkpoint;
-    this->MarkDirty(job);
+    this->MarkTaskDirty(job, end.task);
   }
   if (current) {
     if (end.kind == EndKind::kDone && !task->step->spec->long_running &&
@@ -619,6 +619,7 @@
       ++step->done;
       --job->open_tasks;
       job->checkpoints.erase(NameOf(member));
+      this->MarkTaskDirty(job, NameOf(member));
       if (&member != task && MayBeRunning(member)) {
         this->Detach(&member);
       }
@@ -627,7 +628,6 @@
         this->SetPhase(&member, TaskPhase::kDone);
       }
     }
-    this->MarkDirty(job);
     this->UpdateReadySteps(job, now);
     this->FinishIfDone(job);
     return;
@@ -656,7 +656,7 @@
     endpoint->failures_in_row = this->config.failures_to_quarantine - 1;
     this->LogDecision("decision=quarantine endpoint=" + endpoint->row.id.value);
   }
-  this->MarkDirty(job);
+  this->MarkTaskDirty(job, NameOf(*task));
   const QueueConfig* queue = this->QueueOf(*job);
   if (IsFinal(job->decided) || queue == nullptr ||
       static_cast<int>(failed.size()) < queue->max_attempts) {
--- a/src/daemon/fleet_ports.h
+++ b/src/daemon/fleet_ports.h
@@ -34,6 +34,15 @@
   std::string key;
 };
 
+// Limits of the store that its callers keep to. A call that exceeds one is
+// rejected as a whole.
+struct StoreLimits {
+  // Largest value of a row, so that its base64 form has at most 64 KiB.
+  std::size_t max_row_bytes = 49152;
+  // Values in one call. A call takes 1 MB including base64 and keys.
+  std::size_t max_batch_bytes = 400000;
+};
+
 struct StoreRow {
   StoreKey key;
   std::string value;
@@ -147,6 +156,7 @@
   std::string internal_address;   // "ip:port"
   std::string readiness_path;
   Milliseconds drain{5000};  // from SIGTERM to the exit of the process
+  StoreLimits store;
   JobSchedulerConfig scheduler;
   OwnerLeaseConfig lease;
   HostPlannerConfig hosts;
--- a/src/daemon/job_api.cc
+++ b/src/daemon/job_api.cc
@@ -32,6 +32,7 @@
                const OperatorView* view,
                const OwnerTask* owner,
                Metrics* metrics,
+               const StoreLimits& limits,
                QueryOwner query_owner)
     : loop(loop),
       ports(ports),
@@ -39,7 +40,7 @@
       owner(owner),
       metrics(metrics),
       query_owner(std::move(query_owner)),
-      writer(loop, ports, JobWriterConfig{}) {}
+      writer(loop, ports, JobWriterConfig{.store = limits}) {}
 
 void JobApi::Answer(const Call& call,
                     int status,
@@ -149,6 +150,10 @@
       case AcceptResult::kAccepted:
         this->Answer(call, 200, "stored");
         return;
+      case AcceptResult::kTooLarge:
+        this->Answer(call, 400, "job_too_large",
+                     "{\"error\":\"the job is too large to be stored\"}");
+        return;
       case AcceptResult::kNotRun:
         this->Answer(call, 503, "store_unavailable");
         return;
--- a/src/daemon/job_api.h
+++ b/src/daemon/job_api.h
@@ -55,6 +55,7 @@
          const OperatorView* view,
          const OwnerTask* owner,
          Metrics* metrics,
+         const StoreLimits& limits,
          QueryOwner query_owner);
 
   // Answers one request, before or after the call returns.
--- a/src/daemon/job_store.cc
+++ b/src/daemon/job_store.cc
@@ -35,6 +35,16 @@
   return std::to_string(last % kJobParts);
 }
 
+StoreKey ProgressKey(const JobId& id, const ProgressBlock& block) {
+  std::string key = id.value;
+  if (!block.main) {
+    for (const int part : {block.occurrence, block.step, block.number}) {
+      key += "." + std::to_string(part);
+    }
+  }
+  return StoreKey{kProgressTable, kOwnerPart, std::move(key)};
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] JobWriter
 //-----------------------------------------------------------------------------
@@ -70,6 +80,11 @@
   Entry entry;
   entry.id = job.id;
   entry.row = EncodeJob(job);
+  if (entry.row.size() > this->config.store.max_row_bytes) {
+    this->loop->Post(
+        [done = std::move(done)] { done(AcceptResult::kTooLarge); });
+    return;
+  }
   entry.arrived = this->loop->Now();
   entry.callbacks.push_back(std::move(done));
   part_queue.waiting.push_back(std::move(entry));
@@ -82,9 +97,15 @@
     return;
   }
   StoreTransaction transaction;
+  std::size_t bytes = 0;
   while (!part_queue.waiting.empty() &&
          part_queue.writing.size() < this->config.max_batch) {
     Entry& entry = part_queue.waiting.front();
+    bytes += entry.row.size();
+    if (bytes > this->config.store.max_batch_bytes &&
+        !part_queue.writing.empty()) {
+      break;
+    }
     const StoreKey key{kJobTable, part, entry.id.value};
     transaction.conditions.emplace_back(key, RowVersion{});
     transaction.puts.emplace_back(key, entry.row);
--- a/src/daemon/job_store.h
+++ b/src/daemon/job_store.h
@@ -44,6 +44,8 @@
 // the transactions of one part sequentially.
 std::vector<std::string> JobParts();
 std::string PartOf(const JobId& id);
+// Returns the key of a row of the job's progress.
+StoreKey ProgressKey(const JobId& id, const ProgressBlock& block);
 
 //-----------------------------------------------------------------------------
 // [SECTION] JobWriter
@@ -58,12 +60,14 @@
   // allows one repetition while the caller still waits.
   Milliseconds resend_window{1700};
   std::size_t max_batch = 50;  // jobs; each takes 2 of a call's 100 entries
+  StoreLimits store;
 };
 
 enum class AcceptResult {
   kAccepted,  // stored, by this call or earlier
   kNotRun,    // not stored, and never will be
   kUnknown,   // may be stored
+  kTooLarge,  // not stored: the job exceeds a row of the store
 };
 
 // Not thread-safe: use it on the event loop's thread only.
--- a/src/daemon/owner_housekeeping.cc
+++ b/src/daemon/owner_housekeeping.cc
@@ -29,8 +29,8 @@
 // Time between two log reports on waiting jobs.
 constexpr Milliseconds kExplainInterval{1000};
 
-// Jobs removed in one call: each takes three of the 100 rows of a call.
-constexpr std::size_t kRemoveBatch = 30;
+// Rows removed in one call, which takes 100.
+constexpr std::size_t kRemovedRows = 90;
 
 }  // namespace
 
@@ -86,31 +86,47 @@
     return;
   }
   owned.next_sweep = now + kSweepInterval;
-  std::vector<JobId> old =
+  const std::vector<JobId> old =
       owned.scheduler.FinalBefore(now - this->config.final_job_retention);
   if (old.empty()) {
     return;
   }
-  old.resize(std::min(old.size(), kRemoveBatch));
   StoreTransaction transaction;
   transaction.across_parts = true;
+  std::vector<JobId> removed;
+  std::map<JobId, std::vector<ProgressBlock>> removed_blocks;
   for (const JobId& id : old) {
+    // The main row stays until a job's other rows are removed, over several
+    // calls if necessary: it says that the job is final.
+    for (const ProgressBlock& block : owned.scheduler.BlocksOf(id)) {
+      if (transaction.removals.size() < kRemovedRows) {
+        transaction.removals.push_back(ProgressKey(id, block));
+        removed_blocks[id].push_back(block);
+      }
+    }
+    if (transaction.removals.size() + 3 > kRemovedRows) {
+      break;
+    }
     transaction.removals.push_back(StoreKey{kJobTable, PartOf(id), id.value});
     transaction.removals.push_back(
         StoreKey{kCancelTable, PartOf(id), id.value});
-    transaction.removals.push_back(
-        StoreKey{kProgressTable, kOwnerPart, id.value});
+    transaction.removals.push_back(ProgressKey(id, ProgressBlock{}));
+    removed.push_back(id);
   }
-  std::function<void(StoreReply)> done = [this, old](const StoreReply& reply) {
-    LogEvent(LogLevel::kInfo, "jobs_removed",
-             {{"count", std::to_string(old.size())},
-              {"outcome", StoreOutcomeName(reply.outcome)}});
-    if (reply.outcome == StoreOutcome::kOk) {
-      for (const JobId& id : old) {
-        this->owned->scheduler.Forget(id);
-      }
-    }
-  };
+  std::function<void(StoreReply)> done =
+      [this, removed, removed_blocks](const StoreReply& reply) {
+        LogEvent(LogLevel::kInfo, "jobs_removed",
+                 {{"count", std::to_string(removed.size())},
+                  {"outcome", StoreOutcomeName(reply.outcome)}});
+        if (reply.outcome == StoreOutcome::kOk) {
+          for (const auto& [id, blocks] : removed_blocks) {
+            this->owned->scheduler.OnBlocksRemoved(id, blocks);
+          }
+          for (const JobId& id : removed) {
+            this->owned->scheduler.Forget(id);
+          }
+        }
+      };
   this->ports->transact(std::move(transaction), this->IfOwner(std::move(done)));
 }
 
--- a/src/daemon/owner_rounds.cc
+++ b/src/daemon/owner_rounds.cc
@@ -226,13 +226,34 @@
 // [SECTION] Writes
 //-----------------------------------------------------------------------------
 
+std::string OwnerTask::EncodeProgressRow(const JobProgress& progress) const {
+  std::string row = EncodeProgress(progress);
+  if (row.size() > this->settings.store.max_row_bytes &&
+      !progress.checkpoints.empty()) {
+    // Without its checkpoints a job loses work after a takeover, but no end.
+    LogEvent(LogLevel::kError, "checkpoints_not_recorded",
+             {{"job", progress.id.value},
+              {"bytes", std::to_string(row.size())},
+              {"checkpoints", std::to_string(progress.checkpoints.size())}});
+    JobProgress smaller = progress;
+    smaller.checkpoints.clear();
+    row = EncodeProgress(smaller);
+  }
+  return row;
+}
+
 void OwnerTask::Write() {
   Ownership& owned = *this->owned;
   const Instant now = this->loop->Now();
   if (owned.writing || now < owned.next_write) {
     return;
   }
-  const RecordBatch batch = owned.scheduler.TakeBatch(this->config.max_batch);
+  RecordBatch batch;
+  if (!std::exchange(owned.skip_progress, false)) {
+    batch = owned.scheduler.TakeBatch(
+        BatchLimits{std::min(owned.max_rows, this->config.max_batch),
+                    this->settings.store.max_batch_bytes});
+  }
   if (batch.number == 0 && owned.waves_to_write.empty() &&
       owned.orders_to_record.empty() && !this->lease.RenewalDue(now) &&
       !(owned.loaded && owned.scheduler.HasHeldJobs())) {
@@ -248,10 +269,10 @@
   transaction.conditions.emplace_back(this->LeaseKey(), this->lease.Version());
   transaction.puts.emplace_back(this->LeaseKey(), EncodeOwner(row));
   for (const JobProgress& progress : batch.progress) {
-    transaction.puts.emplace_back(
-        StoreKey{kProgressTable, kOwnerPart, progress.id.value},
-        EncodeProgress(progress));
+    transaction.puts.emplace_back(ProgressKey(progress.id, progress.block),
+                                  this->EncodeProgressRow(progress));
   }
+  owned.rows_in_write = batch.progress.size();
   if (owned.loaded) {
     std::vector<UsedEndpoint> used = owned.scheduler.UsedEndpoints(now);
     for (UsedEndpoint& endpoint : used) {
@@ -299,7 +320,8 @@
     if (owned.used_in_write) {
       owned.used_rows.OnStored();
     }
-    owned.scheduler.OnRecorded(batch, true, now);
+    owned.scheduler.OnRecorded(batch, RecordResult::kStored, now);
+    owned.max_rows = std::min(this->config.max_batch, 2 * owned.max_rows);
     this->SendHostOrders();
     for (const auto& [name, progress] : owned.waves_to_write) {
       this->ReportWave(progress);
@@ -316,7 +338,17 @@
       reply.outcome == StoreOutcome::kRejected) {
     owned.writing = false;
     owned.next_write = now + this->config.write_retry;
-    owned.scheduler.OnRecorded(batch, false, now);
+    const bool one_row_rejected =
+        reply.outcome == StoreOutcome::kRejected && owned.rows_in_write == 1;
+    owned.scheduler.OnRecorded(
+        batch,
+        one_row_rejected ? RecordResult::kRejected : RecordResult::kNotStored,
+        now);
+    if (reply.outcome == StoreOutcome::kRejected) {
+      // One invalid row must hold up neither the lease nor the other rows.
+      owned.skip_progress = true;
+      owned.max_rows = std::max<std::size_t>(1, owned.rows_in_write / 2);
+    }
     this->RecordHostOrdersAgain();
     this->ScheduleRound();
     return;
@@ -359,7 +391,7 @@
     // The batch is written again with the current version of the row as its
     // condition. Writing a record of progress twice is harmless.
     owned.writing = false;
-    owned.scheduler.OnRecorded(batch, false, now);
+    owned.scheduler.OnRecorded(batch, RecordResult::kNotStored, now);
     this->RecordHostOrdersAgain();
     this->ScheduleRound();
   };
--- a/src/daemon/owner_task.cc
+++ b/src/daemon/owner_task.cc
@@ -255,6 +255,7 @@
       Ownership{JobScheduler(scheduler, previous_lease_end),
                 HostPlanner(this->settings.hosts, now)});
   this->owned->began_at = now;
+  this->owned->max_rows = this->config.max_batch;
   this->owned->scheduler.OnStartable(this->previous_jobs_version);
   LogEvent(LogLevel::kInfo, "ownership_began",
            {{"epoch", std::to_string(scheduler.epoch.value)},
--- a/src/daemon/owner_task.h
+++ b/src/daemon/owner_task.h
@@ -62,8 +62,8 @@
   // Age of the last successful answer of the job feed up to which the count of
   // waiting jobs is reported: the feed's wait of 1.2 s plus the transfer time.
   Milliseconds max_jobs_feed_age{1600};
-  // Jobs in one write. A call of the store takes 100 rows; the others hold the
-  // lease, the used endpoints and the waves.
+  // Rows of progress in one write. A call of the store takes 100 rows; the
+  // others hold the lease, the used endpoints and the waves.
   std::size_t max_batch = 70;
   // Time for which a job with a final state stays readable: the longest time
   // guaranteed to callers.
@@ -161,6 +161,8 @@
   void RecordHostOrdersAgain();
   void SendHostOrders();
   void Write();
+  // Returns the row's value, without checkpoints if it would be too large.
+  std::string EncodeProgressRow(const JobProgress& progress) const;
   void OnWritten(const StoreReply& reply,
                  const OwnerRow& row,
                  Instant sent,
--- a/src/daemon/owner_task_internal.h
+++ b/src/daemon/owner_task_internal.h
@@ -53,6 +53,9 @@
   bool loaded = false;  // all jobs and endpoints have been read
   bool round_due = false;
   bool writing = false;
+  std::size_t max_rows = 0;  // of progress in the next write
+  std::size_t rows_in_write = 0;
+  bool skip_progress = false;  // the next write only renews the lease
   bool used_in_write = false;  // the write includes the used endpoints
   bool closing = false;        // a write that closes jobs is under way
   bool reading_hosts = false;
--- a/src/protocol/job_json.cc
+++ b/src/protocol/job_json.cc
@@ -198,6 +198,10 @@
   Json out = Json::object();
   out["id"] = progress.id.value;
   out["state"] = JobStateName(progress.state);
+  if (!progress.block.main) {
+    out["block"] = Json::array({progress.block.occurrence, progress.block.step,
+                                progress.block.number});
+  }
   if (!progress.done.empty()) {
     Json& done = out["done"] = Json::array();
     for (const TaskName& name : progress.done) {
@@ -224,6 +228,11 @@
     JobProgress progress;
     progress.id = JobId(in.at("id").get<std::string>());
     progress.state = StateByName(in.at("state").get<std::string>());
+    if (const auto block = in.find("block"); block != in.end()) {
+      progress.block =
+          ProgressBlock{false, block->at(0).get<int>(), block->at(1).get<int>(),
+                        block->at(2).get<int>()};
+    }
     for (const Json& name : in.value("done", Json::array())) {
       progress.done.insert(DecodeName(progress.id, name));
     }
--- a/tests/job_scheduler_test.cc
+++ b/tests/job_scheduler_test.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -136,6 +137,99 @@
   }
 }
 
+TEST_CASE("seeded simulations hold with the smallest rows and batches",
+          "[job_scheduler]") {
+  // Guards against progress that is lost or acknowledged too early when it is
+  // split over rows, and over several writes.
+  for (unsigned seed = 1; seed <= kWorldSeeds; ++seed) {
+    JobSimulation simulation(JobSimulationOptions{
+        .seed = seed,
+        .layout =
+            ProgressLayout{.max_tasks_in_main_row = 0,
+                           .tasks_per_block = 1 + static_cast<int>(seed % 3)},
+        .batch = BatchLimits{.rows = 1 + seed % 3, .bytes = 1}});
+    simulation.RunFor(milliseconds(60000));
+    CAPTURE(seed, simulation.Violations());
+    CHECK(simulation.Violations().empty());
+    CHECK(simulation.FinalJobs() == simulation.Jobs());
+  }
+}
+
+TEST_CASE("the next owner knows the tasks in all rows of a job",
+          "[job_scheduler]") {
+  // Guards against a completed task that starts again because its row was
+  // dropped, or replaced by another row of the same job.
+  AcceptedJob job = Job("j", 7);
+  job.spec.steps[0].per_task = Resources{100, 100, 0};
+  SchedulerFixture first({Endpoint("e1")});
+  JobSchedulerConfig config{.epoch = OwnerEpoch(1)};
+  config.progress_layout = {.max_tasks_in_main_row = 4, .tasks_per_block = 2};
+  first.scheduler = JobScheduler(config, kStart);
+  first.scheduler.OnFleetConfig(Fleet());
+  first.scheduler.OnEndpoints(first.rows, first.now);
+  first.AnswerPoll(EndpointId("e1"), {});
+  first.scheduler.OnJob(job, RowVersion(0), false, milliseconds(0), first.now);
+  const std::vector<StartRun> starts = first.Starts();
+  REQUIRE(starts.size() == 7);
+  EndpointReportRows report;
+  for (std::size_t i = 0; i < 5; ++i) {
+    report.ended.push_back(End(i + 1, starts[i], EndKind::kDone));
+  }
+  first.AnswerPoll(EndpointId("e1"), report);
+  std::vector<JobProgress> stored;
+  for (RecordBatch batch = first.scheduler.TakeBatch({.rows = 1});
+       batch.number != 0; batch = first.scheduler.TakeBatch({.rows = 1})) {
+    stored.insert(stored.end(), batch.progress.begin(), batch.progress.end());
+    first.scheduler.OnRecorded(batch.number, RecordResult::kStored, first.now);
+  }
+  CHECK(stored.size() == 4);  // three blocks and the main row
+  CHECK(first.scheduler.BlocksOf(JobId("j")).size() == 3);
+
+  SchedulerFixture next({Endpoint("e1")}, OwnerEpoch(2));
+  for (const JobProgress& row : stored) {
+    next.scheduler.OnProgress(row);
+  }
+  next.scheduler.OnJob(job, RowVersion(0), true, milliseconds(0), next.now);
+  std::set<int> started;
+  for (const StartRun& start : next.Starts()) {
+    started.insert(start.task.index);
+  }
+  CHECK(started == std::set<int>{5, 6});
+}
+
+TEST_CASE("ends are acknowledged although changes never pause",
+          "[job_scheduler]") {
+  // Guards against ends that are never acknowledged because each batch leaves
+  // some changed jobs to the next one.
+  SchedulerFixture fixture({Endpoint("e1"), Endpoint("e2")});
+  EndNumber number = 0;
+  const auto end_jobs = [&](int count) {
+    EndpointReportRows report;
+    for (int i = 0; i < count; ++i) {
+      const std::string id = "j" + std::to_string(++number);
+      fixture.scheduler.OnJob(Job(id, 2), RowVersion(0), false, milliseconds(0),
+                              fixture.now);
+      report.ended.push_back(
+          RunEnd{number, TaskName{JobId(id)}, 1, EndKind::kDone, ""});
+    }
+    fixture.AnswerPoll(EndpointId("e1"), report);
+  };
+  end_jobs(6);
+  for (int round = 0; round < 6; ++round) {
+    const RecordBatch batch = fixture.scheduler.TakeBatch({.rows = 3});
+    REQUIRE(batch.progress.size() == 3);
+    end_jobs(6);
+    fixture.scheduler.OnRecorded(batch.number, RecordResult::kStored,
+                                 fixture.now);
+  }
+  EndNumber acknowledged = 0;
+  for (const PollEndpoint& poll :
+       fixture.scheduler.Advance(true, fixture.now).polls) {
+    acknowledged = std::max(acknowledged, poll.acknowledged);
+  }
+  CHECK(acknowledged >= 6);
+}
+
 TEST_CASE("a failed run that is listed twice counts once", "[job_scheduler]") {
   // Guards against a job that fails one attempt too early because the endpoint
   // listed the same end again.
@@ -173,7 +267,7 @@
   fixture.AnswerPoll(EndpointId("e2"),
                      {.ended = {RunEnd{9, task, 2, EndKind::kFailed, ""}}});
   CHECK(fixture.Starts().empty());
-  const RecordBatch batch = fixture.scheduler.TakeBatch(10);
+  const RecordBatch batch = fixture.scheduler.TakeBatch({.rows = 10});
   REQUIRE(batch.progress.size() == 1);
   CHECK(batch.progress[0].state == JobState::kFailed);
 }
@@ -263,12 +357,14 @@
   fixture.AnswerPoll(EndpointId("e1"),
                      {.ended = {End(1, starts[0], EndKind::kDone)}});
   CHECK(fixture.scheduler.StateOf(JobId("j")) == JobState::kRunning);
-  const RecordBatch batch = fixture.scheduler.TakeBatch(10);
+  const RecordBatch batch = fixture.scheduler.TakeBatch({.rows = 10});
   REQUIRE(batch.number != 0);
-  fixture.scheduler.OnRecorded(batch.number, false, fixture.now);
+  fixture.scheduler.OnRecorded(batch.number, RecordResult::kNotStored,
+                               fixture.now);
   CHECK(fixture.scheduler.StateOf(JobId("j")) == JobState::kRunning);
-  const RecordBatch again = fixture.scheduler.TakeBatch(10);
-  fixture.scheduler.OnRecorded(again.number, true, fixture.now);
+  const RecordBatch again = fixture.scheduler.TakeBatch({.rows = 10});
+  fixture.scheduler.OnRecorded(again.number, RecordResult::kStored,
+                               fixture.now);
   CHECK(fixture.scheduler.StateOf(JobId("j")) == JobState::kCompleted);
 }
 
@@ -287,8 +383,9 @@
   SchedulerActions before = fixture.scheduler.Advance(true, fixture.now);
   REQUIRE(before.polls.size() == 1);
   CHECK(before.polls[0].acknowledged == 0);
-  const RecordBatch batch = fixture.scheduler.TakeBatch(10);
-  fixture.scheduler.OnRecorded(batch.number, true, fixture.now);
+  const RecordBatch batch = fixture.scheduler.TakeBatch({.rows = 10});
+  fixture.scheduler.OnRecorded(batch.number, RecordResult::kStored,
+                               fixture.now);
   fixture.scheduler.OnPollResult(before.polls[0],
                                  EndpointReportRows{1000, 7, {}, {}},
                                  fixture.now, fixture.now);
@@ -356,8 +453,9 @@
                      {.ended = {End(1, starts[0], EndKind::kDone)}});
   fixture.Starts();
   CHECK(fixture.scheduler.JobsToClose(9).empty());
-  const RecordBatch batch = fixture.scheduler.TakeBatch(10);
-  fixture.scheduler.OnRecorded(batch.number, true, fixture.now);
+  const RecordBatch batch = fixture.scheduler.TakeBatch({.rows = 10});
+  fixture.scheduler.OnRecorded(batch.number, RecordResult::kStored,
+                               fixture.now);
   fixture.Starts();
   const std::vector<ClosableJob> jobs = fixture.scheduler.JobsToClose(9);
   REQUIRE(jobs.size() == 1);
--- a/tests/job_store_test.cc
+++ b/tests/job_store_test.cc
@@ -105,6 +105,50 @@
   CHECK(Accept(&store, "a0") == AcceptResult::kUnknown);
 }
 
+TEST_CASE("a job that exceeds a row of the store is refused", "[job_store]") {
+  // Guards against a job that the store rejects together with all other jobs of
+  // the same write.
+  FakeStore store;
+  store.replies = {StoreReply{.outcome = StoreOutcome::kOk}};
+  JobWriter writer(
+      store.loop.get(), &store.ports,
+      JobWriterConfig{.store = {.max_row_bytes = 400, .max_batch_bytes = 500}});
+  AcceptedJob large = Job("a0");
+  large.spec.payload = std::string(400, 'x');
+  std::optional<AcceptResult> result;
+  writer.Accept(large, [&](AcceptResult answer) { result = answer; });
+  store.loop->RunUntil([&] { return result.has_value(); }, kLimit);
+  CHECK(result == AcceptResult::kTooLarge);
+  CHECK(store.calls.empty());
+}
+
+TEST_CASE("jobs beyond the size of a call wait for the next one",
+          "[job_store]") {
+  // Guards against a write of many jobs that the store rejects as a whole.
+  FakeStore store;
+  store.replies.assign(3, StoreReply{.outcome = StoreOutcome::kOk});
+  JobWriter writer(
+      store.loop.get(), &store.ports,
+      JobWriterConfig{.store = {.max_row_bytes = 400, .max_batch_bytes = 500}});
+  int accepted = 0;
+  for (const char* id : {"a0", "b0", "c0", "d0", "e0"}) {
+    AcceptedJob job = Job(id);
+    job.spec.payload = std::string(100, 'x');
+    writer.Accept(job, [&](AcceptResult answer) {
+      accepted += answer == AcceptResult::kAccepted ? 1 : 0;
+    });
+  }
+  store.loop->RunUntil([&] { return accepted == 5; }, kLimit);
+  CHECK(accepted == 5);
+  for (const StoreTransaction& call : store.calls) {
+    std::size_t bytes = 0;
+    for (const auto& [key, value] : call.puts) {
+      bytes += value.size();
+    }
+    CHECK(bytes <= 500);
+  }
+}
+
 TEST_CASE("repeating an unanswered write resolves its outcome", "[job_store]") {
   FakeStore store;
   StoreReply conflict{.outcome = StoreOutcome::kConflict};
@@ -219,6 +263,11 @@
   CHECK(read.value().failures == progress.failures);
   CHECK(read.value().done == progress.done);
   CHECK(read.value().checkpoints == progress.checkpoints);
+  CHECK(read.value().block == ProgressBlock{});
+  progress.block = ProgressBlock{false, 3, 1, 2};
+  CHECK(DecodeProgress(EncodeProgress(progress)).value().block ==
+        progress.block);
+  CHECK(ProgressKey(job.id, progress.block).key == job.id.value + ".3.1.2");
 
   const std::vector<UsedEndpoint> used = {
       {EndpointId("e"), ServiceId("s"), Resources{1, 2, 3}, 40}};
--- a/tests/owner_task_test.cc
+++ b/tests/owner_task_test.cc
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -27,8 +28,10 @@
     this->ports.operator_table = "op";
     this->ports.endpoint_table = "servers";
     this->ports.transact = [this](StoreTransaction call, StoreCallback done) {
-      if (this->on_transact && !this->on_transact(call)) {
-        this->Post(std::move(done), StoreReply{});  // kUnknown
+      const std::optional<StoreOutcome> fault =
+          this->on_transact ? this->on_transact(call) : std::nullopt;
+      if (fault) {
+        this->Post(std::move(done), StoreReply{.outcome = *fault});
         return;
       }
       const StoreReply reply = this->store.Transact(call);
@@ -115,8 +118,10 @@
     this->job.id = JobId("5c0e7a21d94b36f8");
     this->job.queue = "q";
     this->job.service = ServiceId("s");
-    this->job.spec.steps = {StepSpec{.per_task = Resources{1000, 100, 0},
-                                     .estimate = milliseconds(500)}};
+    if (this->job.spec.steps.empty()) {
+      this->job.spec.steps = {StepSpec{.per_task = Resources{1000, 100, 0},
+                                       .estimate = milliseconds(500)}};
+    }
     StoreTransaction rows;
     rows.puts.emplace_back(StoreKey{"servers", "", "e1"}, "{}");
     rows.puts.emplace_back(
@@ -152,9 +157,10 @@
   std::unique_ptr<EventLoop> loop;
   RowStore store;
   int lost_answers = 0;
-  // Called before each write; false: the write is not performed and gets no
-  // answer.
-  std::function<bool(const StoreTransaction&)> on_transact;
+  // Called before each write. An outcome is answered in place of performing the
+  // write; kUnknown: there is no answer.
+  std::function<std::optional<StoreOutcome>(const StoreTransaction&)>
+      on_transact;
   AcceptedJob job;
   StartRun run;          // the last start order
   bool started = false;  // the endpoint has started the run
@@ -195,17 +201,18 @@
   REQUIRE(fixture.loop->RunUntil([&] { return fixture.started; }, kLimit));
   StoreTransaction late;
   StoreTransaction replacement;
-  fixture.on_transact = [&](const StoreTransaction& call) {
+  fixture.on_transact =
+      [&](const StoreTransaction& call) -> std::optional<StoreOutcome> {
     if (late.puts.empty()) {
       late = call;  // performed with the next write
       fixture.ended = true;
-      return false;
+      return StoreOutcome::kUnknown;
     }
     if (replacement.puts.empty()) {
       replacement = call;
       CHECK(fixture.store.Transact(late).outcome == StoreOutcome::kOk);
     }
-    return true;
+    return std::nullopt;
   };
   REQUIRE(
       fixture.loop->RunUntil([&] { return fixture.acknowledged > 0; }, kLimit));
@@ -217,6 +224,90 @@
         JobState::kCompleted);
 }
 
+TEST_CASE("the progress of a job with many tasks is recorded", "[owner_task]") {
+  // Guards against a row above the limit of the store: the store rejects each
+  // write with it, so that no end is acknowledged and no job completes.
+  constexpr std::size_t kMaxValueBytes = 65536;  // in base64
+  constexpr std::size_t kEndsPerReport = 500;
+  constexpr int kTasks = 6500;
+  OwnerFixture fixture;
+  fixture.job.spec.steps = {
+      StepSpec{.task_count = kTasks, .per_task = Resources{1, 1, 0}}};
+  fixture.AddEndpointAndJob();
+  fixture.ports.poll = [&](const PollEndpoint& poll, OwnerEpoch,
+                           FleetPorts::PollCallback done) {
+    fixture.acknowledged = std::max(fixture.acknowledged, poll.acknowledged);
+    EndpointReportRows report{.clock_ms = 1000, .start_time_ms = 7};
+    const EndNumber first = fixture.acknowledged + 1;
+    for (EndNumber number = first;
+         number < first + kEndsPerReport && number <= kTasks; ++number) {
+      report.ended.push_back(RunEnd{
+          number, TaskName{fixture.job.id, 0, 0, static_cast<int>(number) - 1},
+          1, EndKind::kDone, ""});
+    }
+    fixture.loop->After(milliseconds(1),
+                        [report = std::move(report), done = std::move(done)] {
+                          done(report, OrderReply::kDone);
+                        });
+  };
+  fixture.on_transact =
+      [](const StoreTransaction& call) -> std::optional<StoreOutcome> {
+    for (const auto& [key, value] : call.puts) {
+      if ((value.size() + 2) / 3 * 4 > kMaxValueBytes) {
+        return StoreOutcome::kRejected;
+      }
+    }
+    return std::nullopt;
+  };
+  CHECK(fixture.loop->RunUntil([&] { return fixture.acknowledged == kTasks; },
+                               kLimit));
+  CHECK(fixture.task->StateOf(fixture.job.id) == JobState::kCompleted);
+}
+
+TEST_CASE("a row that the store rejects holds up no other job",
+          "[owner_task]") {
+  // Guards against a fleet that stands still because the store rejects one row
+  // of a write that also holds the lease and the progress of other jobs.
+  OwnerFixture fixture;
+  fixture.AddEndpointAndJob();
+  AcceptedJob other = fixture.job;
+  other.id = JobId("5c0e7a21d94b36f9");
+  StoreTransaction row;
+  row.puts.emplace_back(StoreKey{kJobTable, PartOf(other.id), other.id.value},
+                        EncodeJob(other));
+  fixture.store.Transact(row);
+  fixture.ports.poll = [&](const PollEndpoint&, OwnerEpoch,
+                           FleetPorts::PollCallback done) {
+    EndpointReportRows report{.clock_ms = 1000, .start_time_ms = 7};
+    report.ended = {RunEnd{1, TaskName{fixture.job.id}, 1, EndKind::kDone, ""},
+                    RunEnd{2, TaskName{other.id}, 1, EndKind::kDone, ""}};
+    fixture.loop->After(milliseconds(5),
+                        [report = std::move(report), done = std::move(done)] {
+                          done(report, OrderReply::kDone);
+                        });
+  };
+  fixture.on_transact =
+      [&](const StoreTransaction& call) -> std::optional<StoreOutcome> {
+    for (const auto& [key, value] : call.puts) {
+      if (key.table == kProgressTable && key.key == fixture.job.id.value) {
+        return StoreOutcome::kRejected;
+      }
+    }
+    return std::nullopt;
+  };
+  CHECK(fixture.loop->RunUntil(
+      [&] { return fixture.task->StateOf(other.id) == JobState::kCompleted; },
+      kLimit));
+  // Longer than the lease: it is renewed although the row is still rejected.
+  const OwnerEpoch epoch = fixture.Row().epoch;
+  const Instant until =
+      fixture.loop->Now() + 2 * OwnerLeaseConfig{}.lease_duration;
+  fixture.loop->RunUntil([&] { return fixture.loop->Now() > until; }, kLimit);
+  CHECK(fixture.task->Owns());
+  CHECK(fixture.Row().epoch == epoch);
+  CHECK(fixture.task->StateOf(fixture.job.id) != JobState::kCompleted);
+}
+
 TEST_CASE("a host order is sent only after its record has been stored",
           "[owner_task]") {
   // Guards against orders of two owners for one host: the next owner spares
--- a/tests/support/job_simulation.cc
+++ b/tests/support/job_simulation.cc
@@ -90,7 +90,6 @@
     }
     this->accepted.push_back(job);
     this->After(this->RandomMs(0, 12000), [this, job] {
-      this->stored_progress.try_emplace(job.id, JobProgress{job.id});
       const RowVersion version(this->versions.size() + 1);
       this->versions[job.id] = version;
       this->owner->OnJob(job, version, false, Milliseconds(0), this->now);
@@ -117,6 +116,7 @@
   ++this->owner_number;
   JobSchedulerConfig config;
   config.epoch = this->epoch;
+  config.progress_layout = this->options.layout;
   this->owner = std::make_unique<JobScheduler>(config, this->now);
   this->owner->OnFleetConfig(this->fleet);
   for (const auto& [id, progress] : this->stored_progress) {
@@ -126,7 +126,7 @@
   this->owner->OnPreviousOwnerEndpoints(this->stored_endpoints, this->now);
   this->ListWorkers();
   for (const AcceptedJob& job : this->accepted) {
-    if (this->stored_progress.contains(job.id)) {
+    if (this->versions.contains(job.id)) {
       const RowVersion version = this->versions[job.id];
       this->owner->OnJob(job, version, version <= this->stored_newest_job,
                          Milliseconds(0), this->now);
@@ -314,7 +314,7 @@
 }
 
 void JobSimulation::WriteBatch() {
-  const RecordBatch batch = this->owner->TakeBatch(10);
+  const RecordBatch batch = this->owner->TakeBatch(this->options.batch);
   const std::vector<UsedEndpoint> used = this->owner->UsedEndpoints(this->now);
   const std::uint64_t sender = this->owner_number;
   const bool refused = this->Uniform() < 0.05;
@@ -326,7 +326,7 @@
     }
     if (!refused) {
       for (const JobProgress& progress : batch.progress) {
-        this->stored_progress[progress.id] = progress;
+        this->stored_progress[{progress.id, progress.block}] = progress;
       }
       this->stored_endpoints = used;
       this->stored_newest_job = std::max(this->stored_newest_job, newest);
@@ -339,7 +339,9 @@
                 : 0;
       }
     }
-    this->owner->OnRecorded(batch.number, !refused, this->now);
+    this->owner->OnRecorded(
+        batch.number,
+        refused ? RecordResult::kNotStored : RecordResult::kStored, this->now);
   });
 }
 
@@ -395,7 +397,8 @@
     this->now = std::max(this->now, event.at);
     event.action();
   }
-  for (const auto& [id, progress] : this->stored_progress) {
+  for (const auto& [row, progress] : this->stored_progress) {
+    const JobId& id = row.first;
     if (progress.state != JobState::kCompleted) {
       continue;
     }
--- a/tests/support/job_simulation.h
+++ b/tests/support/job_simulation.h
@@ -31,6 +31,8 @@
   double faults_per_second = 0.7;
   bool change_owners = true;
   Milliseconds fault_period{20000};  // faults are injected during this time
+  ProgressLayout layout;
+  BatchLimits batch{.rows = 10};
   std::string trace;  // keep decisions with this text; empty: none
 };
 
@@ -91,7 +93,8 @@
   Instant start = this->now;
   std::map<EndpointId, Worker> workers;
   std::vector<AcceptedJob> accepted;
-  std::map<JobId, JobProgress> stored_progress;  // progress in the store
+  // Rows of progress in the store.
+  std::map<std::pair<JobId, ProgressBlock>, JobProgress> stored_progress;
   std::vector<UsedEndpoint> stored_endpoints;
   RowVersion
       stored_newest_job;  // newest job that may have been started, as stored
