--- a/src/coordination/job.h
+++ b/src/coordination/job.h
@@ -199,6 +199,9 @@
   std::int64_t start_time_ms = 0;  // start of the endpoint process; 0: unknown
   std::vector<RunningTask> running;
   std::vector<RunEnd> ended;  // in order of number
+  // False if the endpoint may have more ends than it listed. A run in neither
+  // list may then have ended.
+  bool all_ends_listed = true;
 };
 
 //-----------------------------------------------------------------------------
--- a/src/coordination/job_scheduler.cc
+++ b/src/coordination/job_scheduler.cc
@@ -724,9 +724,10 @@
     summary.service = endpoint->row.service;
     summary.zone = endpoint->row.zone;
     summary.usable = this->state->Usable(*endpoint, now);
-    // An endpoint that was not polled yet may run work of a previous owner.
+    // An endpoint that was not polled yet may run work of a previous owner, and
+    // one that has not listed all ends may know that a task is done.
     summary.idle = endpoint->tasks.empty() &&
-                   (endpoint->fenced || endpoint->lapse_at <= now);
+                   (endpoint->recovered || endpoint->lapse_at <= now);
     summary.used = endpoint->used;
     summary.capacity = endpoint->row.capacity;
     summary.long_running = endpoint->long_running;
--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -143,6 +143,9 @@
   bool excluded = false;  // in an evacuated zone, or its host is about to leave
   bool listed = false;    // present in the newest list of endpoints
   bool fenced = false;    // has answered a poll of this epoch
+  // Has listed all of its ends in a report of this epoch. Before that, a task
+  // of a previous owner may have completed here.
+  bool recovered = false;
   bool has_clock = false;
   std::int64_t clock_ms = 0;  // the endpoint's clock, read at clock_read
   Instant clock_read{};
@@ -210,7 +213,7 @@
   std::map<std::string, DurationModel> durations;  // by queue
   std::map<ServiceId, double> arrived_core_seconds;
   std::map<ServiceId, int> arrived_jobs;
-  std::set<ServiceId> unrecovered;  // services with endpoints not polled yet
+  std::set<ServiceId> unrecovered;  // services with endpoints not recovered yet
   Resources unpolled_capacity;      // total capacity of these endpoints
   Instant recovery_ends{};  // by then the work of previous owners has lapsed
   std::int64_t wall_offset_ms = 0;  // Unix time minus steady clock
--- a/src/coordination/job_scheduler_place.cc
+++ b/src/coordination/job_scheduler_place.cc
@@ -74,12 +74,17 @@
 void JobScheduler::State::Place(Instant now) {
   this->unrecovered.clear();
   this->unpolled_capacity = Resources{};
-  if (now < this->recovery_ends) {
-    for (const auto& [id, endpoint] : this->endpoints) {
-      if (!endpoint->fenced && endpoint->lapse_at > now) {
-        this->unrecovered.insert(endpoint->row.service);
-        this->unpolled_capacity += endpoint->row.capacity;
-      }
+  for (const auto& [id, endpoint] : this->endpoints) {
+    if (endpoint->recovered || endpoint->lapse_at <= now) {
+      continue;
+    }
+    // The lease of an endpoint that answers is renewed, so that recovery can
+    // last longer than the leases of previous owners.
+    if (endpoint->fenced) {
+      this->unrecovered.insert(endpoint->row.service);
+    } else if (now < this->recovery_ends) {
+      this->unrecovered.insert(endpoint->row.service);
+      this->unpolled_capacity += endpoint->row.capacity;
     }
   }
   for (auto& [id, service] : this->services) {
--- a/src/coordination/job_scheduler_runs.cc
+++ b/src/coordination/job_scheduler_runs.cc
@@ -160,6 +160,7 @@
       "decision=endpoint_restarted endpoint=" + endpoint->row.id.value +
       " runs=" + std::to_string(endpoint->tasks.size()));
   endpoint->fenced = false;
+  endpoint->recovered = false;
   endpoint->has_clock = false;
   endpoint->processed = endpoint->in_pass = endpoint->recorded = 0;
   endpoint->next_poll = now;
@@ -474,7 +475,10 @@
     state.OnListed(endpoint, row, now);
   }
   state.ResolveUnlistedRuns(endpoint, *report, sent, now);
-  state.StopStalledTasks(endpoint, now);
+  if (report->all_ends_listed) {
+    endpoint->recovered = true;
+    state.StopStalledTasks(endpoint, now);
+  }
   // The endpoint would answer at once with the same unrecorded ends.
   endpoint->next_poll = endpoint->processed > endpoint->recorded
                             ? now + state.config.unrecorded_poll_delay
@@ -542,6 +546,9 @@
     if (listed.contains({NameOf(*task), task->run})) {
       continue;
     }
+    if (!report.all_ends_listed) {
+      continue;  // its end may be among those that the report does not list
+    }
     if (task->phase == TaskPhase::kStopping) {
       // After a confirmed stop the endpoint refuses a run that had not started.
       if (task->stop_confirmed && task->stop_answered <= sent) {
--- a/stand_ins/worker_model.cc
+++ b/stand_ins/worker_model.cc
@@ -101,7 +101,12 @@
   for (const auto& [name, run] : this->running) {
     report.running.push_back(RunningTask{name, run.number, "", 100, 0});
   }
-  report.ended.assign(this->ended.begin(), this->ended.end());
+  const std::size_t listed =
+      std::min(this->ended.size(), this->settings.max_ends_listed);
+  report.ended.assign(
+      this->ended.begin(),
+      this->ended.begin() + static_cast<std::ptrdiff_t>(listed));
+  report.all_ends_listed = listed == this->ended.size();
   return report;
 }
 
--- a/stand_ins/worker_model.h
+++ b/stand_ins/worker_model.h
@@ -11,6 +11,7 @@
 #ifndef STAND_INS_WORKER_MODEL_H_
 #define STAND_INS_WORKER_MODEL_H_
 
+#include <cstddef>
 #include <deque>
 #include <map>
 #include <optional>
@@ -28,7 +29,8 @@
   EndpointRow row;                  // includes capacity and labels
   Milliseconds max_lease{10000};    // limit; a longer lease is shortened to it
   Milliseconds stop_duration{300};  // from a stop order to the end of the run
-  double clock_rate = 1.0;          // relative to the caller's clock, 0.98 to 1
+  std::size_t max_ends_listed = 500;  // in one report
+  double clock_rate = 1.0;  // relative to the caller's clock, 0.98 to 1
 };
 
 // Resource needs of a task and how its runs end.
--- a/tests/job_scheduler_test.cc
+++ b/tests/job_scheduler_test.cc
@@ -57,16 +57,20 @@
   return fleet;
 }
 
-// A scheduler with endpoints that have answered their first poll.
+// A scheduler with endpoints that have answered their first poll, unless
+// `answer_polls` is false.
 struct SchedulerFixture {
   explicit SchedulerFixture(std::vector<EndpointRow> endpoints,
-                            OwnerEpoch epoch = OwnerEpoch(1))
+                            OwnerEpoch epoch = OwnerEpoch(1),
+                            bool answer_polls = true)
       : rows(std::move(endpoints)),
         scheduler(JobSchedulerConfig{.epoch = epoch}, kStart) {
     this->scheduler.OnFleetConfig(Fleet());
     this->scheduler.OnEndpoints(this->rows, this->now);
-    for (const EndpointRow& row : this->rows) {
-      this->AnswerPoll(row.id, {});
+    if (answer_polls) {
+      for (const EndpointRow& row : this->rows) {
+        this->AnswerPoll(row.id, {});
+      }
     }
   }
 
@@ -155,6 +159,101 @@
   }
 }
 
+TEST_CASE("seeded simulations hold when reports list few ends",
+          "[job_scheduler]") {
+  // Guards against a run that counts as lost because its end is beyond those
+  // that a report lists, also after a takeover.
+  for (unsigned seed = 1; seed <= kWorldSeeds; ++seed) {
+    JobSimulation simulation(
+        JobSimulationOptions{.seed = seed,
+                             .max_ends_listed = 1 + seed % 3,
+                             .refused_write_share = 0.9});
+    simulation.RunFor(milliseconds(60000));
+    CAPTURE(seed, simulation.Violations());
+    CHECK(simulation.Violations().empty());
+    CHECK(simulation.FinalJobs() == simulation.Jobs());
+  }
+}
+
+TEST_CASE("a run beyond the ends that a report lists is not lost",
+          "[job_scheduler]") {
+  // Guards against a second run of a completed task: the endpoint has more ends
+  // than one report lists, because the store was down or many runs have ended.
+  SchedulerFixture fixture({Endpoint("e1")});
+  fixture.scheduler.OnJob(Job("j", 3), RowVersion(0), false, milliseconds(0),
+                          fixture.now);
+  const std::vector<StartRun> starts = fixture.Starts();
+  REQUIRE(starts.size() == 3);
+  for (const StartRun& start : starts) {
+    fixture.Confirm(start);
+  }
+  // Long enough that a run which is not listed looks stalled.
+  fixture.now += std::chrono::seconds(4);
+  const std::vector<RunEnd> ends = {End(1, starts[0], EndKind::kDone),
+                                    End(2, starts[1], EndKind::kDone),
+                                    End(3, starts[2], EndKind::kDone)};
+  fixture.AnswerPoll(EndpointId("e1"),
+                     {.ended = {ends[0]}, .all_ends_listed = false});
+  const SchedulerActions actions = fixture.scheduler.Advance(true, fixture.now);
+  CHECK(actions.starts.empty());
+  CHECK(actions.stops.empty());
+  fixture.AnswerPoll(EndpointId("e1"), {.ended = ends});
+  CHECK(fixture.Starts().empty());
+  const RecordBatch batch = fixture.scheduler.TakeBatch({.rows = 10});
+  REQUIRE(batch.progress.size() == 1);
+  CHECK(batch.progress[0].state == JobState::kCompleted);
+}
+
+TEST_CASE("a stopped run beyond the ends that a report lists is not lost",
+          "[job_scheduler]") {
+  // Guards against a second run of a task that had completed before the stop
+  // order arrived.
+  SchedulerFixture fixture({Endpoint("e1")});
+  fixture.scheduler.OnJob(Job("j", 1), RowVersion(0), false, milliseconds(0),
+                          fixture.now);
+  const std::vector<StartRun> starts = fixture.Starts();
+  REQUIRE(starts.size() == 1);
+  fixture.scheduler.OnStartReply(starts[0], OrderReply::kUnknown, fixture.now);
+  fixture.AnswerPoll(EndpointId("e1"), {});
+  const std::vector<StopRun> stops = fixture.Stops();
+  REQUIRE(stops.size() == 1);
+  fixture.scheduler.OnStopReply(stops[0], OrderReply::kDone, fixture.now);
+  fixture.AnswerPoll(
+      EndpointId("e1"),
+      {.ended = {RunEnd{1, TaskName{JobId("other")}, 1, EndKind::kDone, ""}},
+       .all_ends_listed = false});
+  CHECK(fixture.Starts().empty());
+  fixture.AnswerPoll(EndpointId("e1"),
+                     {.ended = {End(2, starts[0], EndKind::kDone)}});
+  CHECK(fixture.Starts().empty());
+}
+
+TEST_CASE("a new owner waits for all ends of an endpoint", "[job_scheduler]") {
+  // Guards against a second run of a task that completed under the previous
+  // owner and whose end is beyond those that the first report lists.
+  SchedulerFixture fixture({Endpoint("e1"), Endpoint("e2")}, OwnerEpoch(2),
+                           false);
+  fixture.AnswerPoll(EndpointId("e2"), {});
+  fixture.scheduler.OnJob(Job("j", 2), RowVersion(0), true, milliseconds(0),
+                          fixture.now);
+  fixture.AnswerPoll(
+      EndpointId("e1"),
+      {.ended = {RunEnd{1, TaskName{JobId("j")}, 1, EndKind::kDone, ""}},
+       .all_ends_listed = false});
+  CHECK(fixture.Starts().empty());
+  for (const EndpointSummary& endpoint :
+       fixture.scheduler.Endpoints(fixture.now)) {
+    CHECK(endpoint.idle == (endpoint.id == EndpointId("e2")));
+  }
+  fixture.AnswerPoll(EndpointId("e1"),
+                     {.ended = {RunEnd{2, TaskName{JobId("j"), 0, 0, 1}, 1,
+                                       EndKind::kDone, ""}}});
+  CHECK(fixture.Starts().empty());
+  const RecordBatch batch = fixture.scheduler.TakeBatch({.rows = 10});
+  REQUIRE(batch.progress.size() == 1);
+  CHECK(batch.progress[0].state == JobState::kCompleted);
+}
+
 TEST_CASE("the next owner knows the tasks in all rows of a job",
           "[job_scheduler]") {
   // Guards against a completed task that starts again because its row was
--- a/tests/platform_wire_test.cc
+++ b/tests/platform_wire_test.cc
@@ -87,6 +87,21 @@
   }
 }
 
+TEST_CASE("a report with 500 ends may have more", "[platform_wire]") {
+  // Guards against runs that count as lost because the endpoint lists at most
+  // 500 ends at a time.
+  const auto report_with = [](int ends) {
+    std::string rows;
+    for (int i = 1; i <= ends; ++i) {
+      rows += (i == 1 ? "" : ",") + std::string("[") + std::to_string(i) +
+              R"(,"5c0e7a21d94b36f8.0.0.1",1,"done",""])";
+    }
+    return DecodeReport(R"({"ClockMs":1,"Running":[],"Ended":[)" + rows + "]}");
+  };
+  CHECK(report_with(499).value().all_ends_listed);
+  CHECK_FALSE(report_with(500).value().all_ends_listed);
+}
+
 TEST_CASE("a report decodes into running and ended runs", "[platform_wire]") {
   const Result<EndpointReportRows> report = DecodeReport(
       R"({"ClockMs":482113,"born":9,
--- a/tests/support/job_simulation.cc
+++ b/tests/support/job_simulation.cc
@@ -46,6 +46,7 @@
     settings.row.ready = true;
     settings.row.capacity = Resources{4000, 8000, 0};
     settings.row.labels = {"a", "r" + std::to_string(i % 3)};
+    settings.max_ends_listed = options.max_ends_listed;
     settings.clock_rate = 0.98 + 0.02 * this->Uniform();
     this->workers[settings.row.id].model =
         std::make_unique<WorkerModel>(settings, this->now);
@@ -317,7 +318,7 @@
   const RecordBatch batch = this->owner->TakeBatch(this->options.batch);
   const std::vector<UsedEndpoint> used = this->owner->UsedEndpoints(this->now);
   const std::uint64_t sender = this->owner_number;
-  const bool refused = this->Uniform() < 0.05;
+  const bool refused = this->Uniform() < this->options.refused_write_share;
   const RowVersion newest = this->owner->NewestJob();
   const Instant sent = this->now;
   this->After(this->RandomMs(4, 40), [=, this] {
--- a/tests/support/job_simulation.h
+++ b/tests/support/job_simulation.h
@@ -30,7 +30,9 @@
   double late_order_share = 0.3;   // share of these that arrive 2 to 12 s later
   double faults_per_second = 0.7;
   bool change_owners = true;
-  Milliseconds fault_period{20000};  // faults are injected during this time
+  Milliseconds fault_period{20000};   // faults are injected during this time
+  std::size_t max_ends_listed = 500;  // in one report of a worker
+  double refused_write_share = 0.05;  // share of writes that the store refuses
   ProgressLayout layout;
   BatchLimits batch{.rows = 10};
   std::string trace;  // keep decisions with this text; empty: none
