--- a/src/coordination/job_scheduler.h
+++ b/src/coordination/job_scheduler.h
@@ -100,6 +100,12 @@
   // Number of jobs of one team that may fail to fit, or exceed its limit,
   // before a round skips the team's other jobs.
   int team_backfill_depth = 25;
+  // A round that left jobs out for these bounds also visits this many jobs in
+  // turn, so that each has its turn although those before it do not fit.
+  std::size_t turn_depth = 20;
+  // Share of a service's capacity in use up to which it does so. Above it, the
+  // order decides who gets the room that ends of runs leave.
+  double turn_max_use = 0.7;
 
   // A late job still has value to its caller up to this multiple of its
   // objective.
--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -112,6 +112,7 @@
   JobRank rank;                  // as of the last ranking
   Instant rank_timer{};  // when the rank is due anew; in State::rank_timers
   ServiceState* queued_in = nullptr;       // waits there; null: no task waits
+  bool unfit = false;                      // in ServiceState::unfit of it
   JobState decided = JobState::kPending;   // state in memory
   JobState recorded = JobState::kPending;  // state in the store
   Instant recorded_at{};                   // when a final state was recorded
@@ -134,6 +135,10 @@
 struct ServiceState {
   std::vector<EndpointState*> endpoints;
   WaitingJobs<ScheduledJob> waiting;
+  // Jobs of which no ready task fits on any endpoint, even an idle one. They
+  // wait for another endpoint, or a change of the configuration.
+  std::map<JobId, ScheduledJob*> unfit;
+  WaitingJobs<ScheduledJob>::Position turn;         // last job visited in turn
   std::map<TeamId, std::int64_t> team_milli_cores;  // reserved by runs
 };
 
@@ -316,6 +321,10 @@
   bool Usable(const EndpointState& endpoint, Instant now) const;
   void Place(Instant now);
   void PlaceService(const ServiceId& id, ServiceState* service, Instant now);
+  // Returns whether a ready task of the job would fit on a listed one of these
+  // endpoints if it were idle, and into its team's limit.
+  bool FitsWhenIdle(const ScheduledJob& job,
+                    const std::vector<EndpointState*>& endpoints) const;
   // Places the ready tasks of a job.
   PlaceResult PlaceJob(ScheduledJob* job,
                        const std::vector<EndpointState*>& usable,
--- a/src/coordination/job_scheduler_place.cc
+++ b/src/coordination/job_scheduler_place.cc
@@ -96,8 +96,13 @@
 
 void JobScheduler::State::RemoveFromQueue(ScheduledJob* job) {
   if (job->queued_in != nullptr) {
-    job->queued_in->waiting.Erase(job->accepted.team, job->rank,
-                                  job->accepted.id, job);
+    if (job->unfit) {
+      job->queued_in->unfit.erase(job->accepted.id);
+    } else {
+      job->queued_in->waiting.Erase(job->accepted.team, job->rank,
+                                    job->accepted.id, job);
+    }
+    job->unfit = false;
     job->queued_in = nullptr;
     this->rank_timers.erase({job->rank_timer, job->accepted.id});
   }
@@ -139,14 +144,55 @@
   }
   job->rank = rank;
   job->queued_in = &this->services[this->ServiceOf(*job)];
-  job->queued_in->waiting.Insert(job->accepted.team, rank, job->accepted.id,
-                                 job);
+  job->unfit = !this->FitsWhenIdle(*job, job->queued_in->endpoints);
+  if (job->unfit) {
+    job->queued_in->unfit.emplace(job->accepted.id, job);
+  } else {
+    job->queued_in->waiting.Insert(job->accepted.team, rank, job->accepted.id,
+                                   job);
+  }
   if (rank.urgency == Urgency::kInTime || rank.urgency == Urgency::kLate) {
     job->rank_timer = timer;
     this->rank_timers.emplace(timer, job->accepted.id);
   }
 }
 
+bool JobScheduler::State::FitsWhenIdle(
+    const ScheduledJob& job,
+    const std::vector<EndpointState*>& endpoints) const {
+  const auto team = this->fleet.teams.find(job.accepted.team);
+  const auto within = [](std::int64_t need, std::int64_t limit) {
+    return limit == 0 || need <= limit;
+  };
+  for (const ScheduledOccurrence& occurrence : job.occurrences) {
+    for (const ScheduledStep& step : occurrence.steps) {
+      if (step.ready_since == kNever || step.waiting == 0) {
+        continue;
+      }
+      const StepSpec& spec = *step.spec;
+      const Resources& task = spec.per_task;
+      if (team != this->fleet.teams.end()) {
+        const Resources& limit = team->second.limit;
+        if (!within(task.milli_cores, limit.milli_cores) ||
+            !within(task.memory_mb, limit.memory_mb) ||
+            !within(task.accelerators, limit.accelerators)) {
+          continue;
+        }
+      }
+      const Resources reserved = Reserved(spec);
+      const auto fits = [&](const EndpointState* endpoint) {
+        return endpoint->listed && reserved.FitsIn(endpoint->row.capacity) &&
+               (spec.required_label.empty() ||
+                HasLabel(*endpoint, spec.required_label));
+      };
+      if (std::any_of(endpoints.begin(), endpoints.end(), fits)) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 void JobScheduler::State::PlaceService(const ServiceId& id,
                                        ServiceState* service,
                                        Instant now) {
@@ -181,27 +227,50 @@
            static_cast<double>(used->second) > shares[team];
   };
   const bool unrecovered_service = this->unrecovered.contains(id);
+  // A run of a job of a previous owner may exist on an endpoint that was not
+  // polled yet.
+  const auto held_back = [&](const ScheduledJob& job) {
+    return job.version > this->startable ||
+           (job.before_takeover && unrecovered_service);
+  };
   std::map<TeamId, int> failed;  // jobs that did not fit
   int without_room = 0;
+  bool all_visited = true;
   service->waiting.Walk(over_share, [&](ScheduledJob* job) {
-    // A run of a job of a previous owner may exist on an endpoint that was not
-    // polled yet.
-    if (job->version > this->startable ||
-        (job->before_takeover && unrecovered_service)) {
+    if (held_back(*job)) {
       return WalkStep::kNextJob;
     }
     const PlaceResult result = this->PlaceJob(job, usable, now);
     if (result == PlaceResult::kPlaced) {
       return WalkStep::kNextJob;
     }
+    if (!this->FitsWhenIdle(*job, service->endpoints)) {
+      this->MarkForRanking(job);  // the endpoint that it fitted on has left
+      return WalkStep::kNextJob;
+    }
     if (result == PlaceResult::kNoRoom &&
         ++without_room >= this->config.backfill_depth) {
+      all_visited = false;
       return WalkStep::kStop;
     }
-    return ++failed[job->accepted.team] < this->config.team_backfill_depth
-               ? WalkStep::kNextJob
-               : WalkStep::kSkipTeam;
+    if (++failed[job->accepted.team] < this->config.team_backfill_depth) {
+      return WalkStep::kNextJob;
+    }
+    all_visited = false;
+    return WalkStep::kSkipTeam;
   });
+  double used = 0;
+  for (const auto& [team, milli_cores] : service->team_milli_cores) {
+    used += static_cast<double>(milli_cores);
+  }
+  if (!all_visited && used < this->config.turn_max_use * capacity) {
+    service->waiting.VisitInTurn(&service->turn, this->config.turn_depth,
+                                 [&](ScheduledJob* job) {
+                                   if (!held_back(*job)) {
+                                     this->PlaceJob(job, usable, now);
+                                   }
+                                 });
+  }
 }
 
 PlaceResult JobScheduler::State::PlaceJob(
--- a/src/coordination/job_scheduler_runs.cc
+++ b/src/coordination/job_scheduler_runs.cc
@@ -49,6 +49,7 @@
   const bool restarted = endpoint->row.start_time_ms != 0 &&
                          row.start_time_ms != 0 &&
                          endpoint->row.start_time_ms != row.start_time_ms;
+  const bool changed = !endpoint->listed || endpoint->row != row;
   if (!endpoint->listed) {
     endpoint->listed = true;
     endpoint->next_poll = now;
@@ -63,6 +64,13 @@
   if (restarted) {
     state.OnEndpointRestarted(endpoint.get(), now);
   }
+  if (changed) {
+    for (const auto& [id, job] : endpoint->service->unfit) {
+      if (state.FitsWhenIdle(*job, {endpoint.get()})) {
+        state.MarkForRanking(job);
+      }
+    }
+  }
   EndpointId& holder = state.addresses[row.address];
   if (holder != row.id) {
     holder = row.id;
--- a/src/coordination/waiting_jobs.h
+++ b/src/coordination/waiting_jobs.h
@@ -56,6 +56,13 @@
 template <typename Job>
 class WaitingJobs {
  public:
+  // A place in the order of teams and ranks, whether or not a job is there.
+  struct Position {
+    TeamId team;
+    JobRank rank;
+    JobId id;
+  };
+
   // The team must have no entry with this id.
   void Insert(const TeamId& team,
               const JobRank& rank,
@@ -114,6 +121,36 @@
     }
   }
 
+  // Visits up to `count` jobs, each once, from the first one behind the
+  // position on, and moves the position to the last one visited. After the last
+  // job follows the first, so that repeated calls visit each job in turn.
+  // `visit` must not insert or erase entries.
+  template <typename Visit>
+  void VisitInTurn(Position* position, std::size_t count, Visit visit) const {
+    if (this->Empty()) {
+      return;
+    }
+    auto team = this->teams.lower_bound(position->team);
+    typename Entries::const_iterator at;
+    if (team != this->teams.end()) {
+      at = team->first == position->team
+               ? team->second.upper_bound(
+                     Entry{position->rank, &position->id, nullptr})
+               : team->second.begin();
+    }
+    for (std::size_t left = std::min(count, this->size); left > 0; --left) {
+      while (team == this->teams.end() || at == team->second.end()) {
+        if (team == this->teams.end() || ++team == this->teams.end()) {
+          team = this->teams.begin();
+        }
+        at = team->second.begin();
+      }
+      *position = Position{team->first, at->rank, *at->id};
+      visit(at->job);
+      ++at;
+    }
+  }
+
  private:
   struct Entry {
     JobRank rank;
--- a/tests/job_scheduler_test.cc
+++ b/tests/job_scheduler_test.cc
@@ -254,6 +254,96 @@
   CHECK(batch.progress[0].state == JobState::kCompleted);
 }
 
+// Adds `count` jobs with one task each. Long-running ones are placed first.
+void AddJobs(SchedulerFixture* fixture,
+             const std::string& prefix,
+             int count,
+             const Resources& per_task,
+             const std::string& team = "",
+             bool long_running = false) {
+  for (int i = 0; i < count; ++i) {
+    AcceptedJob job = Job(prefix + std::to_string(i), 1);
+    job.team = TeamId(team);
+    job.spec.steps[0].per_task = per_task;
+    job.spec.steps[0].long_running = long_running;
+    fixture->scheduler.OnJob(job, RowVersion(0), false, milliseconds(0),
+                             fixture->now);
+  }
+}
+
+TEST_CASE("jobs that fit on no endpoint hold up no others", "[job_scheduler]") {
+  // Guards against a team, or a whole service, that stands still because the
+  // first jobs of its backlog can never start.
+  for (const char* team : {"t0", "u"}) {
+    CAPTURE(team);
+    SchedulerFixture fixture({Endpoint("e1"), Endpoint("e2")});
+    for (const char* other : {"t0", "t1", "t2", "t3"}) {
+      AddJobs(&fixture, std::string("large") + other, 50,
+              Resources{4001, 100, 0}, other, true);
+    }
+    AddJobs(&fixture, "small", 1, Resources{1000, 100, 0}, team);
+    CHECK(fixture.Starts().size() == 1);
+  }
+}
+
+TEST_CASE("jobs beyond the limit of their team hold up no others",
+          "[job_scheduler]") {
+  // Guards against a team that stands still because each of the first jobs of
+  // its backlog exceeds the team's limit on its own.
+  FleetConfig fleet = Fleet();
+  fleet.teams[TeamId("t")] = TeamConfig{.limit = Resources{2000, 0, 0}};
+  SchedulerFixture fixture({Endpoint("e1")});
+  fixture.scheduler.OnFleetConfig(fleet);
+  AddJobs(&fixture, "large", 200, Resources{2001, 100, 0}, "t", true);
+  AddJobs(&fixture, "small", 1, Resources{1000, 100, 0}, "t");
+  CHECK(fixture.Starts().size() == 1);
+  // They start when the limit permits it.
+  fleet.teams[TeamId("t")].limit = Resources{};
+  fixture.scheduler.OnFleetConfig(fleet);
+  CHECK(fixture.Starts().size() == 1);
+}
+
+TEST_CASE("a job that fitted on no endpoint starts on a larger one",
+          "[job_scheduler]") {
+  // Guards against a job that is not looked at any more after a larger host has
+  // joined the pool, and against one that holds up others after the host left.
+  SchedulerFixture fixture({Endpoint("e1")});
+  AddJobs(&fixture, "large", 100, Resources{4001, 100, 0}, "t", true);
+  CHECK(fixture.Starts().empty());
+  EndpointRow larger = Endpoint("e2");
+  larger.capacity.milli_cores = 8000;
+  fixture.scheduler.OnEndpointListed(larger, fixture.now);
+  fixture.AnswerPoll(larger.id, {});
+  CHECK(fixture.Starts().size() == 1);
+  fixture.scheduler.OnEndpointUnlisted(larger.id, fixture.now);
+  fixture.now += std::chrono::seconds(20);  // its lease lapses
+  fixture.AnswerPoll(EndpointId("e1"), {});
+  fixture.Starts();
+  AddJobs(&fixture, "small", 1, Resources{1000, 100, 0}, "t");
+  CHECK(fixture.Starts().size() == 1);
+}
+
+TEST_CASE("jobs that do not fit at present hold up others for a short time",
+          "[job_scheduler]") {
+  // Guards against a job that never starts although a third of the service is
+  // in use: the first jobs of the backlog need more than any endpoint has left.
+  SchedulerFixture fixture({Endpoint("e1"), Endpoint("e2")});
+  AddJobs(&fixture, "running", 2, Resources{2200, 100, 0});
+  REQUIRE(fixture.Starts().size() == 2);
+  AddJobs(&fixture, "large", 300, Resources{3000, 100, 0}, "t");
+  // Ranked behind the others: its estimate is longer.
+  AcceptedJob small = Job("small", 1);
+  small.team = TeamId("t");
+  small.spec.steps[0].estimate = milliseconds(60000);
+  fixture.scheduler.OnJob(small, RowVersion(0), false, milliseconds(0),
+                          fixture.now);
+  std::size_t started = 0;
+  for (int round = 0; round < 50 && started == 0; ++round) {
+    started = fixture.Starts().size();
+  }
+  CHECK(started == 1);
+}
+
 TEST_CASE("the next owner knows the tasks in all rows of a job",
           "[job_scheduler]") {
   // Guards against a completed task that starts again because its row was
--- a/tests/waiting_jobs_test.cc
+++ b/tests/waiting_jobs_test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <map>
 #include <random>
 #include <string>
 #include <tuple>
@@ -35,6 +36,35 @@
   return team.value == "t1" || team.value == "t4";
 }
 
+TEST_CASE("visits in turn reach each job once in a cycle", "[waiting_jobs]") {
+  // Guards against a job that is never looked at because those before it do not
+  // fit, also when jobs leave and arrive between the visits.
+  std::vector<Job> jobs = RandomJobs(5);
+  WaitingJobs<Job> waiting;
+  for (Job& job : jobs) {
+    waiting.Insert(job.team, job.rank, job.id, &job);
+  }
+  WaitingJobs<Job>::Position position;
+  std::map<std::string, int> visits;
+  const auto count = [&](const Job* job) { ++visits[job->id.value]; };
+  for (int i = 0; i < 30; ++i) {
+    waiting.VisitInTurn(&position, 20, count);
+  }
+  CHECK(visits.size() == 300);
+  CHECK(std::all_of(visits.begin(), visits.end(),
+                    [](const auto& entry) { return entry.second == 2; }));
+  // The job at the position leaves: the next one follows.
+  for (int i = 0; i < 300; ++i) {
+    Job* last = nullptr;
+    waiting.VisitInTurn(&position, 1, [&](Job* job) { last = job; });
+    REQUIRE(last != nullptr);
+    waiting.Erase(last->team, last->rank, last->id, last);
+  }
+  CHECK(waiting.Empty());
+  waiting.VisitInTurn(&position, 1, count);
+  CHECK(visits.size() == 300);
+}
+
 TEST_CASE("a walk visits jobs in the order of a full sort", "[waiting_jobs]") {
   // Guards the merge of the teams' queues, which replaces a sort of the whole
   // backlog in each round.
