--- a/src/coordination/job_scheduler.h
+++ b/src/coordination/job_scheduler.h
@@ -112,9 +112,11 @@
   // A round that left jobs out for these bounds also visits this many jobs in
   // turn, so that each has its turn although those before it do not fit.
   std::size_t turn_depth = 20;
-  // Share of a service's capacity in use up to which it does so. Above it, the
-  // order decides who gets the room that ends of runs leave.
-  double turn_max_use = 0.7;
+  // It does so once rounds of the service have left jobs out for this long, and
+  // while at most this share of the capacity is in use. Otherwise the order
+  // decides who gets the room that ends of runs leave.
+  Milliseconds turn_after{1000};
+  double turn_max_use = 0.5;
 
   // A late job still has value to its caller up to this multiple of its
   // objective.
--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -138,7 +138,9 @@
   // Jobs of which no ready task fits on any endpoint, even an idle one. They
   // wait for another endpoint, or a change of the configuration.
   std::map<JobId, ScheduledJob*> unfit;
-  WaitingJobs<ScheduledJob>::Position turn;         // last job visited in turn
+  WaitingJobs<ScheduledJob>::Position turn;  // last job visited in turn
+  Instant left_out_since =
+      kNever;  // rounds leave jobs out; kNever: they do not
   std::map<TeamId, std::int64_t> team_milli_cores;  // reserved by runs
 };
 
--- a/src/coordination/job_scheduler_place.cc
+++ b/src/coordination/job_scheduler_place.cc
@@ -267,7 +267,13 @@
   for (const auto& [team, milli_cores] : service->team_milli_cores) {
     used += static_cast<double>(milli_cores);
   }
-  if (!all_visited && used < this->config.turn_max_use * capacity) {
+  if (all_visited) {
+    service->left_out_since = kNever;
+    return;
+  }
+  service->left_out_since = std::min(service->left_out_since, now);
+  if (now - service->left_out_since >= this->config.turn_after &&
+      used <= this->config.turn_max_use * capacity) {
     service->waiting.VisitInTurn(&service->turn, this->config.turn_depth,
                                  [&](ScheduledJob* job) {
                                    if (!held_back(*job)) {
