--- a/tests/platform_wire_test.cc
+++ b/tests/platform_wire_test.cc
@@ -78,6 +78,67 @@
                             R"(","Steps":[{"Count":1}]})"));
 }
 
+TEST_CASE("an odd entry of another writer names no endpoint",
+          "[platform_wire]") {
+  // Guards against a daemon that ends, or that stops following the list,
+  // because of one entry: nested deeply, with a number too large, or with a
+  // port out of range. A huge capacity would also overflow sums over the fleet.
+  const auto entry = [](const std::string& address, const std::string& cpu,
+                        const std::string& more) {
+    return DecodeEndpoint(
+        Row("i-1", R"({"Service":"s","Address":")" + address +
+                       R"(","Zone":"z","State":"ready","Capacity":{"Cpu":)" +
+                       cpu + R"(},"Labels":["a"],"born":5)" + more + "}"));
+  };
+  const std::string nested = std::string(20000, '[') + std::string(20000, ']');
+  REQUIRE(entry("10.0.0.1:80", "1000", ""));
+  // A field that is not known is ignored, however deep.
+  CHECK(entry("10.0.0.1:80", "1000", R"(,"More":)" + nested));
+  CHECK_FALSE(entry("10.0.0.1:80", nested, ""));
+  CHECK_FALSE(entry("10.0.0.1:80", "1000", R"(,"More":)" + nested + "["));
+  for (const char* cpu :
+       {"1e300", "-1e300", "1e999", "-1", "9223372036854775807",
+        "184467440737095516160", "\"1000\"", "[1000]"}) {
+    CAPTURE(cpu);
+    CHECK_FALSE(entry("10.0.0.1:80", cpu, ""));
+  }
+  for (const char* address :
+       {"10.0.0.1:99999", "10.0.0.1:0", "10.0.0.1:-1", "10.0.0.1", "", ":80",
+        "host:80", "10.0.0.1:80\\r\\nX: y", "10.0.0.1:8o"}) {
+    CAPTURE(address);
+    CHECK_FALSE(entry(address, "1000", ""));
+  }
+  CHECK_FALSE(DecodeEndpoint(
+      Row("i-1", R"({"Service":"s","Address":"10.0.0.1:80","Zone":"z",
+                     "State":"ready","Capacity":[],"Labels":["a"]})")));
+  CHECK_FALSE(DecodeEndpoint(
+      Row("i-1", R"({"Service":"s","Address":"10.0.0.1:80","Zone":"z",
+                     "State":"ready","Capacity":{"Cpu":1},"Labels":["a"],
+                     "born":1e300})")));
+}
+
+TEST_CASE("a job with a number out of range is refused", "[platform_wire]") {
+  // Guards against times and sizes that overflow when they are added up.
+  const auto job = [](const std::string& step, const std::string& more) {
+    return DecodeJobBody(R"({"Spec":"x","Steps":[{"Count":1)" + step + "}]" +
+                         more + "}");
+  };
+  REQUIRE(job(R"(,"Cpu":1000,"EstimateMs":900)",
+              R"(,"Times":3,"StartAtMs":1764950000000,"IntervalMs":1000)"));
+  for (const char* step :
+       {R"(,"Cpu":1e300)", R"(,"MemMb":1e18)", R"(,"EstimateMs":1e300)",
+        R"(,"TargetMs":1e18)", R"(,"AntiAffinity":1e12)", R"(,"MayMiss":1e12)",
+        R"(,"After":[1e12])"}) {
+    CAPTURE(step);
+    CHECK_FALSE(job(step, ""));
+  }
+  for (const char* more : {R"(,"Times":1e12)", R"(,"StartAtMs":1e18)",
+                           R"(,"StartAtMs":-1e18)", R"(,"IntervalMs":1e18)"}) {
+    CAPTURE(more);
+    CHECK_FALSE(job("", more));
+  }
+}
+
 TEST_CASE("a task name is unchanged by a round trip", "[platform_wire]") {
   const TaskName name{JobId("5c0e7a21d94b36f8"), 2, 1, 17};
   CHECK(DecodeTaskName(EncodeTaskName(name)).value() == name);
