--- a/src/coordination/job_scheduler.cc
+++ b/src/coordination/job_scheduler.cc
@@ -178,8 +178,17 @@
     earlier.progress.state = progress.state;
   }
   earlier.progress.done.merge(progress.done);
-  earlier.progress.failures.merge(progress.failures);
-  earlier.progress.checkpoints.merge(progress.checkpoints);
+  for (auto& [task, runs] : progress.failures) {
+    earlier.progress.failures[task].merge(runs);
+  }
+  for (auto& [task, checkpoint] : progress.checkpoints) {
+    // The main row of a job with many tasks is older than the others, if a
+    // previous version has written tasks there.
+    std::string& known = earlier.progress.checkpoints[task];
+    if (known.empty() || !progress.block.main) {
+      known = std::move(checkpoint);
+    }
+  }
 }
 
 void JobScheduler::OnCancel(const JobId& id, Instant now) {
--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -139,8 +139,8 @@
   // wait for another endpoint, or a change of the configuration.
   std::map<JobId, ScheduledJob*> unfit;
   WaitingJobs<ScheduledJob>::Position turn;  // last job visited in turn
-  Instant left_out_since =
-      kNever;  // rounds leave jobs out; kNever: they do not
+  // When rounds began to leave jobs out; kNever: the last one did not.
+  Instant left_out_since = kNever;
   std::map<TeamId, std::int64_t> team_milli_cores;  // reserved by runs
 };
 
--- a/src/coordination/job_scheduler_place.cc
+++ b/src/coordination/job_scheduler_place.cc
@@ -26,6 +26,13 @@
                      [](const StepSpec& step) { return step.long_running; });
 }
 
+// A limit of 0 is none.
+bool IsWithinLimit(const Resources& use, const Resources& limit) {
+  return (limit.milli_cores == 0 || use.milli_cores <= limit.milli_cores) &&
+         (limit.memory_mb == 0 || use.memory_mb <= limit.memory_mb) &&
+         (limit.accelerators == 0 || use.accelerators <= limit.accelerators);
+}
+
 Milliseconds Scale(Milliseconds time, double factor) {
   return Milliseconds(
       static_cast<std::int64_t>(static_cast<double>(time.count()) * factor));
@@ -165,23 +172,15 @@
     const ScheduledJob& job,
     const std::vector<EndpointState*>& endpoints) const {
   const auto team = this->fleet.teams.find(job.accepted.team);
-  const auto within = [](std::int64_t need, std::int64_t limit) {
-    return limit == 0 || need <= limit;
-  };
   for (const ScheduledOccurrence& occurrence : job.occurrences) {
     for (const ScheduledStep& step : occurrence.steps) {
       if (step.ready_since == kNever || step.waiting == 0) {
         continue;
       }
       const StepSpec& spec = *step.spec;
-      const Resources& task = spec.per_task;
-      if (team != this->fleet.teams.end()) {
-        const Resources& limit = team->second.limit;
-        if (!within(task.milli_cores, limit.milli_cores) ||
-            !within(task.memory_mb, limit.memory_mb) ||
-            !within(task.accelerators, limit.accelerators)) {
-          continue;
-        }
+      if (team != this->fleet.teams.end() &&
+          !IsWithinLimit(spec.per_task, team->second.limit)) {
+        continue;
       }
       const Resources reserved = Reserved(spec);
       const auto fits = [&](const EndpointState* endpoint) {
@@ -329,10 +328,7 @@
   // A previous owner may have started tasks of any team on endpoints not polled
   // yet, so their whole capacity counts towards this team's limit.
   use += this->unpolled_capacity;
-  const Resources& limit = config->second.limit;
-  return (limit.milli_cores == 0 || use.milli_cores <= limit.milli_cores) &&
-         (limit.memory_mb == 0 || use.memory_mb <= limit.memory_mb) &&
-         (limit.accelerators == 0 || use.accelerators <= limit.accelerators);
+  return IsWithinLimit(use, config->second.limit);
 }
 
 int JobScheduler::State::OthersOnEndpoint(const ScheduledStep& step,
--- a/tests/platform_wire_test.cc
+++ b/tests/platform_wire_test.cc
@@ -233,6 +233,12 @@
         Milliseconds(6000));
   CHECK(settings.value().node.internal_address == "10.0.0.1:7000");
   CHECK(settings.value().node.scheduler.remote_factor == 1.5);
+  CHECK(settings.value().node.store.max_row_bytes == 49152);
+  std::string other = good;
+  other.replace(other.find("platform: {"), 11, "platform: {RowBytes: 4096, ");
+  CHECK(ParseNodeSettings(other).value().node.store.max_row_bytes == 3072);
+  other.replace(other.find("4096"), 4, "-1");
+  CHECK_FALSE(ParseNodeSettings(other));
   const Result<NodeSettings> bad = ParseNodeSettings("Node: n\nZone: z\n");
   REQUIRE_FALSE(bad);
   CHECK(bad.error().message.find("ListenAddrs") != std::string::npos);
