--- a/tests/platform_wire_test.cc
+++ b/tests/platform_wire_test.cc
@@ -132,6 +132,9 @@
     CAPTURE(step);
     CHECK_FALSE(job(step, ""));
   }
+  // Times far from now overflow in nanoseconds when the current time is
+  // subtracted.
+  CHECK_FALSE(job("", R"(,"StartAtMs":-8e12)"));
   for (const char* more : {R"(,"Times":1e12)", R"(,"StartAtMs":1e18)",
                            R"(,"StartAtMs":-1e18)", R"(,"IntervalMs":1e18)"}) {
     CAPTURE(more);
