--- a/src/coordination/job_scheduler.cc
+++ b/src/coordination/job_scheduler.cc
@@ -548,9 +548,10 @@
       state.ReleaseLapsed(endpoint.get(), "lapsed", may_know_ends, now);
     }
     // An endpoint that has not listed all ends may still run work of a previous
-    // owner, or know that it is done.
+    // owner, or know that it is done. One that is recorded as lapsing may come
+    // back before that record is replaced.
     if (!endpoint->listed && endpoint->tasks.empty() &&
-        !endpoint->poll_in_flight &&
+        !endpoint->poll_in_flight && !endpoint->lapse_stored &&
         (endpoint->recovered || endpoint->lapse_at <= now)) {
       gone.push_back(id);
     }
--- a/tests/job_scheduler_test.cc
+++ b/tests/job_scheduler_test.cc
@@ -388,6 +388,32 @@
   CHECK(renews());
 }
 
+TEST_CASE(
+    "a lease recorded as lapsing stays so when the endpoint is listed anew",
+    "[job_scheduler]") {
+  // Guards against two runs of a task: the endpoint left the list and came back
+  // before the record of its lapsing lease was replaced, and its lease was
+  // renewed because the owner had forgotten that record.
+  SchedulerFixture fixture({Endpoint("e1")});
+  PollEndpoint poll;
+  poll.target.endpoint = EndpointId("e1");
+  fixture.scheduler.OnPollResult(poll, std::nullopt, fixture.now, fixture.now);
+  REQUIRE(fixture.scheduler.TakeUsedEndpoints(fixture.now).at(0).lapse_ms > 0);
+  fixture.scheduler.OnEndpointUnlisted(EndpointId("e1"), fixture.now);
+  fixture.Starts();
+  fixture.scheduler.OnEndpointListed(fixture.rows[0], fixture.now);
+  fixture.AnswerPoll(EndpointId("e1"), {});
+  fixture.scheduler.OnJob(Job("j", 1), RowVersion(0), false, milliseconds(0),
+                          fixture.now);
+  const SchedulerActions actions = fixture.scheduler.Advance(true, fixture.now);
+  CHECK(actions.starts.empty());
+  REQUIRE(actions.polls.size() == 1);
+  CHECK(actions.polls[0].lease_until_ms == 0);
+  fixture.scheduler.TakeUsedEndpoints(fixture.now);
+  fixture.scheduler.OnUsedEndpointsStored();
+  CHECK(fixture.Starts().size() == 1);
+}
+
 // Adds `count` jobs with one task each. Long-running ones are placed first.
 void AddJobs(SchedulerFixture* fixture,
              const std::string& prefix,
