--- a/src/coordination/job_scheduler.cc
+++ b/src/coordination/job_scheduler.cc
@@ -493,13 +493,11 @@
     return progress;
   }
   progress.state = JobState::kRunning;
-  const auto is_other = [&](const TaskName& task) {
-    return BlockOf(job.accepted.spec, task, this->config.progress_layout) !=
-           block;
-  };
   if (block.main) {
     // A job has either all of its tasks in the main row or none.
-    if (!is_other(TaskName{job.accepted.id})) {
+    const TaskName any_task{job.accepted.id};
+    if (BlockOf(job.accepted.spec, any_task, this->config.progress_layout)
+            .main) {
       progress.done = job.done;
       progress.failures = job.failures;
       progress.checkpoints = job.checkpoints;
--- a/src/coordination/job_scheduler.h
+++ b/src/coordination/job_scheduler.h
@@ -19,6 +19,8 @@
 #ifndef SRC_COORDINATION_JOB_SCHEDULER_H_
 #define SRC_COORDINATION_JOB_SCHEDULER_H_
 
+#include <cstddef>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -227,7 +229,8 @@
 // Largest batch that TakeBatch() returns.
 struct BatchLimits {
   std::size_t rows = 0;
-  std::size_t bytes = 400000;  // by EstimateBytes(); one row may exceed it
+  // By EstimateBytes(); a single row may exceed it. Default: no limit.
+  std::size_t bytes = std::numeric_limits<std::size_t>::max();
 };
 
 enum class RecordResult {
--- a/src/coordination/job_scheduler_runs.cc
+++ b/src/coordination/job_scheduler_runs.cc
@@ -66,7 +66,7 @@
   }
   if (changed) {
     for (const auto& [id, job] : endpoint->service->unfit) {
-      if (state.FitsWhenIdle(*job, {endpoint.get()})) {
+      if (!job->rank_due && state.FitsWhenIdle(*job, {endpoint.get()})) {
         state.MarkForRanking(job);
       }
     }
--- a/src/daemon/owner_rounds.cc
+++ b/src/daemon/owner_rounds.cc
@@ -251,8 +251,7 @@
   RecordBatch batch;
   if (!std::exchange(owned.skip_progress, false)) {
     batch = owned.scheduler.TakeBatch(
-        BatchLimits{std::min(owned.max_rows, this->config.max_batch),
-                    this->settings.store.max_batch_bytes});
+        BatchLimits{owned.max_rows, this->settings.store.max_batch_bytes});
   }
   if (batch.number == 0 && owned.waves_to_write.empty() &&
       owned.orders_to_record.empty() && !this->lease.RenewalDue(now) &&
