--- a/stand_ins/platform_shell.cc
+++ b/stand_ins/platform_shell.cc
@@ -158,6 +158,7 @@
     WorkerSettings model;
     model.row.id = worker.id;
     model.row.start_time_ms = 1000 + i;
+    model.idle_lease_lapses = this->settings.idle_lease_lapses;
     model.row.capacity = Resources{this->settings.cores * 1000, 64000, 0};
     worker.model = std::make_unique<WorkerModel>(model, this->loop.Now());
   }
@@ -316,6 +317,21 @@
   }
 }
 
+void PlatformShell::CheckAcknowledgedEnds(Worker* worker) const {
+  const std::vector<RunEnd>& ends = worker->model->Acknowledged();
+  for (; worker->checked_ends < ends.size(); ++worker->checked_ends) {
+    const RunEnd& end = ends[worker->checked_ends];
+    const std::optional<Instant> ended =
+        worker->model->EndTime(end.task, end.run);
+    const auto started = this->last_starts.find(end.task);
+    if (end.kind == EndKind::kDone && ended &&
+        started != this->last_starts.end() && started->second > *ended) {
+      std::cout << "violation=started_after_end task=" << TextOf(end.task)
+                << " run=" << end.run << std::endl;
+    }
+  }
+}
+
 void PlatformShell::Silence(const HttpRequest& request) {
   const std::size_t index =
       std::stoul(request.Parameter("worker").value_or("0"));
@@ -346,6 +362,7 @@
   const OrderReply reply = model.Start(order, epoch, task, this->loop.Now());
   if (reply == OrderReply::kDone && !before) {
     this->ReportViolations(order.task, index);
+    this->last_starts[order.task] = this->loop.Now();
     std::cout << "started job=" << order.task.job.value << std::endl;
   }
   return reply;
@@ -377,6 +394,7 @@
     waiting.until += Milliseconds(body.value("WaitMs", 0));
     // The lease is renewed when the poll arrives, not when it is answered.
     worker.model->Poll(waiting.poll, epoch, now);
+    this->CheckAcknowledgedEnds(&worker);
     this->polls.push_back(waiting);
     this->AnswerPolls();
     return;
--- a/stand_ins/platform_shell.h
+++ b/stand_ins/platform_shell.h
@@ -12,6 +12,7 @@
 #ifndef STAND_INS_PLATFORM_SHELL_H_
 #define STAND_INS_PLATFORM_SHELL_H_
 
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -28,10 +29,11 @@
 //-----------------------------------------------------------------------------
 
 struct PlatformShellSettings {
-  int workers = 6;              // spread over two availability zones
-  std::int64_t cores = 8;       // per worker
-  double lost_order_share = 0;  // share executed without a response, 0..1
-  double lost_write_share = 0;  // share executed without a response, 0..1
+  int workers = 6;                // spread over two availability zones
+  std::int64_t cores = 8;         // per worker
+  double lost_order_share = 0;    // share executed without a response, 0..1
+  double lost_write_share = 0;    // share executed without a response, 0..1
+  bool idle_lease_lapses = true;  // see WorkerSettings
   unsigned seed = 1;
 };
 
@@ -57,6 +59,7 @@
     std::unique_ptr<HttpServer> server;
     Instant silent_until{};        // sends no responses before
     bool executes_orders = false;  // but executes orders
+    std::size_t checked_ends = 0;  // acknowledged ends that were checked
   };
   struct PendingFeed {
     RequestNumber request = 0;
@@ -91,6 +94,9 @@
   // Prints a violation if the task already runs elsewhere or has already ended
   // as done.
   void ReportViolations(const TaskName& task, std::size_t index) const;
+  // Prints a violation if a run of a task started after the end of another one
+  // that is acknowledged only now.
+  void CheckAcknowledgedEnds(Worker* worker) const;
   bool RandomEvent(double share);
   void Register();
 
@@ -101,6 +107,7 @@
   std::vector<Worker> workers;
   std::vector<PendingFeed> feeds;
   std::vector<PendingPoll> polls;
+  std::map<TaskName, Instant> last_starts;
   std::mt19937 random;
 };
 
--- a/stand_ins/stand_in_platform_main.cc
+++ b/stand_ins/stand_in_platform_main.cc
@@ -2,7 +2,7 @@
 // workers.
 //
 // stand_in_platform [--workers N] [--cores N] [--lost-orders X]
-//                   [--lost-writes X] [--seed N]
+//                   [--lost-writes X] [--ends-outlast-leases] [--seed N]
 //
 // Prints "listening port=N" with the port of the store. Each worker listens on
 // a port of its own, which its row in the store names.
@@ -28,12 +28,15 @@
       "share of orders executed without a response, 0 to 1")(
       "lost-writes", po::value(&settings.lost_write_share)->default_value(0),
       "share of writes executed without a response, 0 to 1")(
+      "ends-outlast-leases",
+      "an end stays valid when the lease expires and nothing is running")(
       "seed", po::value(&settings.seed)->default_value(1),
       "seed of the random choices");
   const CommandLine line = ParseCommandLine(argc, argv, options);
   if (line.exit_code) {
     return *line.exit_code;
   }
+  settings.idle_lease_lapses = line.values.count("ends-outlast-leases") == 0;
   const auto loop = ShellLoop::Create();
   if (!loop) {
     return ReportFailure(loop.error());
--- a/tests/soak/platform_soak_main.cc
+++ b/tests/soak/platform_soak_main.cc
@@ -2,14 +2,18 @@
 // processes, injects faults from outside and checks the guarantees of the
 // daemon while they run.
 //
-// platform_soak [--seed N] [--seeds COUNT] [--seconds S] [--keep DIR]
+// platform_soak [--seed N] [--seeds COUNT] [--seconds S] [--daemons N]
+//               [--changes] [--ends-outlast-leases] [--keep DIR]
 //
-// Four daemons in two zones connect to the platform's stand-in, each through
-// its own proxy. Callers submit jobs, repeat submissions that got no response,
-// and read states. Faults are random and overlap: processes are killed, paused
-// and stopped by SIGTERM; connections to the store are blocked in one or both
-// directions, delayed and reset; workers stop responding while their tasks
-// continue. Then all faults end, and every accepted job has to reach a final
+// The daemons (four by default) in two zones connect to the platform's
+// stand-in, each through its own proxy. Callers submit jobs, repeat submissions
+// that got no response, and read states. Faults are random and overlap:
+// processes are killed, paused and stopped by SIGTERM; connections to the store
+// are blocked in one or both directions, delayed and reset; workers stop
+// responding while their tasks continue. With --changes the configuration
+// changes as well, and another writer leaves odd entries among those of the
+// endpoints. Callers keep using open connections to a daemon until its process
+// is gone. Then all faults end, and every accepted job has to reach a final
 // state.
 //
 // Checked: no task runs twice or starts after it was done (detected by the
@@ -35,6 +39,7 @@
 #include <utility>
 #include <vector>
 
+#include "platform/wire.h"
 #include "src/transport/event_loop.h"
 #include "src/transport/http_client.h"
 #include "tests/soak/proxy.h"
@@ -47,7 +52,6 @@
 using testing::Process;
 using testing::ProgramPath;
 
-constexpr int kDaemons = 4;
 constexpr milliseconds kSubmitInterval{25};
 constexpr milliseconds kReadInterval{15};
 // Time after which an accepted job must be visible at every daemon; a bound set
@@ -95,13 +99,20 @@
   std::string final_state;  // empty: not final yet
 };
 
+struct SoakOptions {
+  unsigned seed = 1;
+  milliseconds length{10000};  // of the faults
+  int daemons = 4;
+  bool changes = false;              // changes of configuration, odd entries
+  bool ends_outlast_leases = false;  // see stand_in_platform
+  std::filesystem::path folder;      // of the settings files
+};
+
 class Soak {
  public:
-  Soak(unsigned seed, milliseconds length, std::filesystem::path folder)
-      : seed(seed),
-        length(length),
-        folder(std::move(folder)),
-        random(seed),
+  explicit Soak(SoakOptions options)
+      : options(std::move(options)),
+        random(this->options.seed),
         loop(std::move(EventLoop::Create(this->clock).value())),
         client(this->loop.get(), HttpClientOptions{}) {}
 
@@ -116,10 +127,12 @@
     return std::uniform_int_distribution<int>(from, to)(this->random);
   }
   Daemon& RandomDaemon() {
-    return this->daemons[static_cast<std::size_t>(Between(0, kDaemons - 1))];
+    return this->daemons[static_cast<std::size_t>(
+        Between(0, this->options.daemons - 1))];
   }
   void ReportViolation(const std::string& what) {
-    std::cout << "broken seed=" << this->seed << ' ' << what << std::endl;
+    std::cout << "broken seed=" << this->options.seed << ' ' << what
+              << std::endl;
     this->ok = false;
   }
   void StartDaemon(Daemon* daemon);
@@ -131,12 +144,15 @@
   void OnState(const std::string& id, const HttpOutcome& outcome);
   void InjectFault();
   void MakeWorkerUnresponsive();
+  // Writes the configuration anew, with a higher version and one more route.
+  void ChangeConfiguration();
+  void WriteOddEntry();
+  // Writes rows of the platform, past the daemons' proxies.
+  void WriteRows(const StoreTransaction& rows);
   void EndFaults();
   void CheckResults();
 
-  unsigned seed;
-  milliseconds length;
-  std::filesystem::path folder;
+  SoakOptions options;
   std::mt19937 random;
   SystemClock clock;
   std::unique_ptr<EventLoop> loop;
@@ -149,6 +165,7 @@
   bool injecting_faults = true;
   bool reading = true;
   int faults = 0;
+  int odd_entries = 0;
   bool ok = true;
 };
 
@@ -157,19 +174,22 @@
 //-----------------------------------------------------------------------------
 
 void Soak::Prepare() {
+  std::vector<std::string> arguments = {
+      "--seed",        std::to_string(this->options.seed),
+      "--lost-orders", std::to_string(0.01 * Between(0, 4)),
+      "--lost-writes", std::to_string(0.01 * Between(0, 3))};
+  if (this->options.ends_outlast_leases) {
+    arguments.emplace_back("--ends-outlast-leases");
+  }
   this->platform =
-      Process::Start(ProgramPath("stand_in_platform"),
-                     {"--seed", std::to_string(this->seed), "--lost-orders",
-                      std::to_string(0.01 * Between(0, 4)), "--lost-writes",
-                      std::to_string(0.01 * Between(0, 3))})
-          .value();
+      Process::Start(ProgramPath("stand_in_platform"), arguments).value();
   this->store = this->platform->ReadPort().value();
-  for (int i = 0; i < kDaemons; ++i) {
+  for (int i = 0; i < this->options.daemons; ++i) {
     Daemon& daemon = this->daemons.emplace_back();
     daemon.name = "d" + std::to_string(i);
     daemon.frontend_port = FreePort();
     daemon.store = std::make_unique<Proxy>(this->loop.get(), this->store);
-    daemon.settings = this->folder / (daemon.name + ".yaml");
+    daemon.settings = this->options.folder / (daemon.name + ".yaml");
     const std::string address =
         "127.0.0.1:" + std::to_string(daemon.store->Port());
     std::ofstream(daemon.settings)
@@ -213,7 +233,7 @@
     return;
   }
   char id[17];
-  std::snprintf(id, sizeof(id), "%08x%08x", this->seed,
+  std::snprintf(id, sizeof(id), "%08x%08x", this->options.seed,
                 static_cast<unsigned>(this->jobs.size()));
   nlohmann::json steps = nlohmann::json::array();
   for (int step = 0, count = Between(1, 2); step < count; ++step) {
@@ -341,7 +361,7 @@
       daemon->store->SetMode(ProxyMode::kForward);
     });
   };
-  switch (Between(0, 8)) {
+  switch (Between(0, this->options.changes ? 10 : 8)) {
     case 0:
       this->StopProcess(daemon);
       this->loop->After(milliseconds(Between(50, 1500)), [this, daemon] {
@@ -379,6 +399,12 @@
     case 6:
       daemon->store->Reset();
       return;
+    case 9:
+      this->ChangeConfiguration();
+      return;
+    case 10:
+      this->WriteOddEntry();
+      return;
     default:
       this->MakeWorkerUnresponsive();
   }
@@ -401,6 +427,66 @@
                     });
 }
 
+void Soak::WriteRows(const StoreTransaction& rows) {
+  HttpRequest request;
+  request.method = HttpMethod::kPost;
+  request.path = "/v1/rows-tx";
+  request.body = platform::EncodeTransaction(rows);
+  request.timeout = kCallTimeout;
+  this->client.Send(HttpPeer{"127.0.0.1", this->store}, std::move(request),
+                    [](const HttpOutcome&) {});
+}
+
+void Soak::ChangeConfiguration() {
+  const StoreKey key{platform::kOperatorTable, "", "config"};
+  HttpRequest request;
+  request.path = platform::ReadPath(key, "", 1);
+  request.timeout = kCallTimeout;
+  this->client.Send(
+      HttpPeer{"127.0.0.1", this->store}, std::move(request),
+      [this, key](const HttpOutcome& outcome) {
+        const auto read = platform::DecodeStoreReply(outcome.body);
+        if (!read || read.value().rows.empty()) {
+          this->ReportViolation("configuration_not_read");
+          return;
+        }
+        auto config = nlohmann::json::parse(read.value().rows[0].value);
+        const int version = config.at("Version").get<int>() + 1;
+        config["Version"] = version;
+        nlohmann::json route = config.at("Routes").at(0);
+        route["Name"] = "queue-" + std::to_string(version);
+        route["PathPrefix"] = "/jobs-" + std::to_string(version) + "/";
+        config["Routes"].push_back(std::move(route));
+        StoreTransaction rows;
+        rows.puts.emplace_back(key, config.dump());
+        this->WriteRows(rows);
+      });
+}
+
+void Soak::WriteOddEntry() {
+  const std::string nested = std::string(10000, '[') + std::string(10000, ']');
+  const auto entry = [](const std::string& address, const std::string& cpu) {
+    return R"({"Service":"s","Address":")" + address +
+           R"(","Zone":"z1","State":"ready","Capacity":{"Cpu":)" + cpu +
+           R"(,"MemMb":64000},"Labels":["a"],"born":5})";
+  };
+  const std::vector<std::string> odd = {
+      entry("127.0.0.1:99999", "4000"),
+      entry("127.0.0.1:1", "1e300"),
+      entry("127.0.0.1:1", "1e999"),
+      entry("127.0.0.1:1", "184467440737095516160"),
+      entry("127.0.0.1:1", nested),
+      nested,
+      "\xff\xfe",
+      ""};
+  StoreTransaction rows;
+  rows.puts.emplace_back(StoreKey{platform::kEndpointTable, "",
+                                  "odd-" + std::to_string(this->odd_entries++)},
+                         odd[static_cast<std::size_t>(
+                             Between(0, static_cast<int>(odd.size()) - 1))]);
+  this->WriteRows(rows);
+}
+
 void Soak::EndFaults() {
   this->injecting_faults = this->submitting = false;
   // The timers of active faults fire within this time.
@@ -445,9 +531,9 @@
   this->ReadRandomJob();
   // All daemons receive the first configuration before the faults begin.
   this->loop->After(milliseconds(2000), [this] { this->InjectFault(); });
-  const Instant end = this->loop->Now() + this->length;
+  const Instant end = this->loop->Now() + this->options.length;
   this->loop->RunUntil([&] { return this->loop->Now() >= end; },
-                       this->length + milliseconds(30000));
+                       this->options.length + milliseconds(30000));
   this->EndFaults();
   this->loop->RunUntil(
       [&] {
@@ -490,12 +576,20 @@
   unsigned seed = 1;
   unsigned seeds = 1;
   int seconds = 10;
+  SoakOptions soak_options;
   std::string logs_folder;
   options.add_options()("help,h", "print this text")(
       "seed", po::value(&seed)->default_value(seed), "first seed")(
       "seeds", po::value(&seeds)->default_value(seeds), "number of seeds")(
       "seconds", po::value(&seconds)->default_value(seconds),
       "duration of the faults of each seed, in seconds")(
+      "daemons",
+      po::value(&soak_options.daemons)->default_value(soak_options.daemons),
+      "number of daemons")("changes", po::bool_switch(&soak_options.changes),
+                           "also change the configuration and leave odd "
+                           "entries among those of the endpoints")(
+      "ends-outlast-leases", po::bool_switch(&soak_options.ends_outlast_leases),
+      "an end stays valid when its worker's lease expires")(
       "keep", po::value(&logs_folder),
       "folder for the logs of seeds that failed");
   po::variables_map values;
@@ -505,6 +599,11 @@
     std::cout << options;
     return EXIT_SUCCESS;
   }
+  if (soak_options.daemons < 1) {
+    std::cerr << "--daemons: expected at least 1" << std::endl;
+    return EXIT_FAILURE;
+  }
+  soak_options.length = std::chrono::seconds(seconds);
   unsigned failed = 0;
   for (unsigned i = 0; i < seeds; ++i) {
     const std::filesystem::path folder =
@@ -513,7 +612,9 @@
          std::to_string(seed + i));
     std::filesystem::create_directories(folder);
     {
-      Soak soak(seed + i, std::chrono::seconds(seconds), folder);
+      soak_options.seed = seed + i;
+      soak_options.folder = folder;
+      Soak soak(soak_options);
       const bool ok = soak.Run();
       failed += ok ? 0 : 1;
       std::cout << "soak seed=" << seed + i << " accepted=" << soak.Accepted()
