--- a/tests/soak/platform_soak_main.cc
+++ b/tests/soak/platform_soak_main.cc
@@ -17,8 +17,9 @@
 // state.
 //
 // Checked: no task runs twice or starts after it was done (detected by the
-// stand-in), no refused job ever starts, no accepted job is unknown, a final
-// state never changes, all accepted jobs become final.
+// stand-in), the newest configuration is in force, no refused job ever starts,
+// no accepted job is unknown, a final state never changes, all accepted jobs
+// become final.
 
 #include <arpa/inet.h>
 #include <unistd.h>
@@ -63,20 +64,38 @@
 constexpr milliseconds kCallTimeout{3000};
 constexpr int kMaxSubmitAttempts = 8;
 
-// Returns a port that is free now; a daemon binds it a moment later.
-std::uint16_t FreePort() {
+// Returns whether a daemon could listen on the port now.
+bool IsFree(std::uint16_t port) {
   const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(address);
-  if (bind(descriptor, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
-      getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size) !=
-          0) {
-    std::abort();
-  }
+  address.sin_port = htons(port);
+  const bool bound = bind(descriptor, reinterpret_cast<sockaddr*>(&address),
+                          sizeof(address)) == 0;
   close(descriptor);
-  return ntohs(address.sin_port);
+  return bound;
+}
+
+// Returns a port for a daemon, which binds it later and again after each
+// restart. The ports lie below those that the kernel gives to outgoing
+// connections, and soaks that run side by side use different ones, so that no
+// other process takes the port of a daemon that is down.
+std::uint16_t FreePort() {
+  constexpr int kFirstPort = 20000;
+  constexpr int kPortsPerProcess = 300;
+  constexpr int kProcesses = 40;
+  static int next = 0;
+  const int first = kFirstPort + getpid() % kProcesses * kPortsPerProcess;
+  for (int tries = 0; tries < kPortsPerProcess; ++tries) {
+    const auto port =
+        static_cast<std::uint16_t>(first + next++ % kPortsPerProcess);
+    if (IsFree(port)) {
+      return port;
+    }
+  }
+  std::cerr << "no free port from " << first << std::endl;
+  std::abort();
 }
 
 struct Daemon {
@@ -150,6 +169,8 @@
   // Writes rows of the platform, past the daemons' proxies.
   void WriteRows(const StoreTransaction& rows);
   void EndFaults();
+  // Checks that every daemon serves the route added last.
+  void CheckConfiguration();
   void CheckResults();
 
   SoakOptions options;
@@ -166,6 +187,7 @@
   bool reading = true;
   int faults = 0;
   int odd_entries = 0;
+  std::string newest_prefix;  // of the route added last; empty: none
   bool ok = true;
 };
 
@@ -434,7 +456,12 @@
   request.body = platform::EncodeTransaction(rows);
   request.timeout = kCallTimeout;
   this->client.Send(HttpPeer{"127.0.0.1", this->store}, std::move(request),
-                    [](const HttpOutcome&) {});
+                    [this](const HttpOutcome& outcome) {
+                      // The stand-in leaves some writes without an answer.
+                      if (outcome.Answered() && outcome.status != 200) {
+                        this->ReportViolation("row_not_written");
+                      }
+                    });
 }
 
 void Soak::ChangeConfiguration() {
@@ -455,7 +482,8 @@
         config["Version"] = version;
         nlohmann::json route = config.at("Routes").at(0);
         route["Name"] = "queue-" + std::to_string(version);
-        route["PathPrefix"] = "/jobs-" + std::to_string(version) + "/";
+        this->newest_prefix = "/jobs-" + std::to_string(version) + "/";
+        route["PathPrefix"] = this->newest_prefix;
         config["Routes"].push_back(std::move(route));
         StoreTransaction rows;
         rows.puts.emplace_back(key, config.dump());
@@ -508,6 +536,30 @@
   }
 }
 
+void Soak::CheckConfiguration() {
+  if (this->newest_prefix.empty()) {
+    return;
+  }
+  std::size_t answers = 0;
+  for (const Daemon& daemon : this->daemons) {
+    HttpRequest request;
+    request.path = this->newest_prefix + "0000000000000000";
+    request.timeout = kCallTimeout;
+    this->client.Send(
+        HttpPeer{"127.0.0.1", daemon.frontend_port}, std::move(request),
+        [this, &answers, name = daemon.name](const HttpOutcome& outcome) {
+          ++answers;
+          // 410: the queue is known and the job is not.
+          if (!outcome.Answered() || outcome.status != 410) {
+            this->ReportViolation("configuration_not_in_force name=" + name +
+                                  " status=" + std::to_string(outcome.status));
+          }
+        });
+  }
+  this->loop->RunUntil([&] { return answers == this->daemons.size(); },
+                       2 * kCallTimeout);
+}
+
 void Soak::CheckResults() {
   for (const auto& [id, job] : this->jobs) {
     if (job.accepted && job.final_state.empty()) {
@@ -545,6 +597,7 @@
       },
       kCompletionTimeout);
   this->reading = false;
+  this->CheckConfiguration();
   this->CheckResults();
   return this->ok;
 }
