Log calls to the advice service and what a job waits for there

The logs did not show which endpoints a call named nor what it brought, and job_waits called the missing ticket "placement". Change: one line decision=advice for each answer, and constraint=advice. Ruled out: no room (with_room=62 of 62), a team limit (constraint), lost or failed calls (each was answered).

--- a/src/coordination/job_scheduler_polls.cc
+++ b/src/coordination/job_scheduler_polls.cc
@@ -88,6 +88,8 @@
     constraint = "no_usable_endpoint";
   } else if (with_room == 0) {
     constraint = "room";
+  } else if (accepting == 0 && queue != nullptr && queue->needs_advice) {
+    constraint = "advice";
   } else if (accepting == 0) {
     constraint = "placement";
   }
@@ -179,6 +181,13 @@
   }
   ScheduledStep* step = task->step;
   step->advice_open = false;
+  state.LogDecision(
+      "decision=advice step=" + TaskText(call.step) +
+      " named=" + std::to_string(call.endpoints.size()) +
+      " first=" + call.endpoints.front().value +
+      " last=" + call.endpoints.back().value + " allowed=" +
+      (tickets ? std::to_string(tickets->size()) : std::string("unknown")) +
+      " valid_ms=" + std::to_string(valid.count()));
   // Refused endpoints are submitted again only in the next validity period:
   // until then the answer does not change.
   step->advice_after =
