Ask the advice service about each endpoint once, for every step in turn

Cause: a call names the first 30 endpoints without a valid ticket, the refused ones included, and the next call waits for a validity period. So each call names the same endpoints. The limit of open calls is used up in the same way by the first steps of the first services. Change: a step remembers the answer by endpoint process. Calls follow one another without a pause, name unknown processes and expired tickets, and come in turn for services and for the longest wait; failed calls are followed by others and by smaller ones. A ticket ends with its process, its rejection or its validity; 0 is no limit. The timeout of a call includes the calls before it. A step whose call is open does not count as starved, and a refused rack is not waited for. Ruled out: a larger call. It moves the limit and does not remove it. A pool of several hundred with few allowed endpoints takes several calls for a step, since a call still names 30 unknown ones.

--- a/src/coordination/job.h
+++ b/src/coordination/job.h
@@ -121,7 +121,7 @@
   Milliseconds call_latency{0};  // fixed latency of a call
   Milliseconds latency_per_endpoint{
       0};                 // additional latency per endpoint in the call
-  Milliseconds valid{0};  // validity of a ticket
+  Milliseconds valid{0};  // validity of a ticket; 0: while its endpoint lives
 };
 
 struct QueueConfig {
--- a/src/coordination/job_scheduler.cc
+++ b/src/coordination/job_scheduler.cc
@@ -439,13 +439,6 @@
     if (!IsFinal(job->recorded) || !job->dirty.empty() || job->placed > 0) {
       return false;
     }
-    for (const ScheduledOccurrence& occurrence : job->occurrences) {
-      for (const ScheduledStep& step : occurrence.steps) {
-        if (step.advice_open) {
-          return false;
-        }
-      }
-    }
     job->active = false;
     this->active.back()->active_index = job->active_index;
     std::swap(this->active[job->active_index], this->active.back());
--- a/src/coordination/job_scheduler.h
+++ b/src/coordination/job_scheduler.h
@@ -127,10 +127,24 @@
   // objective: 0 is first come first served, higher values prefer short jobs.
   double late_objective_weight = 1.0;
 
-  // Maximum number of endpoints in one call to the advice service.
+  // Number of endpoints that a call to the advice service names without knowing
+  // whether they are allowed; the service takes time for each of them.
   std::size_t advice_endpoints = 30;
+  // Maximum number of endpoints in a call, which the service sets. The rest of
+  // a call renews tickets of endpoints that are known to be allowed.
+  std::size_t max_advice_endpoints = 100;
   // Maximum number of concurrent calls; the service handles them one by one.
+  // One of them is reserved for the step that has waited longest for a call.
   std::size_t advice_calls = 4;
+  // Pause before a step repeats a failed call, and between two requests for a
+  // ticket of the same endpoint.
+  Milliseconds advice_retry{200};
+  // Pause before a new ticket is requested for an endpoint that rejected one,
+  // since it may reject the next one as well.
+  Milliseconds rejected_ticket_backoff{1000};
+  // A ticket is used until this long before it expires, so that the start order
+  // arrives in time; a ticket of short validity loses a quarter at most.
+  Milliseconds ticket_margin{50};
 
   // Rows in which the progress of a job is recorded.
   ProgressLayout progress_layout;
@@ -190,6 +204,8 @@
 struct AdviceRequest {
   TaskName step;  // the task index is 0
   std::vector<EndpointId> endpoints;
+  // Time that the service takes for this call and the calls before it.
+  Milliseconds expected{0};
 };
 
 struct SchedulerActions {
@@ -362,6 +378,9 @@
                     const std::optional<EndpointReportRows>& report,
                     Instant sent,
                     Instant now);
+  // The answer to a call of SchedulerActions::advice; no tickets: it failed. An
+  // endpoint of the call without a ticket may not run the step. `valid` is the
+  // validity of the tickets; 0: as configured for the queue.
   void OnAdvice(const AdviceRequest& call,
                 const std::optional<std::vector<AdviceTicket>>& tickets,
                 Milliseconds valid,
@@ -431,6 +450,7 @@
     std::map<std::string, std::uint64_t> starts_by_reply;
     std::map<std::string, std::uint64_t> ends_by_kind;
     std::map<std::string, std::uint64_t> stops_by_reason;
+    std::map<std::string, std::uint64_t> advice_by_answer;  // of endpoints
     std::uint64_t polls = 0;
     std::uint64_t polls_failed = 0;
   };
--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -8,6 +8,8 @@
 #ifndef SRC_COORDINATION_JOB_SCHEDULER_INTERNAL_H_
 #define SRC_COORDINATION_JOB_SCHEDULER_INTERNAL_H_
 
+#include <boost/container/flat_map.hpp>
+#include <boost/container/flat_set.hpp>
 #include <deque>
 #include <map>
 #include <memory>
@@ -64,9 +66,27 @@
   Instant pace_changed_at{};
 };
 
+// Ticket of the advice service for the tasks of a step on one endpoint process.
 struct StepTicket {
   std::string ticket;
-  Instant expires{};
+  Instant expires{};      // usable before this instant
+  Instant renew_after{};  // no new one is requested before this instant
+};
+
+// What is known about the endpoint processes that may run a step. The policy
+// never changes, so each process is asked about once; only its ticket expires.
+struct StepAdvice {
+  std::map<Incarnation, StepTicket> allowed;
+  boost::container::flat_set<Incarnation> refused;
+  // Number of failed calls that named a process, less the later answers. Calls
+  // name the processes with the fewest first, and fewer of them the more have
+  // failed, in case the service fails because of one of them or of their
+  // number.
+  boost::container::flat_map<Incarnation, int> failed_calls;
+  Instant next_call{};  // no further call before this instant
+  // Since when the step waits for the reserved call; kNever: it does not. Its
+  // turn lasts until each process was asked about.
+  Instant waits_since = kNever;
 };
 
 struct ScheduledStep {
@@ -80,10 +100,8 @@
   int placed = 0;                // tasks of which a run may exist
   Milliseconds expected{0};      // duration of a task, as of the last ranking
   Instant ready_since = kNever;  // kNever: earlier steps are not done
-  std::map<EndpointId, StepTicket> tickets;
-  bool advice_open = false;  // a call to the advice service is in flight
-  Instant advice_after{};    // no further call before this instant
-  RunNumber gang_run = 0;    // last run number used for the whole gang
+  StepAdvice advice;
+  RunNumber gang_run = 0;  // last run number used for the whole gang
 };
 
 enum class PlaceResult {
@@ -134,6 +152,7 @@
 // Endpoints, waiting jobs and running work of one service.
 struct ServiceState {
   std::vector<EndpointState*> endpoints;
+  std::vector<EndpointState*> usable;  // of these, in the current round
   WaitingJobs<ScheduledJob> waiting;
   // Jobs of which no ready task fits on any endpoint, even an idle one. They
   // wait for another endpoint, or a change of the configuration.
@@ -146,6 +165,9 @@
 
 struct EndpointState {
   EndpointRow row;
+  // Number of the endpoint's process, unique in this scheduler; changes with a
+  // restart.
+  Incarnation incarnation;
   ServiceState* service = nullptr;  // of row.service; set by SetRow()
   bool excluded = false;  // in an evacuated zone, or its host is about to leave
   bool listed = false;    // present in the newest list of endpoints
@@ -193,6 +215,28 @@
   std::set<ProgressBlock> blocks;
 };
 
+// A step that lacks a ticket in the current round.
+struct AdviceCandidate {
+  ScheduledStep* step = nullptr;
+  const QueueConfig* queue = nullptr;
+  const std::vector<EndpointState*>* usable = nullptr;  // of its service
+  std::size_t position = 0;  // among the candidates of its service
+};
+
+// Purpose of a call to the advice service.
+enum class AdvicePurpose {
+  kStart,    // names endpoints on which a task of the step could start now
+  kPrepare,  // names endpoints that are full, or for a step that is not ready
+};
+
+// A call to the advice service that is in flight.
+struct OpenAdviceCall {
+  std::map<EndpointId, Incarnation> named;
+  Milliseconds duration{0};  // expected, without the calls before it
+  int failed_calls = 0;      // StepAdvice::failed_calls of those named
+  bool in_turn = false;      // uses the reserved call
+};
+
 struct JobScheduler::State {
   JobSchedulerConfig config;
   Instant started{};
@@ -229,8 +273,11 @@
   RowVersion newest_job;            // newest version of a job's row received
   RowVersion startable;             // jobs up to this version may start
   bool fenced = false;
-  bool may_start = false;  // as of the last Advance()
-  std::size_t advice_open = 0;
+  bool may_start = false;                          // as of the last Advance()
+  Incarnation last_incarnation;                    // of an endpoint
+  std::vector<AdviceCandidate> advice_candidates;  // in the current round
+  std::size_t advice_position = 0;  // candidates of the current service
+  std::map<TaskName, OpenAdviceCall> open_advice;  // by step
   std::uint64_t batch = 0;  // number of the open batch; 0: none
   std::uint64_t last_batch = 0;
   std::vector<DirtyRow> batch_rows;
@@ -326,6 +373,30 @@
   OrderTarget TargetOf(const EndpointState& endpoint) const;
   std::int64_t LeaseUntil(EndpointState* endpoint, Instant now);
 
+  // Advice (job_scheduler_advice.cc) ----------------------------------------
+  // Notes that the step lacks a ticket, unless a call could not help it now.
+  void AddAdviceCandidate(ScheduledStep* step,
+                          const QueueConfig& queue,
+                          const std::vector<EndpointState*>& usable,
+                          Instant now);
+  // Sends the calls of the current round.
+  void RequestAdvice(Instant now);
+  // Sends a call for the step, if it needs one for this purpose and the limit
+  // of open calls permits it.
+  bool SendAdviceCall(const AdviceCandidate& candidate,
+                      AdvicePurpose purpose,
+                      bool in_turn,
+                      Instant now);
+  // Returns the endpoints that a call for the step should name.
+  std::vector<const EndpointState*> EndpointsToAsk(
+      const AdviceCandidate& candidate,
+      AdvicePurpose purpose,
+      Instant now) const;
+  // Returns the usable ticket of the endpoint; null if none.
+  const StepTicket* TicketOf(const ScheduledStep& step,
+                             const EndpointState& endpoint,
+                             Instant now) const;
+
   // Placement and polls (job_scheduler_place.cc, job_scheduler_polls.cc) -----
   bool Usable(const EndpointState& endpoint, Instant now) const;
   void Place(Instant now);
@@ -353,6 +424,9 @@
                                 Instant now) const;
   // True if a task that needs at most as much did not fit in this round.
   bool IsKnownNotToFit(const StepSpec& spec) const;
+  // Returns whether a task of the step fits on the endpoint, apart from advice.
+  bool HasRoomFor(const EndpointState& endpoint,
+                  const ScheduledStep& step) const;
   bool Accepts(const EndpointState& endpoint,
                const ScheduledStep& step,
                const QueueConfig* queue,
@@ -363,10 +437,6 @@
   // index:run:endpoint:room_milli_cores:age_ms, where the age is that of the
   // endpoint's last report.
   void LogStarts(const ScheduledStep& step);
-  void RequestAdvice(ScheduledStep* step,
-                     const QueueConfig& queue,
-                     const std::vector<EndpointState*>& usable,
-                     Instant now);
   void AdjustPace(Instant now);
   void SendPolls(bool renew, Instant now);
   int OthersOnEndpoint(const ScheduledStep& step,
@@ -405,6 +475,12 @@
 
 bool HasLabel(const EndpointState& endpoint, const std::string& label);
 
+// Returns whether the advice service does not let the endpoint run the step.
+inline bool IsRefused(const ScheduledStep& step,
+                      const EndpointState& endpoint) {
+  return step.advice.refused.contains(endpoint.incarnation);
+}
+
 // Returns "ID.OCCURRENCE.STEP.INDEX", for logs.
 std::string TaskText(const TaskName& name);
 
--- a/src/coordination/job_scheduler_place.cc
+++ b/src/coordination/job_scheduler_place.cc
@@ -103,6 +103,7 @@
       this->PlaceService(id, &service, now);
     }
   }
+  this->RequestAdvice(now);
 }
 
 void JobScheduler::State::RemoveFromQueue(ScheduledJob* job) {
@@ -199,7 +200,9 @@
 void JobScheduler::State::PlaceService(const ServiceId& id,
                                        ServiceState* service,
                                        Instant now) {
-  std::vector<EndpointState*> usable;
+  std::vector<EndpointState*>& usable = service->usable;
+  usable.clear();
+  this->advice_position = 0;
   double capacity = 0;
   for (EndpointState* endpoint : service->endpoints) {
     if (this->Usable(*endpoint, now)) {
@@ -293,17 +296,14 @@
       if (step.waiting == 0) {
         continue;
       }
-      if (queue != nullptr && queue->needs_advice) {
-        this->RequestAdvice(&step, *queue, usable, now);
-      }
-      if (step.ready_since == kNever) {
-        continue;
-      }
-      if (step.spec->gang) {
+      if (step.ready_since != kNever && step.spec->gang) {
         this->PlaceGang(&step, queue, usable, now);
-      } else {
+      } else if (step.ready_since != kNever) {
         worst = std::max(worst, this->PlaceStep(&step, queue, usable, now));
       }
+      if (queue != nullptr && queue->needs_advice) {
+        this->AddAdviceCandidate(&step, *queue, usable, now);
+      }
       this->LogStarts(step);
     }
   }
@@ -340,23 +340,25 @@
   return others;
 }
 
+bool JobScheduler::State::HasRoomFor(const EndpointState& endpoint,
+                                     const ScheduledStep& step) const {
+  const StepSpec& spec = *step.spec;
+  return Reserved(spec).FitsIn(FreeResources(endpoint)) &&
+         (spec.required_label.empty() ||
+          HasLabel(endpoint, spec.required_label)) &&
+         (spec.max_per_endpoint == 0 ||
+          this->OthersOnEndpoint(step, endpoint) < spec.max_per_endpoint);
+}
+
 bool JobScheduler::State::Accepts(const EndpointState& endpoint,
                                   const ScheduledStep& step,
                                   const QueueConfig* queue,
                                   Instant now) const {
-  const StepSpec& spec = *step.spec;
-  if (!Reserved(spec).FitsIn(FreeResources(endpoint)) ||
-      (!spec.required_label.empty() &&
-       !HasLabel(endpoint, spec.required_label)) ||
-      (spec.max_per_endpoint > 0 &&
-       this->OthersOnEndpoint(step, endpoint) >= spec.max_per_endpoint)) {
+  if (!this->HasRoomFor(endpoint, step)) {
     return false;
   }
-  if (queue == nullptr || !queue->needs_advice) {
-    return true;
-  }
-  const auto ticket = step.tickets.find(endpoint.row.id);
-  return ticket != step.tickets.end() && ticket->second.expires > now;
+  return queue == nullptr || !queue->needs_advice ||
+         this->TicketOf(step, endpoint, now) != nullptr;
 }
 
 EndpointState* JobScheduler::State::ChooseEndpoint(
@@ -371,7 +373,8 @@
       !step.spec->data_rack.empty() &&
       std::any_of(usable.begin(), usable.end(),
                   [&](const EndpointState* endpoint) {
-                    return HasLabel(*endpoint, step.spec->data_rack);
+                    return HasLabel(*endpoint, step.spec->data_rack) &&
+                           !IsRefused(step, *endpoint);
                   }) &&
       now - step.ready_since <
           Milliseconds(static_cast<std::int64_t>(
@@ -538,9 +541,8 @@
   order.payload = task->step->job->accepted.spec.payload;
   order.checkpoint = task->checkpoint;
   order.lease_until_ms = this->LeaseUntil(endpoint, now);
-  if (const auto ticket = task->step->tickets.find(endpoint->row.id);
-      ticket != task->step->tickets.end()) {
-    order.ticket = ticket->second.ticket;
+  if (const StepTicket* ticket = this->TicketOf(*task->step, *endpoint, now)) {
+    order.ticket = ticket->ticket;
   }
   const auto age =
       std::chrono::duration_cast<Milliseconds>(now - endpoint->clock_read);
--- a/src/coordination/job_scheduler_polls.cc
+++ b/src/coordination/job_scheduler_polls.cc
@@ -1,5 +1,5 @@
-// JobScheduler: explanations of waiting jobs, advice calls, pace control of
-// best-effort work, and polls of endpoints.
+// JobScheduler: explanations of waiting jobs, pace control of best-effort work,
+// and polls of endpoints.
 
 #include <algorithm>
 #include <utility>
@@ -61,6 +61,7 @@
   int usable = 0;
   int with_room = 0;
   int accepting = 0;
+  int refused = 0;
   for (const auto& [name, endpoint] : state.endpoints) {
     if (endpoint->row.service != service) {
       continue;
@@ -72,6 +73,7 @@
     ++usable;
     with_room += Reserved(*step.spec).FitsIn(FreeResources(*endpoint)) ? 1 : 0;
     accepting += state.Accepts(*endpoint, step, queue, now) ? 1 : 0;
+    refused += IsRefused(step, *endpoint) ? 1 : 0;
   }
   const bool within_limit =
       state.WithinTeamLimit(job->accepted.team, step.spec->per_task);
@@ -101,6 +103,7 @@
          " usable=" + std::to_string(usable) +
          " with_room=" + std::to_string(with_room) +
          " accepting=" + std::to_string(accepting) +
+         " advice_refused=" + std::to_string(refused) +
          " team=" + job->accepted.team.value + " team_milli_cores=" +
          std::to_string(
              used == state.team_use.end() ? 0 : used->second.milli_cores) +
@@ -124,83 +127,6 @@
   return waiting;
 }
 
-//-----------------------------------------------------------------------------
-// [SECTION] Advice
-//-----------------------------------------------------------------------------
-
-void JobScheduler::State::RequestAdvice(
-    ScheduledStep* step,
-    const QueueConfig& queue,
-    const std::vector<EndpointState*>& usable,
-    Instant now) {
-  if (step->waiting == 0 || step->advice_open || step->advice_after > now ||
-      this->advice_open >= this->config.advice_calls) {
-    return;
-  }
-  // Tickets for a step that is not ready yet could expire before it is; they
-  // are requested early only if tickets have no validity limit.
-  const bool soon =
-      step->ready_since != kNever || queue.advice.valid.count() == 0;
-  if (!soon) {
-    return;
-  }
-  AdviceRequest call;
-  call.step = NameOf(step->tasks.front());
-  call.step.index = 0;
-  for (const EndpointState* endpoint : usable) {
-    const auto ticket = step->tickets.find(endpoint->row.id);
-    const bool valid =
-        ticket != step->tickets.end() && ticket->second.expires > now;
-    const bool suitable = step->spec->required_label.empty() ||
-                          HasLabel(*endpoint, step->spec->required_label);
-    if (!valid && suitable &&
-        call.endpoints.size() < this->config.advice_endpoints) {
-      call.endpoints.push_back(endpoint->row.id);
-    }
-  }
-  if (call.endpoints.empty()) {
-    return;
-  }
-  step->advice_open = true;
-  ++this->advice_open;
-  this->actions.advice.push_back(std::move(call));
-}
-
-void JobScheduler::OnAdvice(
-    const AdviceRequest& call,
-    const std::optional<std::vector<AdviceTicket>>& tickets,
-    Milliseconds valid,
-    Instant now) {
-  State& state = *this->state;
-  if (state.advice_open > 0) {
-    --state.advice_open;
-  }
-  ScheduledTask* task = state.FindTask(call.step);
-  if (task == nullptr) {
-    return;
-  }
-  ScheduledStep* step = task->step;
-  step->advice_open = false;
-  state.LogDecision(
-      "decision=advice step=" + TaskText(call.step) +
-      " named=" + std::to_string(call.endpoints.size()) +
-      " first=" + call.endpoints.front().value +
-      " last=" + call.endpoints.back().value + " allowed=" +
-      (tickets ? std::to_string(tickets->size()) : std::string("unknown")) +
-      " valid_ms=" + std::to_string(valid.count()));
-  // Refused endpoints are submitted again only in the next validity period:
-  // until then the answer does not change.
-  step->advice_after =
-      now + (tickets ? std::max(valid, state.config.unhealthy_backoff)
-                     : state.config.full_backoff);
-  if (!tickets) {
-    return;
-  }
-  for (const AdviceTicket& ticket : *tickets) {
-    step->tickets[ticket.endpoint] = StepTicket{ticket.ticket, now + valid};
-  }
-}
-
 //-----------------------------------------------------------------------------
 // [SECTION] Pace and polls
 //-----------------------------------------------------------------------------
@@ -320,13 +246,13 @@
   if (service == this->services.end()) {
     return true;
   }
-  const QueueConfig* queue = this->QueueOf(*step.job);
-  return std::none_of(service->second.endpoints.begin(),
-                      service->second.endpoints.end(),
-                      [&](const EndpointState* endpoint) {
-                        return this->Usable(*endpoint, now) &&
-                               this->Accepts(*endpoint, step, queue, now);
-                      });
+  // An endpoint whose ticket is still to be requested may accept the step.
+  return std::none_of(
+      service->second.endpoints.begin(), service->second.endpoints.end(),
+      [&](const EndpointState* endpoint) {
+        return this->Usable(*endpoint, now) &&
+               this->HasRoomFor(*endpoint, step) && !IsRefused(step, *endpoint);
+      });
 }
 
 }  // namespace peridot
--- a/src/coordination/job_scheduler_runs.cc
+++ b/src/coordination/job_scheduler_runs.cc
@@ -43,6 +43,7 @@
   std::unique_ptr<EndpointState>& endpoint = state.endpoints[row.id];
   if (endpoint == nullptr) {
     endpoint = std::make_unique<EndpointState>();
+    endpoint->incarnation = Incarnation(++state.last_incarnation.value);
     state.SetRow(endpoint.get(), row);
     endpoint->lapse_at = state.recovery_ends;
   }
@@ -114,6 +115,8 @@
     std::unique_ptr<EndpointState>& endpoint = this->state->endpoints[used.id];
     if (endpoint == nullptr) {
       endpoint = std::make_unique<EndpointState>();
+      endpoint->incarnation =
+          Incarnation(++this->state->last_incarnation.value);
       EndpointRow row;
       row.id = used.id;
       row.service = used.service;
@@ -187,6 +190,7 @@
   this->LogDecision(
       "decision=endpoint_restarted endpoint=" + endpoint->row.id.value +
       " runs=" + std::to_string(endpoint->tasks.size()));
+  endpoint->incarnation = Incarnation(++this->last_incarnation.value);
   endpoint->fenced = false;
   endpoint->recovered = false;
   endpoint->has_clock = false;
@@ -433,7 +437,12 @@
     endpoint->full_until = now + state.config.full_backoff;
   }
   if (reply == OrderReply::kNoTicket) {
-    task->step->tickets.erase(order.target.endpoint);
+    auto& allowed = task->step->advice.allowed;
+    if (const auto ticket = allowed.find(endpoint->incarnation);
+        ticket != allowed.end()) {
+      ticket->second.expires = now;
+      ticket->second.renew_after = now + state.config.rejected_ticket_backoff;
+    }
   }
   task->avoided_endpoint = order.target.endpoint;
   state.ReturnToWaiting(task, OrderReplyName(reply), now);
--- a/src/daemon/owner_housekeeping.cc
+++ b/src/daemon/owner_housekeeping.cc
@@ -164,6 +164,7 @@
   publish("owner_starts", counts.starts_by_reply);
   publish("owner_ends", counts.ends_by_kind);
   publish("owner_stops", counts.stops_by_reason);
+  publish("owner_advice", counts.advice_by_answer);
   this->metrics->SetGauge("owner_looks_count",
                           static_cast<double>(counts.polls));
   this->metrics->SetGauge("owner_looks_failed_count",
--- a/src/daemon/owner_rounds.cc
+++ b/src/daemon/owner_rounds.cc
@@ -19,6 +19,10 @@
 // Resolution of the recorded time at which an endpoint's use ends, in ms.
 constexpr std::int64_t kLapseUnitMs = 200;
 
+// Validity, in longest pauses between rounds, from which on tickets can wait
+// for the next round.
+constexpr int kPausesPerTicket = 4;
+
 }  // namespace
 
 //-----------------------------------------------------------------------------
@@ -133,7 +137,13 @@
                    Milliseconds valid) {
           this->owned->scheduler.OnAdvice(call, tickets, valid,
                                           this->loop->Now());
-          this->ScheduleRound();
+          // Tickets of short validity could expire during the pause.
+          if (valid.count() > 0 &&
+              valid < kPausesPerTicket * this->config.max_round_delay) {
+            this->RunRound();
+          } else {
+            this->ScheduleRound();
+          }
         };
     this->ports->advise(call, this->IfOwner(std::move(done)));
   }
--- a/tests/job_scheduler_test.cc
+++ b/tests/job_scheduler_test.cc
@@ -10,14 +10,13 @@
 #include <utility>
 
 #include "tests/support/job_simulation.h"
+#include "tests/support/scheduler_fixture.h"
 
 namespace peridot {
 namespace {
 
 using std::chrono::milliseconds;
 
-const Instant kStart = Instant{} + std::chrono::seconds(100);
-
 // A simulation takes 20 ms in the release build and 4 s under the thread
 // sanitizer, so sanitizer builds run few seeds besides those that failed
 // before.
@@ -27,106 +26,6 @@
 constexpr unsigned kWorldSeeds = 200;
 #endif
 
-EndpointRow Endpoint(const std::string& id) {
-  return EndpointRow{.id = EndpointId(id),
-                     .start_time_ms = 7,
-                     .service = ServiceId("s"),
-                     .zone = ZoneId("z1"),
-                     .address = "10.0.0.1:" + id.substr(1),
-                     .ready = true,
-                     .capacity = Resources{4000, 8000, 0},
-                     .labels = {"a", "r1"}};
-}
-
-AcceptedJob Job(const std::string& id, int tasks) {
-  AcceptedJob job;
-  job.id = JobId(id);
-  job.queue = "q";
-  job.service = ServiceId("s");
-  job.spec.steps = {StepSpec{.task_count = tasks,
-                             .per_task = Resources{1000, 100, 0},
-                             .estimate = milliseconds(500)}};
-  return job;
-}
-
-FleetConfig Fleet() {
-  FleetConfig fleet;
-  fleet.queues["q"] =
-      QueueConfig{.name = "q", .service = ServiceId("s"), .max_attempts = 2};
-  fleet.services[ServiceId("s")] = ServiceConfig{};
-  return fleet;
-}
-
-// A scheduler with endpoints that have answered their first poll, unless
-// `answer_polls` is false.
-struct SchedulerFixture {
-  explicit SchedulerFixture(std::vector<EndpointRow> endpoints,
-                            OwnerEpoch epoch = OwnerEpoch(1),
-                            bool answer_polls = true)
-      : rows(std::move(endpoints)),
-        scheduler(JobSchedulerConfig{.epoch = epoch}, kStart) {
-    this->scheduler.OnFleetConfig(Fleet());
-    this->scheduler.OnEndpoints(this->rows, this->now);
-    if (answer_polls) {
-      for (const EndpointRow& row : this->rows) {
-        this->AnswerPoll(row.id, {});
-      }
-    }
-  }
-
-  // Delivers the answer of an endpoint to a poll.
-  void AnswerPoll(const EndpointId& id, EndpointReportRows report) {
-    report.clock_ms = 1000;
-    report.start_time_ms = 7;
-    PollEndpoint poll;
-    poll.target.endpoint = id;
-    this->now += milliseconds(1);
-    this->scheduler.OnPollResult(poll, report, this->now, this->now);
-  }
-
-  std::vector<StartRun> Starts() {
-    SchedulerActions actions = this->scheduler.Advance(true, this->now);
-    this->CollectActions(&actions);
-    return std::exchange(this->starts, {});
-  }
-
-  // Adds a job with one task and returns the start of that task.
-  StartRun StartJob(const std::string& id) {
-    this->scheduler.OnJob(Job(id, 1), RowVersion(0), false, milliseconds(0),
-                          this->now);
-    std::vector<StartRun> starts = this->Starts();
-    REQUIRE(starts.size() == 1);
-    return std::move(starts[0]);
-  }
-
-  std::vector<StopRun> Stops() {
-    SchedulerActions actions = this->scheduler.Advance(true, this->now);
-    this->CollectActions(&actions);
-    return std::exchange(this->stops, {});
-  }
-
-  void CollectActions(SchedulerActions* actions) {
-    this->starts.insert(this->starts.end(), actions->starts.begin(),
-                        actions->starts.end());
-    this->stops.insert(this->stops.end(), actions->stops.begin(),
-                       actions->stops.end());
-  }
-
-  void Confirm(const StartRun& start) {
-    this->scheduler.OnStartReply(start, OrderReply::kDone, this->now);
-  }
-
-  Instant now = kStart;
-  std::vector<EndpointRow> rows;
-  JobScheduler scheduler;
-  std::vector<StartRun> starts;
-  std::vector<StopRun> stops;
-};
-
-RunEnd End(EndNumber number, const StartRun& start, EndKind kind) {
-  return RunEnd{number, start.task, start.run, kind, ""};
-}
-
 // Plays a simulation to its end. Each job must be final by then.
 void CheckSimulation(const JobSimulationOptions& options) {
   JobSimulation simulation(options);
--- a/tests/support/job_simulation.cc
+++ b/tests/support/job_simulation.cc
@@ -52,6 +52,15 @@
     this->workers[settings.row.id].model =
         std::make_unique<WorkerModel>(settings, this->now);
   }
+  if (options.advice) {
+    std::vector<EndpointId> ids;
+    for (const auto& [id, worker] : this->workers) {
+      ids.push_back(id);
+    }
+    this->advice = std::make_unique<AdviceModel>(*options.advice, ids);
+    this->fleet.queues["q"].needs_advice = true;
+    this->fleet.queues["q"].advice = options.advice->advice;
+  }
   this->MakeJobs();
   this->StartOwner();
   this->After(Milliseconds(0), [this] { this->Round(); });
@@ -119,6 +128,8 @@
   JobSchedulerConfig config;
   config.epoch = this->epoch;
   config.progress_layout = this->options.layout;
+  config.advice_endpoints = this->options.advice_endpoints;
+  config.advice_calls = this->options.advice_calls;
   this->owner = std::make_unique<JobScheduler>(config, this->now);
   this->owner->OnFleetConfig(this->fleet);
   for (const auto& [id, progress] : this->stored_progress) {
@@ -295,6 +306,10 @@
             return OrderReply::kUnknown;
           }
           const bool before = worker.Runs(order.task);
+          if (!before && this->advice != nullptr &&
+              !this->advice->IsValid(order, worker.Row(), this->now)) {
+            return OrderReply::kNoTicket;
+          }
           const OrderReply reply = worker.Start(order, sender, task, this->now);
           if (!before && worker.Runs(order.task)) {
             this->CheckStart(order, worker);
@@ -317,6 +332,9 @@
           this->owner->OnPollResult(poll, report, sent, this->now);
         });
   }
+  for (const AdviceRequest& call : actions.advice) {
+    this->SendAdvice(call);
+  }
   for (const std::string& text : this->owner->TakeDecisions()) {
     if (!this->options.trace.empty() &&
         text.find(this->options.trace) != std::string::npos) {
@@ -330,6 +348,37 @@
   this->After(kRoundInterval, [this] { this->Round(); });
 }
 
+void JobSimulation::SendAdvice(const AdviceRequest& call) {
+  const std::uint64_t sender = this->owner_number;
+  const auto answer =
+      [this, sender,
+       call](const std::optional<std::vector<AdviceTicket>>& tickets) {
+        if (sender == this->owner_number) {
+          this->owner->OnAdvice(call, tickets,
+                                this->options.advice->advice.valid, this->now);
+        }
+      };
+  const std::optional<Instant> at = this->advice->Accept(call, this->now);
+  const bool in_fault_period =
+      this->now - this->start < this->options.fault_period;
+  if (!at ||
+      (in_fault_period && this->Uniform() < this->options.lost_order_share)) {
+    this->After(call.expected + Milliseconds(700),
+                [answer] { answer(std::nullopt); });
+    return;
+  }
+  const auto delay = std::chrono::duration_cast<Milliseconds>(*at - this->now);
+  this->After(delay, [this, call, answer] {
+    std::map<EndpointId, std::int64_t> start_times;
+    for (const auto& [id, worker] : this->workers) {
+      start_times[id] = worker.model->Row().start_time_ms;
+    }
+    const std::vector<AdviceTicket> tickets =
+        this->advice->Answer(call, start_times, this->now);
+    this->After(this->RandomMs(1, 8), [answer, tickets] { answer(tickets); });
+  });
+}
+
 void JobSimulation::WriteBatch() {
   if (this->writer == this->owner_number) {
     return;  // an owner has one write open at a time
--- a/tests/support/job_simulation.h
+++ b/tests/support/job_simulation.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "src/coordination/job_scheduler.h"
+#include "stand_ins/advice_model.h"
 #include "stand_ins/worker_model.h"
 
 namespace peridot {
@@ -38,6 +39,9 @@
   double refused_write_share = 0.05;  // share of writes that the store refuses
   ProgressLayout layout;
   BatchLimits batch{.rows = 10};
+  std::optional<AdviceModelSettings> advice;  // none: no step needs tickets
+  std::size_t advice_endpoints = 30;          // see JobSchedulerConfig
+  std::size_t advice_calls = 4;
   std::string trace;  // keep decisions with this text; empty: none
 };
 
@@ -87,6 +91,7 @@
   void Round();
   void InjectFault();
   void WriteBatch();
+  void SendAdvice(const AdviceRequest& call);
   void CheckStart(const StartRun& order, const WorkerModel& worker);
   // Checks that no run started after an end that was acknowledged later.
   void CheckAcknowledgedEnds();
@@ -99,6 +104,7 @@
   Instant now = Instant{} + std::chrono::seconds(1000);
   Instant start = this->now;
   std::map<EndpointId, Worker> workers;
+  std::unique_ptr<AdviceModel> advice;  // null: no step needs tickets
   std::vector<AcceptedJob> accepted;
   // Rows of progress in the store.
   std::map<std::pair<JobId, ProgressBlock>, JobProgress> stored_progress;
