--- a/stand_ins/platform_shell.cc
+++ b/stand_ins/platform_shell.cc
@@ -103,6 +103,9 @@
     case OrderReply::kLate:
       body["Reason"] = "late";
       break;
+    case OrderReply::kNoTicket:
+      body["Reason"] = "ticket";
+      break;
     default:
       body["Reason"] = "room";
       break;
@@ -162,6 +165,13 @@
     model.row.capacity = Resources{this->settings.cores * 1000, 64000, 0};
     worker.model = std::make_unique<WorkerModel>(model, this->loop.Now());
   }
+  if (this->settings.advice) {
+    std::vector<EndpointId> ids;
+    for (const Worker& worker : this->workers) {
+      ids.push_back(worker.id);
+    }
+    this->advice = std::make_unique<AdviceModel>(*this->settings.advice, ids);
+  }
   this->Register();
   this->AdvanceWorkers();
   return boost::outcome_v2::success();
@@ -184,16 +194,19 @@
     transaction.puts.emplace_back(StoreKey{"servers", "", worker.id.value},
                                   row.dump());
   }
+  Json route{{"Name", "queue"},        {"Host", kHostName},
+             {"PathPrefix", "/jobs/"}, {"Service", kService},
+             {"MaxAttempts", 3},       {"Stretch", 2.0},
+             {"SloMs", 500},           {"AuthExempt", true}};
+  if (this->settings.advice) {
+    const AdviceSettings& call = this->settings.advice->advice;
+    route["Advice"] = {{"DecideMs", call.call_latency.count()},
+                       {"EachMs", call.latency_per_endpoint.count()},
+                       {"ValidMs", call.valid.count()}};
+  }
   const Json config{
       {"Version", 1},
-      {"Routes", Json::array({{{"Name", "queue"},
-                               {"Host", kHostName},
-                               {"PathPrefix", "/jobs/"},
-                               {"Service", kService},
-                               {"MaxAttempts", 3},
-                               {"Stretch", 2.0},
-                               {"SloMs", 500},
-                               {"AuthExempt", true}}})},
+      {"Routes", Json::array({std::move(route)})},
       {"Services",
        Json::array({{{"Name", kService}, {"AdmissionCheck", true}}})},
       {"Tenants", Json::array()}};
@@ -228,6 +241,8 @@
     this->Feed(server, request);
   } else if (request.Is("GET", "/v1/machines")) {
     server.Reply(request.id, JsonReply(200, {{"Machines", Json::array()}}));
+  } else if (request.Is("POST", "/v1/advise")) {
+    this->Advise(server, request);
   } else if (request.Is("POST", "/control/silence")) {
     this->Silence(request);
     server.Reply(request.id, JsonReply(200, Json::object()));
@@ -296,6 +311,43 @@
   });
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] Advice
+//-----------------------------------------------------------------------------
+
+void PlatformShell::Advise(HttpServer& server, const HttpRequest& request) {
+  const Json body = Json::parse(request.body, nullptr, false);
+  if (this->advice == nullptr || !body.is_object()) {
+    server.Reply(request.id, ErrorReply(400, "no advice for this call"));
+    return;
+  }
+  AdviceRequest call;
+  call.step = TaskOf(body.at("Step").get<std::string>() + ".0");
+  for (const Json& worker : body.at("Workers")) {
+    call.endpoints.emplace_back(worker.get<std::string>());
+  }
+  const Instant now = this->loop.Now();
+  const std::optional<Instant> at = this->advice->Accept(call, now);
+  if (!at) {
+    server.Reply(request.id, ErrorReply(429, "too many calls wait"));
+    return;
+  }
+  this->loop.After(*at - now, [this, &server, id = request.id, call] {
+    std::map<EndpointId, std::int64_t> start_times;
+    for (const Worker& worker : this->workers) {
+      start_times[worker.id] = worker.model->Row().start_time_ms;
+    }
+    Json good = Json::array();
+    for (const AdviceTicket& ticket :
+         this->advice->Answer(call, start_times, this->loop.Now())) {
+      good.push_back(Json::array({ticket.endpoint.value, ticket.ticket}));
+    }
+    const auto valid = this->settings.advice->advice.valid.count();
+    server.Reply(id, JsonReply(200, Json{{"Good", std::move(good)},
+                                         {"ValidMs", valid}}));
+  });
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Workers
 //-----------------------------------------------------------------------------
@@ -359,6 +411,10 @@
   }
   WorkerModel& model = *this->workers[index].model;
   const bool before = model.Runs(order.task);
+  if (!before && this->advice != nullptr &&
+      !this->advice->IsValid(order, model.Row(), this->loop.Now())) {
+    return OrderReply::kNoTicket;
+  }
   const OrderReply reply = model.Start(order, epoch, task, this->loop.Now());
   if (reply == OrderReply::kDone && !before) {
     this->ReportViolations(order.task, index);
@@ -405,6 +461,7 @@
     order.task = TaskOf(body.at("Task"));
     order.run = body.at("Run");
     order.lease_until_ms = body.at("DeadlineMs");
+    order.ticket = body.value("Ticket", "");
     reply = this->Start(index, order, epoch, body.value("Spec", ""));
   } else if (request.Is("POST", "/v1/run-stop")) {
     StopRun order;
--- a/stand_ins/platform_shell.h
+++ b/stand_ins/platform_shell.h
@@ -14,10 +14,12 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
 
+#include "stand_ins/advice_model.h"
 #include "stand_ins/http_shell.h"
 #include "stand_ins/row_store.h"
 #include "stand_ins/worker_model.h"
@@ -34,6 +36,8 @@
   double lost_order_share = 0;    // share executed without a response, 0..1
   double lost_write_share = 0;    // share executed without a response, 0..1
   bool idle_lease_lapses = true;  // see WorkerSettings
+  // Tasks need a ticket of the advice service; none: they do not.
+  std::optional<AdviceModelSettings> advice;
   unsigned seed = 1;
 };
 
@@ -41,6 +45,7 @@
 // [SECTION] PlatformShell
 //-----------------------------------------------------------------------------
 
+// Serves the advice service at the address of the store.
 // Not thread-safe. The loop must outlive it.
 class PlatformShell {
  public:
@@ -82,6 +87,7 @@
   void Transact(HttpServer& server, const HttpRequest& request);
   void Read(HttpServer& server, const HttpRequest& request);
   void Feed(HttpServer& server, const HttpRequest& request);
+  void Advise(HttpServer& server, const HttpRequest& request);
   OrderReply Start(std::size_t index,
                    const StartRun& order,
                    OwnerEpoch epoch,
@@ -107,6 +113,7 @@
   std::vector<Worker> workers;
   std::vector<PendingFeed> feeds;
   std::vector<PendingPoll> polls;
+  std::unique_ptr<AdviceModel> advice;  // null: tasks need no ticket
   std::map<TaskName, Instant> last_starts;
   std::mt19937 random;
 };
--- a/stand_ins/stand_in_platform_main.cc
+++ b/stand_ins/stand_in_platform_main.cc
@@ -2,10 +2,11 @@
 // workers.
 //
 // stand_in_platform [--workers N] [--cores N] [--lost-orders X]
-//                   [--lost-writes X] [--ends-outlast-leases] [--seed N]
+//                   [--lost-writes X] [--ends-outlast-leases]
+//                   [--ticket-ms MS] [--seed N]
 //
-// Prints "listening port=N" with the port of the store. Each worker listens on
-// a port of its own, which its row in the store names.
+// Prints "listening port=N" with the port of the store and the advice service.
+// Each worker listens on a port of its own, which its row in the store names.
 
 #include <boost/program_options.hpp>
 #include <iostream>
@@ -18,6 +19,7 @@
 int Main(int argc, char** argv) {
   namespace po = boost::program_options;
   PlatformShellSettings settings;
+  int ticket_ms = 0;
   po::options_description options("stand_in_platform");
   options.add_options()("workers",
                         po::value(&settings.workers)->default_value(6),
@@ -30,12 +32,18 @@
       "share of writes executed without a response, 0 to 1")(
       "ends-outlast-leases",
       "an end stays valid when the lease expires and nothing is running")(
+      "ticket-ms", po::value(&ticket_ms),
+      "tasks need a ticket, valid for this time in ms; 0: no limit")(
       "seed", po::value(&settings.seed)->default_value(1),
       "seed of the random choices");
   const CommandLine line = ParseCommandLine(argc, argv, options);
   if (line.exit_code) {
     return *line.exit_code;
   }
+  if (line.values.count("ticket-ms") > 0) {
+    settings.advice.emplace().advice = AdviceSettings{
+        Milliseconds(20), Milliseconds(1), Milliseconds(ticket_ms)};
+  }
   settings.idle_lease_lapses = line.values.count("ends-outlast-leases") == 0;
   const auto loop = ShellLoop::Create();
   if (!loop) {
--- a/tests/soak/platform_soak_main.cc
+++ b/tests/soak/platform_soak_main.cc
@@ -3,7 +3,7 @@
 // daemon while they run.
 //
 // platform_soak [--seed N] [--seeds COUNT] [--seconds S] [--daemons N]
-//               [--changes] [--ends-outlast-leases] [--keep DIR]
+//               [--changes] [--advice] [--ends-outlast-leases] [--keep DIR]
 //
 // The daemons (four by default) in two zones connect to the platform's
 // stand-in, each through its own proxy. Callers submit jobs, repeat submissions
@@ -12,9 +12,11 @@
 // are blocked in one or both directions, delayed and reset; workers stop
 // responding while their tasks continue. With --changes the configuration
 // changes as well, and another writer leaves odd entries among those of the
-// endpoints. Callers keep using open connections to a daemon until its process
-// is gone. Then all faults end, and every accepted job has to reach a final
-// state.
+// endpoints. With --advice there are more workers, and each task needs a ticket
+// of the advice service for one of the few workers that may run it; the tickets
+// of a seed have a random validity. Callers keep using open connections to a
+// daemon until its process is gone. Then all faults end, and every accepted job
+// has to reach a final state.
 //
 // Checked: no task runs twice or starts after it was done (detected by the
 // stand-in), the newest configuration is in force, no refused job ever starts,
@@ -123,6 +125,7 @@
   milliseconds length{10000};  // of the faults
   int daemons = 4;
   bool changes = false;              // changes of configuration, odd entries
+  bool advice = false;               // tasks need tickets of the advice service
   bool ends_outlast_leases = false;  // see stand_in_platform
   std::filesystem::path folder;      // of the settings files
 };
@@ -203,6 +206,12 @@
   if (this->options.ends_outlast_leases) {
     arguments.emplace_back("--ends-outlast-leases");
   }
+  if (this->options.advice) {
+    const std::vector<int> valid_ms = {0, 150, 3000, 600000};
+    arguments.insert(arguments.end(),
+                     {"--workers", "40", "--ticket-ms",
+                      std::to_string(valid_ms[Between(0, 3)])});
+  }
   this->platform =
       Process::Start(ProgramPath("stand_in_platform"), arguments).value();
   this->store = this->platform->ReadPort().value();
@@ -222,7 +231,8 @@
         << "]\nLimits: {CpuShare: " << (i == 0 ? 0.5 : 0.25)
         << ", Cores: 1}\nBounds: {GraceS: 3}\n"
         << "platform: {Address: \"" << address << "\"}\n"
-        << "CloudApi: {Address: \"" << address << "\"}\n";
+        << "CloudApi: {Address: \"" << address << "\"}\n"
+        << "Advice: \"" << address << "\"\n";
     this->StartDaemon(&daemon);
   }
 }
@@ -641,6 +651,8 @@
       "number of daemons")("changes", po::bool_switch(&soak_options.changes),
                            "also change the configuration and leave odd "
                            "entries among those of the endpoints")(
+      "advice", po::bool_switch(&soak_options.advice),
+      "tasks need tickets of the advice service")(
       "ends-outlast-leases", po::bool_switch(&soak_options.ends_outlast_leases),
       "an end stays valid when its worker's lease expires")(
       "keep", po::value(&logs_folder),
