Hold jobs of moved queues back until all endpoints are recovered

Cause: the new owner waits for unpolled endpoints of the current service of the queue only. Change: if that is not the service at the job's acceptance, it waits for those of every service. Ruled out: to store the services that a queue has used.

--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -400,7 +400,10 @@
   // Placement and polls (job_scheduler_place.cc, job_scheduler_polls.cc) -----
   bool Usable(const EndpointState& endpoint, Instant now) const;
   void Place(Instant now);
-  void PlaceService(const ServiceId& id, ServiceState* service, Instant now);
+  // Returns whether a previous owner may have started a run of the job on an
+  // endpoint that was not polled yet.
+  bool MayRunUnseen(const ScheduledJob& job) const;
+  void PlaceService(ServiceState* service, Instant now);
   // Returns whether a ready task of the job would fit on a listed one of these
   // endpoints if it were idle, and into its team's limit.
   bool FitsWhenIdle(const ScheduledJob& job,
--- a/src/coordination/job_scheduler_place.cc
+++ b/src/coordination/job_scheduler_place.cc
@@ -100,7 +100,7 @@
   }
   for (auto& [id, service] : this->services) {
     if (!service.waiting.Empty()) {
-      this->PlaceService(id, &service, now);
+      this->PlaceService(&service, now);
     }
   }
   this->RequestAdvice(now);
@@ -197,9 +197,17 @@
   return false;
 }
 
-void JobScheduler::State::PlaceService(const ServiceId& id,
-                                       ServiceState* service,
-                                       Instant now) {
+bool JobScheduler::State::MayRunUnseen(const ScheduledJob& job) const {
+  if (!job.before_takeover) {
+    return false;
+  }
+  const ServiceId service = this->ServiceOf(job);
+  // Nothing tells where a queue that has moved went before.
+  return service == job.accepted.service ? this->unrecovered.contains(service)
+                                         : !this->unrecovered.empty();
+}
+
+void JobScheduler::State::PlaceService(ServiceState* service, Instant now) {
   std::vector<EndpointState*>& usable = service->usable;
   usable.clear();
   this->advice_position = 0;
@@ -232,12 +240,8 @@
     return used != service->team_milli_cores.end() &&
            static_cast<double>(used->second) > shares[team];
   };
-  const bool unrecovered_service = this->unrecovered.contains(id);
-  // A run of a job of a previous owner may exist on an endpoint that was not
-  // polled yet.
   const auto held_back = [&](const ScheduledJob& job) {
-    return job.version > this->startable ||
-           (job.before_takeover && unrecovered_service);
+    return job.version > this->startable || this->MayRunUnseen(job);
   };
   std::map<TeamId, int> failed;  // jobs that did not fit
   int without_room = 0;
--- a/src/coordination/job_scheduler_polls.cc
+++ b/src/coordination/job_scheduler_polls.cc
@@ -82,7 +82,7 @@
     constraint = "no_lease";
   } else if (job->version > state.startable) {
     constraint = "not_recorded";
-  } else if (job->before_takeover && state.unrecovered.contains(service)) {
+  } else if (state.MayRunUnseen(*job)) {
     constraint = "takeover";
   } else if (!within_limit) {
     constraint = "team_limit";
--- a/tests/job_scheduler_test.cc
+++ b/tests/job_scheduler_test.cc
@@ -151,6 +151,32 @@
   CHECK(batch.progress[0].state == JobState::kCompleted);
 }
 
+TEST_CASE("a job whose queue has moved waits for the endpoints it was on",
+          "[job_scheduler]") {
+  // Guards against a second run after a takeover: the queue of the job now goes
+  // to another service, and the endpoint of the previous one that may still run
+  // it does not answer.
+  EndpointRow other = Endpoint("e2");
+  other.service = ServiceId("t");
+  SchedulerFixture fixture({Endpoint("e1"), other}, OwnerEpoch(2), false);
+  FleetConfig fleet = Fleet();
+  fleet.queues["q"].service = ServiceId("t");
+  fleet.services[ServiceId("t")] = ServiceConfig{};
+  fixture.scheduler.OnFleetConfig(fleet);
+  fixture.scheduler.OnEndpoints(fixture.rows, fixture.now);
+  fixture.AnswerPoll(EndpointId("e2"), {});
+  fixture.scheduler.OnJob(Job("j", 1), RowVersion(0), true, milliseconds(0),
+                          fixture.now);
+  CHECK(fixture.Starts().empty());
+  const std::string wait =
+      fixture.scheduler.ExplainWait(JobId("j"), fixture.now);
+  CHECK(wait.find("constraint=takeover") != std::string::npos);
+  fixture.AnswerPoll(EndpointId("e1"), {});
+  const std::vector<StartRun> starts = fixture.Starts();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].target.endpoint == EndpointId("e2"));
+}
+
 TEST_CASE("seeded simulations hold when ends outlast the lease of a worker",
           "[job_scheduler]") {
   // Guards against a second run of a task that completed on a worker which was
