Do not use entries of services that no configuration names

Cause: ReleaseIfAddressReused() gives up the work of an unlisted endpoint as soon as any other entry has its address. Change: such an entry is kept aside until the configuration names its service. It is not polled and holds no address. Ruled out: dropping the rule on reused addresses. Endpoints do exit and leave their addresses to others. Evidence: "an entry of an unknown service ends no other endpoint's work" fails before in its check that no task starts, and passes now; "endpoints are used once the configuration names their service" fails before in polling an endpoint of an unknown service. AdvisedFixture now lists its endpoints after the configuration that names their services.

--- a/src/coordination/job_scheduler.cc
+++ b/src/coordination/job_scheduler.cc
@@ -522,6 +522,11 @@
 
 SchedulerActions JobScheduler::Advance(bool may_start, Instant now) {
   State& state = *this->state;
+  const std::map<EndpointId, EndpointRow> unnamed =
+      std::exchange(state.unnamed, {});
+  for (const auto& [id, row] : unnamed) {
+    this->OnEndpointListed(row, now);  // its service may be named by now
+  }
   state.RemoveInactiveJobs();
   for (ScheduledJob* job : state.recurring) {
     if (!IsFinal(job->decided)) {
--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -258,6 +258,8 @@
   std::map<EndpointId, std::unique_ptr<EndpointState>> endpoints;
   std::map<ServiceId, ServiceState> services;
   std::map<std::string, EndpointId> addresses;  // of listed endpoints
+  // Listed entries that are not used: no configuration names their service.
+  std::map<EndpointId, EndpointRow> unnamed;
   std::map<JobId, EarlierProgress> earlier;
   std::set<JobId> cancelled_early;  // cancelled before they were added
   std::set<ZoneId> zones_out;
--- a/src/coordination/job_scheduler_runs.cc
+++ b/src/coordination/job_scheduler_runs.cc
@@ -26,6 +26,7 @@
 
 void JobScheduler::OnEndpoints(const std::vector<EndpointRow>& rows,
                                Instant now) {
+  this->state->unnamed.clear();
   std::set<EndpointId> listed;
   for (const EndpointRow& row : rows) {
     listed.insert(row.id);
@@ -40,6 +41,15 @@
 
 void JobScheduler::OnEndpointListed(const EndpointRow& row, Instant now) {
   State& state = *this->state;
+  // Another writer's entry may name any service, and the address of an endpoint
+  // of ours. An endpoint that is known keeps its work if its service is
+  // removed.
+  if (!state.fleet.services.contains(row.service) &&
+      !state.endpoints.contains(row.id)) {
+    state.unnamed[row.id] = row;
+    return;
+  }
+  state.unnamed.erase(row.id);
   std::unique_ptr<EndpointState>& endpoint = state.endpoints[row.id];
   if (endpoint == nullptr) {
     endpoint = std::make_unique<EndpointState>();
@@ -85,6 +95,7 @@
 
 void JobScheduler::OnEndpointUnlisted(const EndpointId& id, Instant now) {
   State& state = *this->state;
+  state.unnamed.erase(id);
   const auto found = state.endpoints.find(id);
   if (found == state.endpoints.end() || !found->second->listed) {
     return;
--- a/tests/job_scheduler_advice_test.cc
+++ b/tests/job_scheduler_advice_test.cc
@@ -47,6 +47,10 @@
                           milliseconds valid = milliseconds(3000))
       : SchedulerFixture(std::move(endpoints)), valid(valid) {
     this->scheduler.OnFleetConfig(AdvisedFleet(valid));
+    this->scheduler.OnEndpoints(this->rows, this->now);
+    for (const EndpointRow& row : this->rows) {
+      this->AnswerPoll(row.id, {});
+    }
   }
 
   void AddJob(const std::string& id, int tasks = 1) {
--- a/tests/job_scheduler_test.cc
+++ b/tests/job_scheduler_test.cc
@@ -177,6 +177,47 @@
   CHECK(starts[0].target.endpoint == EndpointId("e2"));
 }
 
+TEST_CASE("an entry of an unknown service ends no other endpoint's work",
+          "[job_scheduler]") {
+  // Guards against a second run of a task: an entry of another writer names the
+  // address of an endpoint whose own entry is missing for a while.
+  SchedulerFixture fixture({Endpoint("e1"), Endpoint("e2")});
+  const StartRun start = fixture.StartJob("j");
+  fixture.Confirm(start);
+  std::vector<EndpointRow> rows = fixture.rows;
+  EndpointRow foreign = Endpoint("e9");
+  foreign.service = ServiceId("unknown");
+  for (EndpointRow& row : rows) {
+    if (row.id == start.target.endpoint) {
+      foreign.address = row.address;
+      row = foreign;
+    }
+  }
+  fixture.scheduler.OnEndpoints(rows, fixture.now);
+  CHECK(fixture.Starts().empty());
+  for (const PollEndpoint& poll :
+       fixture.scheduler.Advance(true, fixture.now).polls) {
+    CHECK(poll.target.endpoint != foreign.id);
+  }
+}
+
+TEST_CASE("endpoints are used once the configuration names their service",
+          "[job_scheduler]") {
+  // Guards against an entry that is ignored for good because it arrived before
+  // the configuration.
+  EndpointRow row = Endpoint("e1");
+  row.service = ServiceId("t");
+  SchedulerFixture fixture({row}, OwnerEpoch(1), false);
+  CHECK(fixture.Starts().empty());
+  FleetConfig fleet = Fleet();
+  fleet.queues["q"].service = ServiceId("t");
+  fleet.services[ServiceId("t")] = ServiceConfig{};
+  fixture.scheduler.OnFleetConfig(fleet);
+  CHECK(fixture.scheduler.Advance(true, fixture.now).polls.size() == 1);
+  fixture.AnswerPoll(EndpointId("e1"), {});
+  CHECK(fixture.StartJob("j").target.endpoint == EndpointId("e1"));
+}
+
 TEST_CASE("seeded simulations hold when ends outlast the lease of a worker",
           "[job_scheduler]") {
   // Guards against a second run of a task that completed on a worker which was
