Keep the limit of attempts of a removed queue

Cause: CountFailure() takes the limit from the configuration of the queue and never decides without it. Change: the scheduler keeps the last configuration of a removed queue while it has jobs of it; the row of a job holds its limit of attempts. Ruled out: failing the job at once. Its caller has an acceptance, and the removal of a route is not an order to cancel. Evidence: "a task of a removed queue keeps its limit of attempts" fails in 4 checks before, with and without a takeover, and passes now.

--- a/src/coordination/job.h
+++ b/src/coordination/job.h
@@ -95,6 +95,9 @@
   ServiceId service;             // service of the queue at acceptance
   TeamId team;                   // empty: open queue called without a key
   std::int64_t accepted_ms = 0;  // Unix time
+  // QueueConfig::max_attempts at acceptance; it applies if the queue is
+  // removed. 0: not stored, as in rows of earlier versions.
+  int max_attempts = 0;
   JobSpec spec;
   // Final state of a job whose row has been compacted to that state; none while
   // the row still holds the whole job.
--- a/src/coordination/job_scheduler.cc
+++ b/src/coordination/job_scheduler.cc
@@ -89,10 +89,20 @@
 //-----------------------------------------------------------------------------
 
 void JobScheduler::OnFleetConfig(FleetConfig config) {
-  this->state->fleet = std::move(config);
+  State& state = *this->state;
+  // Jobs of a removed queue run on under its last configuration.
+  std::map<std::string, QueueConfig> removed;
+  for (const ScheduledJob* job : state.active) {
+    const QueueConfig* const queue = state.QueueOf(*job);
+    if (queue != nullptr && !config.queues.contains(job->accepted.queue)) {
+      removed.emplace(job->accepted.queue, *queue);
+    }
+  }
+  state.removed_queues = std::move(removed);
+  state.fleet = std::move(config);
   // Queues may have moved to other services or changed their priorities.
-  for (ScheduledJob* job : this->state->active) {
-    this->state->MarkForRanking(job);
+  for (ScheduledJob* job : state.active) {
+    state.MarkForRanking(job);
   }
 }
 
@@ -139,6 +149,13 @@
     }
     return;
   }
+  if (state.QueueOf(*added) == nullptr && added->accepted.max_attempts > 0) {
+    const AcceptedJob& accepted = added->accepted;
+    state.removed_queues[accepted.queue] =
+        QueueConfig{.name = accepted.queue,
+                    .service = accepted.service,
+                    .max_attempts = accepted.max_attempts};
+  }
   added->begun = !added->done.empty() || !added->failures.empty();
   state.MoveToOwnRows(added);
   added->active_index = state.active.size();
@@ -281,8 +298,13 @@
 }
 
 const QueueConfig* JobScheduler::State::QueueOf(const ScheduledJob& job) const {
-  const auto found = this->fleet.queues.find(job.accepted.queue);
-  return found == this->fleet.queues.end() ? nullptr : &found->second;
+  const std::string& name = job.accepted.queue;
+  if (const auto found = this->fleet.queues.find(name);
+      found != this->fleet.queues.end()) {
+    return &found->second;
+  }
+  const auto removed = this->removed_queues.find(name);
+  return removed == this->removed_queues.end() ? nullptr : &removed->second;
 }
 
 ServiceId JobScheduler::State::ServiceOf(const ScheduledJob& job) const {
--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -241,6 +241,8 @@
   JobSchedulerConfig config;
   Instant started{};
   FleetConfig fleet;
+  // Queues of active jobs that `fleet` does not hold any more.
+  std::map<std::string, QueueConfig> removed_queues;
   std::unordered_map<JobId, std::unique_ptr<ScheduledJob>> jobs;
   // Jobs that are not final or still have runs.
   std::vector<ScheduledJob*> active;
--- a/src/daemon/job_api.cc
+++ b/src/daemon/job_api.cc
@@ -142,6 +142,7 @@
   const auto queue =
       this->view->Config().fleet.queues.find(admission.route->queue);
   job.service = queue->second.service;
+  job.max_attempts = queue->second.max_attempts;
   job.team = admission.team;
   job.accepted_ms = UnixMs();
   job.spec = std::move(spec.value());
--- a/src/protocol/job_json.cc
+++ b/src/protocol/job_json.cc
@@ -153,6 +153,7 @@
   out["team"] = job.team.value;
   out["accepted_ms"] = job.accepted_ms;
   out["payload"] = job.spec.payload;
+  PutIf(&out, "max_attempts", job.max_attempts, 0);
   PutIf(&out, "occurrences", job.spec.occurrences, 0);
   PutIf(&out, "first_due_ms", job.spec.first_due_ms, std::int64_t{0});
   PutIf(&out, "interval_ms", job.spec.interval_ms, std::int64_t{0});
@@ -179,6 +180,7 @@
     job.service = ServiceId(in.at("service").get<std::string>());
     job.team = TeamId(in.at("team").get<std::string>());
     job.accepted_ms = in.at("accepted_ms").get<std::int64_t>();
+    job.max_attempts = in.value("max_attempts", 0);
     job.spec.payload = in.at("payload").get<std::string>();
     job.spec.occurrences = in.value("occurrences", 0);
     job.spec.first_due_ms = in.value("first_due_ms", std::int64_t{0});
--- a/tests/job_scheduler_test.cc
+++ b/tests/job_scheduler_test.cc
@@ -218,6 +218,35 @@
   CHECK(fixture.StartJob("j").target.endpoint == EndpointId("e1"));
 }
 
+TEST_CASE("a task of a removed queue keeps its limit of attempts",
+          "[job_scheduler]") {
+  // Guards against runs without end: the queue of a job whose task keeps
+  // failing is removed, in one case before a takeover.
+  const bool takeover = GENERATE(false, true);
+  SchedulerFixture fixture({Endpoint("e1")});
+  AcceptedJob job = Job("j", 1);
+  job.max_attempts = takeover ? 2 : 0;
+  FleetConfig fleet = Fleet();
+  fleet.queues.clear();
+  if (takeover) {
+    fixture.scheduler.OnFleetConfig(fleet);
+  }
+  fixture.scheduler.OnJob(job, RowVersion(0), false, milliseconds(0),
+                          fixture.now);
+  for (EndNumber attempt = 1; attempt <= 2; ++attempt) {
+    const std::vector<StartRun> starts = fixture.Starts();
+    REQUIRE(starts.size() == 1);
+    fixture.Confirm(starts[0]);
+    fixture.scheduler.OnFleetConfig(fleet);
+    fixture.AnswerPoll(EndpointId("e1"),
+                       {.ended = {End(attempt, starts[0], EndKind::kFailed)}});
+  }
+  CHECK(fixture.Starts().empty());
+  const RecordBatch batch = fixture.scheduler.TakeBatch({.rows = 10});
+  REQUIRE(batch.progress.size() == 1);
+  CHECK(batch.progress[0].state == JobState::kFailed);
+}
+
 TEST_CASE("seeded simulations hold when ends outlast the lease of a worker",
           "[job_scheduler]") {
   // Guards against a second run of a task that completed on a worker which was
--- a/tests/job_store_test.cc
+++ b/tests/job_store_test.cc
@@ -246,11 +246,13 @@
 TEST_CASE("rows are unchanged after encoding and decoding", "[job_store]") {
   AcceptedJob job = Job("0123456789abcdef");
   job.spec.payload = "x\"\n";
+  job.max_attempts = 3;
   job.spec.steps[0].long_running = true;
   job.spec.steps[0].max_unavailable = 2;
   const Result<AcceptedJob> decoded = DecodeJob(EncodeJob(job));
   REQUIRE(decoded);
   CHECK(decoded.value().spec.payload == job.spec.payload);
+  CHECK(decoded.value().max_attempts == 3);
   CHECK(decoded.value().spec.steps[0].max_unavailable == 2);
 
   JobProgress progress{.id = job.id, .state = JobState::kRunning};
