Take the longest wait of a step for its starvation

Cause: IsStarved() looks at the first waiting task only. One that is started and refused in turn waits anew each time and hides the others, so that the host planner adds no host. Change: the task that waits longest decides. Evidence: "a step is starved by its task that waits longest" fails before and passes now.

--- a/src/coordination/job_scheduler_polls.cc
+++ b/src/coordination/job_scheduler_polls.cc
@@ -229,15 +229,14 @@
       now - step.ready_since < this->config.starved_after) {
     return false;
   }
-  const ScheduledTask* waiting = nullptr;
+  Instant waits_since = kNever;
   for (const ScheduledTask& task : step.tasks) {
     if (task.phase == TaskPhase::kWaiting) {
-      waiting = &task;
-      break;
+      waits_since = std::min(waits_since, task.since);
     }
   }
-  if (waiting == nullptr ||
-      now - std::max(step.ready_since, waiting->since) <
+  if (waits_since == kNever ||
+      now - std::max(step.ready_since, waits_since) <
           this->config.starved_after ||
       !this->WithinTeamLimit(step.job->accepted.team, step.spec->per_task)) {
     return false;
--- a/tests/job_scheduler_test.cc
+++ b/tests/job_scheduler_test.cc
@@ -247,6 +247,25 @@
   CHECK(batch.progress[0].state == JobState::kFailed);
 }
 
+TEST_CASE("a step is starved by its task that waits longest",
+          "[job_scheduler]") {
+  // Guards against a step that never asks for a host because its first task is
+  // started and refused again and again, while the others only wait.
+  EndpointRow row = Endpoint("e1");
+  row.capacity.milli_cores = 1000;
+  SchedulerFixture fixture({row});
+  fixture.scheduler.OnJob(Job("j", 2), RowVersion(0), false, milliseconds(0),
+                          fixture.now);
+  for (int i = 0; i < 4; ++i) {
+    fixture.now += milliseconds(250);
+    for (const StartRun& start : fixture.Starts()) {
+      fixture.scheduler.OnStartReply(start, OrderReply::kNoRoom, fixture.now);
+    }
+  }
+  CHECK(fixture.scheduler.Demand(fixture.now)[ServiceId("s")].starved_jobs ==
+        1);
+}
+
 TEST_CASE("seeded simulations hold when ends outlast the lease of a worker",
           "[job_scheduler]") {
   // Guards against a second run of a task that completed on a worker which was
