Remove old jobs as fast as they finish

Cause: a removal of old jobs takes about 30 of them and the next one comes 5 s later, so that a fleet which finishes more than 6 a second keeps their rows for ever. Change: the next removal follows 100 ms after an answer that leaves jobs. Ruled out: a longer transaction; a call of the store takes 100 entries. Evidence: "old jobs are removed as fast as they finish" fails before (300 jobs are not removed within 20 s) and passes now.

--- a/src/daemon/owner_housekeeping.cc
+++ b/src/daemon/owner_housekeeping.cc
@@ -23,8 +23,10 @@
 // of a call.
 constexpr std::size_t kClosedBatch = 48;
 
-// Time between two removals of old finished jobs.
+// Time between two removals of old finished jobs, and if more are left than one
+// call can remove.
 constexpr Milliseconds kSweepInterval{5000};
+constexpr Milliseconds kFullSweepInterval{100};
 
 // Time between two log reports on waiting jobs.
 constexpr Milliseconds kExplainInterval{1000};
@@ -113,20 +115,24 @@
     transaction.removals.push_back(ProgressKey(id, ProgressBlock{}));
     removed.push_back(id);
   }
-  std::function<void(StoreReply)> done =
-      [this, removed, removed_blocks](const StoreReply& reply) {
-        LogEvent(LogLevel::kInfo, "jobs_removed",
-                 {{"count", std::to_string(removed.size())},
-                  {"outcome", StoreOutcomeName(reply.outcome)}});
-        if (reply.outcome == StoreOutcome::kOk) {
-          for (const auto& [id, blocks] : removed_blocks) {
-            this->owned->scheduler.OnBlocksRemoved(id, blocks);
-          }
-          for (const JobId& id : removed) {
-            this->owned->scheduler.Forget(id);
-          }
-        }
-      };
+  const bool more = removed.size() < old.size();
+  std::function<void(StoreReply)> done = [this, removed, removed_blocks,
+                                          more](const StoreReply& reply) {
+    LogEvent(LogLevel::kInfo, "jobs_removed",
+             {{"count", std::to_string(removed.size())},
+              {"outcome", StoreOutcomeName(reply.outcome)}});
+    if (reply.outcome == StoreOutcome::kOk) {
+      for (const auto& [id, blocks] : removed_blocks) {
+        this->owned->scheduler.OnBlocksRemoved(id, blocks);
+      }
+      for (const JobId& id : removed) {
+        this->owned->scheduler.Forget(id);
+      }
+      if (more) {
+        this->owned->next_sweep = this->loop->Now() + kFullSweepInterval;
+      }
+    }
+  };
   this->ports->transact(std::move(transaction), this->IfOwner(std::move(done)));
 }
 
--- a/tests/owner_task_test.cc
+++ b/tests/owner_task_test.cc
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -24,7 +25,8 @@
 
 // One OwnerTask with a fleet that has no endpoints.
 struct OwnerFixture {
-  OwnerFixture() {
+  explicit OwnerFixture(OwnerTaskConfig task_config = {})
+      : config(task_config) {
     this->loop = std::move(EventLoop::Create(this->clock).value());
     this->ports.operator_table = "op";
     this->ports.endpoint_table = "servers";
@@ -73,7 +75,7 @@
     this->view = std::make_unique<OperatorView>(this->loop.get(), &this->ports);
     this->task = std::make_unique<OwnerTask>(
         this->loop.get(), &this->ports, this->view.get(), &this->metrics,
-        this->settings, OwnerTaskConfig{},
+        this->settings, this->config,
         [](const std::string&, int, const auto& done) { (void)done; });
     this->view->Start([this] { this->task->OnViewChanged(); });
     this->task->Start();
@@ -170,6 +172,7 @@
   FleetPorts ports;
   Metrics metrics;
   FleetNodeSettings settings;
+  OwnerTaskConfig config;
   std::unique_ptr<OperatorView> view;
   std::unique_ptr<OwnerTask> task;
 };
@@ -192,6 +195,33 @@
   CHECK(fixture.Row().epoch == epoch);
 }
 
+TEST_CASE("old jobs are removed as fast as they finish", "[owner_task]") {
+  // Guards against rows of finished jobs that pile up because one removal holds
+  // few of them and the next one waits for the interval of sweeps.
+  constexpr std::size_t kJobs = 300;
+  OwnerFixture fixture(OwnerTaskConfig{.final_job_retention = milliseconds(0)});
+  for (std::size_t i = 0; i < kJobs; ++i) {
+    const JobId id("job" + std::to_string(1000 + i));
+    StoreTransaction rows;
+    rows.puts.emplace_back(
+        StoreKey{kJobTable, PartOf(id), id.value},
+        EncodeJob(AcceptedJob{.id = id, .closed_as = JobState::kCompleted}));
+    fixture.store.Transact(rows);
+  }
+  std::set<std::string> removed;
+  fixture.on_transact =
+      [&](const StoreTransaction& call) -> std::optional<StoreOutcome> {
+    for (const StoreKey& key : call.removals) {
+      if (key.table == kJobTable) {
+        removed.insert(key.key);
+      }
+    }
+    return std::nullopt;
+  };
+  CHECK(
+      fixture.loop->RunUntil([&] { return removed.size() == kJobs; }, kLimit));
+}
+
 TEST_CASE("a late write is not taken for the write that replaced it",
           "[owner_task]") {
   // Guards against ends that are acknowledged without a record: a write without
