--- a/src/coordination/job_scheduler_advice.cc
+++ b/src/coordination/job_scheduler_advice.cc
@@ -34,6 +34,37 @@
   return found == advice.failed_calls.end() ? 0 : found->second;
 }
 
+// Chooses the endpoints of one call; there is at least one candidate. Those
+// with different numbers of failed calls are not mixed, and each failed call
+// halves the limits of the next one.
+std::vector<const EndpointState*> ChooseForCall(
+    std::vector<EndpointToAsk> candidates,
+    const JobSchedulerConfig& config) {
+  std::sort(candidates.begin(), candidates.end());
+  const int failed_calls = candidates.front().failed_calls;
+  const auto limit = [failed_calls](std::size_t most) {
+    constexpr int kMaxHalvings = 16;
+    return std::max<std::size_t>(1,
+                                 most >> std::min(failed_calls, kMaxHalvings));
+  };
+  const std::size_t max_total = limit(config.max_advice_endpoints);
+  const std::size_t max_unknown = limit(config.advice_endpoints);
+  // Renewals come first and leave room for the endpoints that are not known.
+  const std::size_t max_renewals =
+      std::max(max_total, max_unknown + 1) - max_unknown;
+  std::size_t unknown = 0;
+  std::vector<const EndpointState*> chosen;
+  for (const EndpointToAsk& ask : candidates) {
+    const bool fits =
+        ask.unknown ? unknown < max_unknown : chosen.size() < max_renewals;
+    if (ask.failed_calls == failed_calls && fits && chosen.size() < max_total) {
+      chosen.push_back(ask.endpoint);
+      unknown += ask.unknown ? 1 : 0;
+    }
+  }
+  return chosen;
+}
+
 }  // namespace
 
 //-----------------------------------------------------------------------------
@@ -103,11 +134,10 @@
     const bool turn_open =
         std::any_of(this->open_advice.begin(), this->open_advice.end(),
                     [](const auto& entry) { return entry.second.in_turn; });
-    if (!turn_open) {
-      std::any_of(by_wait.begin(), by_wait.end(),
-                  [&](const AdviceCandidate& candidate) {
-                    return this->SendAdviceCall(candidate, purpose, true, now);
-                  });
+    for (const AdviceCandidate& candidate : by_wait) {
+      if (turn_open || this->SendAdviceCall(candidate, purpose, true, now)) {
+        break;
+      }
     }
     for (const AdviceCandidate& candidate : in_order) {
       if (this->open_advice.size() >= this->config.advice_calls) {
@@ -163,30 +193,7 @@
       (purpose == AdvicePurpose::kPrepare && allowed >= step.waiting)) {
     return {};
   }
-  std::sort(candidates.begin(), candidates.end());
-  // Processes with failed calls are not mixed with others.
-  const int failed_calls = candidates.front().failed_calls;
-  const auto limit = [failed_calls](std::size_t most) {
-    constexpr int kMaxHalvings = 16;
-    return std::max<std::size_t>(1,
-                                 most >> std::min(failed_calls, kMaxHalvings));
-  };
-  const std::size_t max_unknown = limit(this->config.advice_endpoints);
-  const std::size_t max_total = limit(this->config.max_advice_endpoints);
-  const std::size_t max_renewals =
-      std::max(max_total, max_unknown + 1) - max_unknown;
-  std::size_t unknown = 0;
-  std::vector<const EndpointState*> endpoints;
-  for (const EndpointToAsk& ask : candidates) {
-    const bool fits =
-        ask.unknown ? unknown < max_unknown : endpoints.size() < max_renewals;
-    if (ask.failed_calls == failed_calls && fits &&
-        endpoints.size() < max_total) {
-      endpoints.push_back(ask.endpoint);
-      unknown += ask.unknown ? 1 : 0;
-    }
-  }
-  return endpoints;
+  return ChooseForCall(std::move(candidates), this->config);
 }
 
 bool JobScheduler::State::SendAdviceCall(const AdviceCandidate& candidate,
--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -78,10 +78,9 @@
 struct StepAdvice {
   std::map<Incarnation, StepTicket> allowed;
   boost::container::flat_set<Incarnation> refused;
-  // Number of failed calls that named a process, less the later answers. Calls
-  // name the processes with the fewest first, and fewer of them the more have
-  // failed, in case the service fails because of one of them or of their
-  // number.
+  // Failed calls that named a process. Calls name the processes with the fewest
+  // first, and fewer of them the more have failed, in case the service fails
+  // because of one of them or of their number.
   boost::container::flat_map<Incarnation, int> failed_calls;
   Instant next_call{};  // no further call before this instant
   // Since when the step waits for the reserved call; kNever: it does not. Its
