--- a/src/coordination/job_scheduler_polls.cc
+++ b/src/coordination/job_scheduler_polls.cc
@@ -229,14 +229,15 @@
       now - step.ready_since < this->config.starved_after) {
     return false;
   }
-  Instant waits_since = kNever;
+  const ScheduledTask* waiting = nullptr;
   for (const ScheduledTask& task : step.tasks) {
     if (task.phase == TaskPhase::kWaiting) {
-      waits_since = std::min(waits_since, task.since);
+      waiting = &task;
+      break;
     }
   }
-  if (waits_since == kNever ||
-      now - std::max(step.ready_since, waits_since) <
+  if (waiting == nullptr ||
+      now - std::max(step.ready_since, waiting->since) <
           this->config.starved_after ||
       !this->WithinTeamLimit(step.job->accepted.team, step.spec->per_task)) {
     return false;
