End the wait for endpoints that no host runs any more after a takeover

Cause: a new owner held back all earlier jobs of a service until each endpoint that the previous owner used had answered or its lease had lapsed, and counted the capacity of these endpoints towards the limit of every team. A move ends an endpoint at once, but its entry stays listed for three heartbeats.

Ruled out: slow polls (301 of 416 endpoints answered within 0.3 s) and the lease of the job rows (the jobs were startable).

Change: the list of hosts, which the owner reads anyway, tells which endpoints run. One that does not answer and that no host runs, or whose host is being moved or maintained, has ended: its work restarts, nothing waits for it, and it counts towards no limit. An endpoint younger than 3 s is left out, since the list may not show it yet. The code on work that may run unseen moves to a file of its own.

Without the call of OnHostEndpoints() the jobs of these tests do not start before the lease has lapsed.

--- a/src/coordination/job_scheduler.cc
+++ b/src/coordination/job_scheduler.cc
@@ -559,18 +559,21 @@
   for (auto& [id, endpoint] : state.endpoints) {
     // The lease is no longer renewed once a poll fails, listed or not.
     if ((!endpoint->listed || endpoint->failed_polls > 0) &&
-        endpoint->lapse_at <= now) {
+        (endpoint->lapse_at <= now || endpoint->process_ended)) {
       const bool may_know_ends =
-          endpoint->listed &&
+          endpoint->listed && !endpoint->process_ended &&
           now < endpoint->lapse_at + state.config.listed_grace;
-      state.ReleaseLapsed(endpoint.get(), "lapsed", may_know_ends, now);
+      state.ReleaseLapsed(endpoint.get(),
+                          endpoint->process_ended ? "ended" : "lapsed",
+                          may_know_ends, now);
     }
     // An endpoint that has not listed all ends may still run work of a previous
     // owner, or know that it is done. One that is recorded as lapsing may come
     // back before that record is replaced.
     if (!endpoint->listed && endpoint->tasks.empty() &&
         !endpoint->poll_in_flight && !endpoint->lapse_stored &&
-        (endpoint->recovered || endpoint->lapse_at <= now)) {
+        (endpoint->recovered || endpoint->process_ended ||
+         endpoint->lapse_at <= now)) {
       gone.push_back(id);
     }
     if (endpoint->stopping == 0) {
@@ -759,7 +762,8 @@
     // An endpoint that was not polled yet may run work of a previous owner, and
     // one that has not listed all ends may know that a task is done.
     summary.idle = endpoint->tasks.empty() &&
-                   (endpoint->recovered || endpoint->lapse_at <= now);
+                   (endpoint->recovered || endpoint->process_ended ||
+                    endpoint->lapse_at <= now);
     summary.used = endpoint->used;
     summary.capacity = endpoint->row.capacity;
     summary.long_running = endpoint->long_running;
--- a/src/coordination/job_scheduler.h
+++ b/src/coordination/job_scheduler.h
@@ -57,6 +57,9 @@
   // it has not reached yet, and holds back all earlier jobs of the service.
   Milliseconds listed_recovery_grace{2000};
 
+  // The list of hosts may not show an endpoint yet that is younger than this.
+  Milliseconds host_list_delay{3000};
+
   // Long-poll time: how long a poll waits for a run to end. Bounds the age of
   // the last report of an endpoint on which no run ends.
   Milliseconds poll_wait{1000};
@@ -357,6 +360,15 @@
   void OnPreviousOwnerEndpoints(const std::vector<UsedEndpoint>& endpoints,
                                 Instant now);
 
+  // The endpoints that run on the fleet's hosts, from a complete list of hosts
+  // that was requested at `sent`. A move or maintenance ends the endpoint of
+  // its host at once, while the list of endpoints shows it for some seconds and
+  // its lease runs on. An endpoint that does not answer and that no host runs
+  // has ended: its work can restart, and its host counts as left.
+  void OnHostEndpoints(const std::set<EndpointId>& current,
+                       Instant sent,
+                       Instant now);
+
   // Sets the evacuated zones; no task starts there.
   void OnZonesOut(std::set<ZoneId> zones);
 
--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -174,6 +174,10 @@
   // Has listed all of its ends in a report of this epoch. Before that, a task
   // of a previous owner may have completed here.
   bool recovered = false;
+  // The list of hosts shows that no host runs this process any more, so that
+  // none of its runs is left. Cleared when it answers or starts again.
+  bool process_ended = false;
+  Instant known_since{};  // when this owner learned of the endpoint
   bool has_clock = false;
   std::int64_t clock_ms = 0;  // the endpoint's clock, read at clock_read
   Instant clock_read{};
@@ -293,6 +297,15 @@
   std::string ended_text;    // ends of the report being processed
   SchedulerActions actions;
 
+  // Takeovers (job_scheduler_takeover.cc) -----------------------------------
+  // Determines the services of which previous owners may run work unseen.
+  void FindUnrecovered(Instant now);
+  // Returns whether a previous owner may have started a run of the job on an
+  // endpoint that was not polled yet.
+  bool MayRunUnseen(const ScheduledJob& job) const;
+  // Time since the endpoint's process started, or since it became known.
+  Duration AgeOf(const EndpointState& endpoint, Instant at) const;
+
   // Jobs (job_scheduler.cc) -------------------------------------------------
   ScheduledJob* FindJob(const JobId& id);
   ScheduledTask* FindTask(const TaskName& name);
@@ -403,9 +416,6 @@
   // Placement and polls (job_scheduler_place.cc, job_scheduler_polls.cc) -----
   bool Usable(const EndpointState& endpoint, Instant now) const;
   void Place(Instant now);
-  // Returns whether a previous owner may have started a run of the job on an
-  // endpoint that was not polled yet.
-  bool MayRunUnseen(const ScheduledJob& job) const;
   void PlaceService(ServiceState* service, Instant now);
   // Returns whether a ready task of the job would fit on a listed one of these
   // endpoints if it were idle, and into its team's limit.
--- a/src/coordination/job_scheduler_place.cc
+++ b/src/coordination/job_scheduler_place.cc
@@ -48,6 +48,7 @@
                                  Instant now) const {
   return endpoint.listed && endpoint.row.ready && endpoint.fenced &&
          endpoint.has_clock && !endpoint.lapse_stored &&
+         !endpoint.process_ended &&
          endpoint.failed_polls < this->config.failed_polls_to_unreachable &&
          endpoint.unhealthy_until <= now && endpoint.full_until <= now &&
          endpoint.quarantine_until <= now && !endpoint.excluded;
@@ -79,25 +80,7 @@
 }
 
 void JobScheduler::State::Place(Instant now) {
-  this->unrecovered.clear();
-  this->unpolled_capacity = Resources{};
-  for (const auto& [id, endpoint] : this->endpoints) {
-    const Milliseconds grace =
-        endpoint->listed ? this->config.listed_recovery_grace : Milliseconds{0};
-    if (endpoint->recovered || endpoint->lapse_at + grace <= now) {
-      continue;
-    }
-    // The lease of an endpoint that answers is renewed, so that recovery can
-    // last longer than the leases of previous owners.
-    if (endpoint->fenced) {
-      this->unrecovered.insert(endpoint->row.service);
-    } else if (now < this->recovery_ends + grace) {
-      this->unrecovered.insert(endpoint->row.service);
-      if (endpoint->lapse_at > now) {
-        this->unpolled_capacity += endpoint->row.capacity;
-      }
-    }
-  }
+  this->FindUnrecovered(now);
   for (auto& [id, service] : this->services) {
     if (!service.waiting.Empty()) {
       this->PlaceService(&service, now);
@@ -197,16 +180,6 @@
   return false;
 }
 
-bool JobScheduler::State::MayRunUnseen(const ScheduledJob& job) const {
-  if (!job.before_takeover) {
-    return false;
-  }
-  const ServiceId service = this->ServiceOf(job);
-  // Nothing tells where a queue that has moved went before.
-  return service == job.accepted.service ? this->unrecovered.contains(service)
-                                         : !this->unrecovered.empty();
-}
-
 void JobScheduler::State::PlaceService(ServiceState* service, Instant now) {
   std::vector<EndpointState*>& usable = service->usable;
   usable.clear();
--- a/src/coordination/job_scheduler_runs.cc
+++ b/src/coordination/job_scheduler_runs.cc
@@ -56,6 +56,7 @@
     endpoint->incarnation = Incarnation(++state.last_incarnation.value);
     state.SetRow(endpoint.get(), row);
     endpoint->lapse_at = state.recovery_ends;
+    endpoint->known_since = now;
   }
   const bool restarted = endpoint->row.start_time_ms != 0 &&
                          row.start_time_ms != 0 &&
@@ -119,64 +120,6 @@
   }
 }
 
-void JobScheduler::OnPreviousOwnerEndpoints(
-    const std::vector<UsedEndpoint>& endpoints,
-    Instant now) {
-  for (const UsedEndpoint& used : endpoints) {
-    std::unique_ptr<EndpointState>& endpoint = this->state->endpoints[used.id];
-    if (endpoint == nullptr) {
-      endpoint = std::make_unique<EndpointState>();
-      endpoint->incarnation =
-          Incarnation(++this->state->last_incarnation.value);
-      EndpointRow row;
-      row.id = used.id;
-      row.service = used.service;
-      row.capacity = used.capacity;
-      this->state->SetRow(endpoint.get(), row);
-      endpoint->lapse_at = this->state->recovery_ends;
-      if (used.lapse_ms > 0) {
-        endpoint->lapse_at =
-            std::min(endpoint->lapse_at, now + Milliseconds(used.lapse_ms));
-      }
-    }
-    if (used.lapse_ms > 0) {
-      endpoint->lapse_stored = endpoint->lapse_taken = true;
-    }
-  }
-}
-
-std::vector<UsedEndpoint> JobScheduler::TakeUsedEndpoints(Instant now) {
-  std::vector<UsedEndpoint> used;
-  for (const auto& [id, endpoint] : this->state->endpoints) {
-    UsedEndpoint& entry = used.emplace_back(
-        UsedEndpoint{id, endpoint->row.service, endpoint->row.capacity});
-    const bool lapsing = !endpoint->listed || endpoint->failed_polls > 0;
-    if (lapsing && endpoint->lapse_at > now) {
-      entry.lapse_ms =
-          std::chrono::duration_cast<Milliseconds>(endpoint->lapse_at - now)
-              .count();
-    }
-    endpoint->lapse_taken = entry.lapse_ms > 0;
-    endpoint->lapse_stored = endpoint->lapse_stored || endpoint->lapse_taken;
-  }
-  return used;
-}
-
-void JobScheduler::OnUsedEndpointsStored() {
-  for (const auto& [id, endpoint] : this->state->endpoints) {
-    endpoint->lapse_stored = endpoint->lapse_taken;
-  }
-}
-
-bool JobScheduler::HasReturnedEndpoints() const {
-  return std::any_of(this->state->endpoints.begin(),
-                     this->state->endpoints.end(), [](const auto& entry) {
-                       const EndpointState& endpoint = *entry.second;
-                       return endpoint.lapse_stored && endpoint.listed &&
-                              endpoint.fenced && endpoint.failed_polls == 0;
-                     });
-}
-
 void JobScheduler::State::SetRow(EndpointState* endpoint,
                                  const EndpointRow& row) {
   ServiceState* const service = &this->services[row.service];
@@ -204,6 +147,7 @@
   endpoint->incarnation = Incarnation(++this->last_incarnation.value);
   endpoint->fenced = false;
   endpoint->recovered = false;
+  endpoint->process_ended = false;
   endpoint->has_clock = false;
   endpoint->processed = endpoint->in_pass = endpoint->recorded = 0;
   endpoint->next_poll = now;
@@ -510,6 +454,7 @@
   }
   endpoint->failed_polls = 0;
   endpoint->fenced = true;
+  endpoint->process_ended = false;
   endpoint->has_clock = true;
   endpoint->clock_ms = report->clock_ms;
   endpoint->clock_read = now;
--- /dev/null
+++ b/src/coordination/job_scheduler_takeover.cc
@@ -0,0 +1,152 @@
+// JobScheduler: what previous owners may have left running, and which endpoints
+// have ended.
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "src/coordination/job_scheduler.h"
+#include "src/coordination/job_scheduler_internal.h"
+
+namespace peridot {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Endpoints of previous owners
+//-----------------------------------------------------------------------------
+
+void JobScheduler::OnPreviousOwnerEndpoints(
+    const std::vector<UsedEndpoint>& endpoints,
+    Instant now) {
+  for (const UsedEndpoint& used : endpoints) {
+    std::unique_ptr<EndpointState>& endpoint = this->state->endpoints[used.id];
+    if (endpoint == nullptr) {
+      endpoint = std::make_unique<EndpointState>();
+      endpoint->incarnation =
+          Incarnation(++this->state->last_incarnation.value);
+      EndpointRow row;
+      row.id = used.id;
+      row.service = used.service;
+      row.capacity = used.capacity;
+      this->state->SetRow(endpoint.get(), row);
+      endpoint->lapse_at = this->state->recovery_ends;
+      endpoint->known_since = now;
+      if (used.lapse_ms > 0) {
+        endpoint->lapse_at =
+            std::min(endpoint->lapse_at, now + Milliseconds(used.lapse_ms));
+      }
+    }
+    if (used.lapse_ms > 0) {
+      endpoint->lapse_stored = endpoint->lapse_taken = true;
+    }
+  }
+}
+
+std::vector<UsedEndpoint> JobScheduler::TakeUsedEndpoints(Instant now) {
+  std::vector<UsedEndpoint> used;
+  for (const auto& [id, endpoint] : this->state->endpoints) {
+    UsedEndpoint& entry = used.emplace_back(
+        UsedEndpoint{id, endpoint->row.service, endpoint->row.capacity});
+    const bool lapsing = !endpoint->listed || endpoint->failed_polls > 0;
+    if (lapsing && endpoint->lapse_at > now) {
+      entry.lapse_ms =
+          std::chrono::duration_cast<Milliseconds>(endpoint->lapse_at - now)
+              .count();
+    }
+    endpoint->lapse_taken = entry.lapse_ms > 0;
+    endpoint->lapse_stored = endpoint->lapse_stored || endpoint->lapse_taken;
+  }
+  return used;
+}
+
+void JobScheduler::OnUsedEndpointsStored() {
+  for (const auto& [id, endpoint] : this->state->endpoints) {
+    endpoint->lapse_stored = endpoint->lapse_taken;
+  }
+}
+
+bool JobScheduler::HasReturnedEndpoints() const {
+  return std::any_of(this->state->endpoints.begin(),
+                     this->state->endpoints.end(), [](const auto& entry) {
+                       const EndpointState& endpoint = *entry.second;
+                       return endpoint.lapse_stored && endpoint.listed &&
+                              endpoint.fenced && endpoint.failed_polls == 0;
+                     });
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Ended endpoints
+//-----------------------------------------------------------------------------
+
+void JobScheduler::OnHostEndpoints(const std::set<EndpointId>& current,
+                                   Instant sent,
+                                   Instant now) {
+  State& state = *this->state;
+  int ended = 0;
+  for (const auto& [id, endpoint] : state.endpoints) {
+    const bool answers =
+        endpoint->fenced && endpoint->listed && endpoint->failed_polls == 0;
+    if (answers || endpoint->process_ended || current.contains(id) ||
+        state.AgeOf(*endpoint, sent) < state.config.host_list_delay) {
+      continue;
+    }
+    endpoint->process_ended = true;
+    ++ended;
+  }
+  if (ended > 0) {
+    state.LogDecision(
+        "decision=endpoints_ended count=" + std::to_string(ended) +
+        " list_age_ms=" +
+        std::to_string(
+            std::chrono::duration_cast<Milliseconds>(now - sent).count()));
+  }
+}
+
+Duration JobScheduler::State::AgeOf(const EndpointState& endpoint,
+                                    Instant at) const {
+  if (endpoint.row.start_time_ms == 0) {
+    return at - endpoint.known_since;
+  }
+  const std::int64_t unix_ms =
+      std::chrono::duration_cast<Milliseconds>(at.time_since_epoch()).count() +
+      this->wall_offset_ms;
+  return Milliseconds(unix_ms - endpoint.row.start_time_ms);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Work that may run unseen
+//-----------------------------------------------------------------------------
+
+void JobScheduler::State::FindUnrecovered(Instant now) {
+  this->unrecovered.clear();
+  this->unpolled_capacity = Resources{};
+  for (const auto& [id, endpoint] : this->endpoints) {
+    const Milliseconds grace =
+        endpoint->listed ? this->config.listed_recovery_grace : Milliseconds{0};
+    if (endpoint->recovered || endpoint->process_ended ||
+        endpoint->lapse_at + grace <= now) {
+      continue;
+    }
+    // The lease of an endpoint that answers is renewed, so that recovery can
+    // last longer than the leases of previous owners.
+    if (endpoint->fenced) {
+      this->unrecovered.insert(endpoint->row.service);
+    } else if (now < this->recovery_ends + grace) {
+      this->unrecovered.insert(endpoint->row.service);
+      if (endpoint->lapse_at > now) {
+        this->unpolled_capacity += endpoint->row.capacity;
+      }
+    }
+  }
+}
+
+bool JobScheduler::State::MayRunUnseen(const ScheduledJob& job) const {
+  if (!job.before_takeover) {
+    return false;
+  }
+  const ServiceId service = this->ServiceOf(job);
+  // Nothing tells where a queue that has moved went before.
+  return service == job.accepted.service ? this->unrecovered.contains(service)
+                                         : !this->unrecovered.empty();
+}
+
+}  // namespace peridot
--- a/src/daemon/owner_rounds.cc
+++ b/src/daemon/owner_rounds.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <map>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -23,6 +24,19 @@
 // for the next round.
 constexpr int kPausesPerTicket = 4;
 
+// Returns the endpoints of the hosts that are not being moved or maintained:
+// both end the endpoint at once.
+std::set<EndpointId> RunningEndpoints(const std::vector<FleetHost>& hosts) {
+  std::set<EndpointId> running;
+  for (const FleetHost& host : hosts) {
+    if (host.state != FleetHostState::kMoving &&
+        host.state != FleetHostState::kMaintenance) {
+      running.insert(host.endpoint);
+    }
+  }
+  return running;
+}
+
 }  // namespace
 
 //-----------------------------------------------------------------------------
@@ -170,8 +184,10 @@
         [this, now](std::optional<std::vector<FleetHost>> hosts) {
           this->owned->reading_hosts = false;
           if (hosts) {
-            this->owned->planner.OnHosts(std::move(*hosts), now,
-                                         this->loop->Now());
+            const Instant received = this->loop->Now();
+            this->owned->scheduler.OnHostEndpoints(RunningEndpoints(*hosts),
+                                                   now, received);
+            this->owned->planner.OnHosts(std::move(*hosts), now, received);
           }
           this->ScheduleRound();
         };
--- /dev/null
+++ b/tests/job_scheduler_takeover_test.cc
@@ -0,0 +1,143 @@
+// Tests of JobScheduler after a takeover: which work may still run unseen.
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <set>
+#include <string>
+
+#include "tests/support/job_simulation.h"
+#include "tests/support/scheduler_fixture.h"
+
+namespace peridot {
+namespace {
+
+using std::chrono::milliseconds;
+
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+constexpr unsigned kMoveSeeds = 20;
+#else
+constexpr unsigned kMoveSeeds = 100;
+#endif
+
+// A new owner with one endpoint that answers and one that does not, and a job
+// that the previous owner may have started on either.
+struct TakeoverFixture : SchedulerFixture {
+  TakeoverFixture()
+      : SchedulerFixture({Endpoint("e1"), Endpoint("e2")},
+                         OwnerEpoch(2),
+                         /*answer_polls=*/false) {
+    this->AnswerPoll(EndpointId("e1"), {});
+    this->scheduler.OnWallClock(1'000'000, this->now);
+    this->scheduler.OnJob(Job("old", 1), RowVersion(0), true, milliseconds(0),
+                          this->now);
+  }
+
+  void ListHosts(const std::set<EndpointId>& current) {
+    this->scheduler.OnHostEndpoints(current, this->now, this->now);
+  }
+};
+
+TEST_CASE("a job of a previous owner starts once the other endpoint has ended",
+          "[job_scheduler]") {
+  // Guards against a service that stands still for the length of a lease after
+  // a takeover: the previous owner moved hosts whose endpoints are still
+  // listed.
+  TakeoverFixture fixture;
+  REQUIRE(fixture.Starts().empty());
+  SECTION("its host runs another endpoint") {
+    fixture.ListHosts({EndpointId("e1"), EndpointId("e3")});
+    CHECK(fixture.Starts().size() == 1);
+  }
+  SECTION("its host still runs it") {
+    fixture.ListHosts({EndpointId("e1"), EndpointId("e2")});
+    CHECK(fixture.Starts().empty());
+  }
+  SECTION("it has left the list of endpoints as well") {
+    fixture.scheduler.OnEndpointUnlisted(EndpointId("e2"), fixture.now);
+    fixture.ListHosts({EndpointId("e1")});
+    CHECK(fixture.Starts().size() == 1);
+  }
+}
+
+TEST_CASE("a young endpoint does not count as ended", "[job_scheduler]") {
+  // Guards against a second run of a task: the list of hosts may not show an
+  // endpoint yet that has just joined and on which a previous owner started it.
+  TakeoverFixture fixture;
+  fixture.rows[1].start_time_ms = 999'000;  // one second ago
+  fixture.scheduler.OnEndpoints(fixture.rows, fixture.now);
+  fixture.ListHosts({EndpointId("e1")});
+  CHECK(fixture.Starts().empty());
+}
+
+TEST_CASE("an endpoint that answers again has not ended", "[job_scheduler]") {
+  // Guards against a list of hosts that is wrong about an endpoint: its report
+  // decides, and the run that it lists is adopted.
+  TakeoverFixture fixture;
+  fixture.ListHosts({EndpointId("e1")});
+  RunningTask running;
+  running.task = TaskName{JobId("old"), 0, 0, 0};
+  running.run = 1;
+  fixture.AnswerPoll(EndpointId("e2"), {.running = {running}});
+  CHECK(fixture.Starts().empty());
+}
+
+TEST_CASE("the capacity of an ended endpoint counts towards no limit",
+          "[job_scheduler]") {
+  // Guards against teams that reach their limit after a takeover because of
+  // endpoints on which nothing can run any more.
+  TakeoverFixture fixture;
+  FleetConfig fleet = Fleet();
+  fleet.teams[TeamId("t")] = TeamConfig{.limit = Resources{3000, 0, 0}};
+  fixture.scheduler.OnFleetConfig(fleet);
+  AcceptedJob job = Job("new", 1);
+  job.team = TeamId("t");
+  fixture.scheduler.OnJob(job, RowVersion(0), false, milliseconds(0),
+                          fixture.now);
+  REQUIRE(fixture.Starts().empty());
+  fixture.ListHosts({EndpointId("e1")});
+  CHECK(fixture.Starts().size() == 2);
+}
+
+TEST_CASE("work on an endpoint that has ended restarts before its lease lapses",
+          "[job_scheduler]") {
+  // Guards against work that waits for the lease of an endpoint whose host has
+  // been taken away.
+  SchedulerFixture fixture({Endpoint("e1"), Endpoint("e2")});
+  fixture.scheduler.OnWallClock(1'000'000, fixture.now);
+  const StartRun start = fixture.StartJob("j");
+  fixture.Confirm(start);
+  const EndpointId lost = start.target.endpoint;
+  const EndpointId other(lost.value == "e1" ? "e2" : "e1");
+  PollEndpoint poll;
+  poll.target = start.target;
+  SECTION("it answers") {
+    fixture.scheduler.OnHostEndpoints({other}, fixture.now, fixture.now);
+    CHECK(fixture.Starts().empty());
+  }
+  SECTION("it does not answer") {
+    fixture.scheduler.OnPollResult(poll, std::nullopt, fixture.now,
+                                   fixture.now);
+    REQUIRE(fixture.Starts().empty());
+    fixture.scheduler.OnHostEndpoints({other}, fixture.now, fixture.now);
+    const std::vector<StartRun> again = fixture.Starts();
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].target.endpoint == other);
+  }
+}
+
+TEST_CASE("seeded simulations with moved hosts break no invariant",
+          "[job_scheduler]") {
+  // Guards against two runs of a task, and tasks that start again after they
+  // were done, when the list of hosts ends the wait for an endpoint.
+  for (unsigned seed = 1; seed <= kMoveSeeds; ++seed) {
+    JobSimulation simulation(
+        JobSimulationOptions{.seed = seed, .move_hosts = true});
+    simulation.RunFor(milliseconds(60000));
+    CAPTURE(seed, simulation.Violations());
+    CHECK(simulation.Violations().empty());
+    CHECK(simulation.FinalJobs() == simulation.Jobs());
+  }
+}
+
+}  // namespace
+}  // namespace peridot
--- a/tests/support/job_simulation.cc
+++ b/tests/support/job_simulation.cc
@@ -37,20 +37,7 @@
       TeamConfig{.weight = 3, .limit = Resources{kLargeTeamMilliCores, 0, 0}};
   this->fleet.teams[TeamId("small")] = TeamConfig{};
   for (int i = 0; i < options.workers; ++i) {
-    WorkerSettings settings;
-    settings.row.id = EndpointId("w" + std::to_string(i));
-    settings.row.start_time_ms = 1;
-    settings.row.service = ServiceId("s");
-    settings.row.zone = ZoneId("z" + std::to_string(i % 2));
-    settings.row.address = "10.0.0." + std::to_string(i) + ":1";
-    settings.row.ready = true;
-    settings.row.capacity = Resources{4000, 8000, 0};
-    settings.row.labels = {"a", "r" + std::to_string(i % 3)};
-    settings.idle_lease_lapses = options.idle_lease_lapses;
-    settings.max_ends_listed = options.max_ends_listed;
-    settings.clock_rate = 0.98 + 0.02 * this->Uniform();
-    this->workers[settings.row.id].model =
-        std::make_unique<WorkerModel>(settings, this->now);
+    this->AddWorker(std::to_string(i), 1);
   }
   if (options.advice) {
     std::vector<EndpointId> ids;
@@ -65,6 +52,72 @@
   this->StartOwner();
   this->After(Milliseconds(0), [this] { this->Round(); });
   this->After(Milliseconds(500), [this] { this->InjectFault(); });
+  if (options.move_hosts) {
+    this->After(Milliseconds(700), [this] { this->MoveHost(); });
+    this->After(Milliseconds(0), [this] { this->ReadHosts(); });
+  }
+}
+
+void JobSimulation::AddWorker(const std::string& id,
+                              std::int64_t start_time_ms) {
+  const std::size_t number = this->workers.size();
+  WorkerSettings settings;
+  settings.row.id = EndpointId("w" + id);
+  settings.row.start_time_ms = start_time_ms;
+  settings.row.service = ServiceId("s");
+  settings.row.zone = ZoneId("z" + std::to_string(number % 2));
+  settings.row.address = "10.0.0." + std::to_string(number) + ":1";
+  settings.row.ready = true;
+  settings.row.capacity = Resources{4000, 8000, 0};
+  settings.row.labels = {"a", "r" + std::to_string(number % 3)};
+  settings.idle_lease_lapses = this->options.idle_lease_lapses;
+  settings.max_ends_listed = this->options.max_ends_listed;
+  settings.clock_rate = 0.98 + 0.02 * this->Uniform();
+  Worker& worker = this->workers[settings.row.id];
+  worker.model = std::make_unique<WorkerModel>(settings, this->now);
+  worker.joined = this->now;
+}
+
+void JobSimulation::MoveHost() {
+  if (this->now - this->start >= this->options.fault_period) {
+    return;
+  }
+  auto target = this->workers.begin();
+  std::advance(target, this->random() % this->workers.size());
+  Worker& worker = target->second;
+  if (!worker.last_row) {
+    worker.last_row = worker.model->Row();
+    worker.listed_until = this->now + Milliseconds(4500);
+    worker.model->Restart(this->now);  // ends all runs
+    worker.disconnected_until = Instant::max();
+    this->After(Milliseconds(1500), [this] {
+      this->AddWorker(
+          "m" + std::to_string(++this->moves),
+          std::chrono::duration_cast<Milliseconds>(this->now.time_since_epoch())
+              .count());
+    });
+  }
+  this->After(Milliseconds(700), [this] { this->MoveHost(); });
+}
+
+void JobSimulation::ReadHosts() {
+  // The list shows a worker up to two seconds after it has joined.
+  const Duration delay = this->RandomMs(0, 2000);
+  std::set<EndpointId> current;
+  for (const auto& [id, worker] : this->workers) {
+    if (!worker.last_row &&
+        (worker.joined == this->start || this->now - worker.joined >= delay)) {
+      current.insert(id);
+    }
+  }
+  const std::uint64_t sender = this->owner_number;
+  const Instant sent = this->now;
+  this->After(this->RandomMs(30, 300), [this, current, sender, sent] {
+    if (sender == this->owner_number) {
+      this->owner->OnHostEndpoints(current, sent, this->now);
+    }
+  });
+  this->After(Milliseconds(500), [this] { this->ReadHosts(); });
 }
 
 void JobSimulation::After(Milliseconds delay, std::function<void()> action) {
@@ -150,7 +203,11 @@
 void JobSimulation::ListWorkers() {
   std::vector<EndpointRow> rows;
   for (const auto& [id, worker] : this->workers) {
-    if (worker.unlisted_until <= this->now) {
+    if (worker.last_row) {
+      if (this->now < worker.listed_until) {
+        rows.push_back(*worker.last_row);
+      }
+    } else if (worker.unlisted_until <= this->now) {
       rows.push_back(worker.model->Row());
     }
   }
@@ -421,8 +478,10 @@
 void JobSimulation::InjectFault() {
   if (this->now - this->start >= this->options.fault_period) {
     for (auto& [id, worker] : this->workers) {
-      worker.disconnected_until = Instant{};
-      worker.unlisted_until = Instant{};
+      if (!worker.last_row) {
+        worker.disconnected_until = Instant{};
+        worker.unlisted_until = Instant{};
+      }
     }
     return;
   }
@@ -430,7 +489,8 @@
   std::advance(target, this->random() % this->workers.size());
   const bool prolongs = target->second.disconnected_until > this->now;
   const auto kind = this->random() % 5;
-  switch (prolongs && !this->options.prolong_cuts ? 0 : kind) {
+  const bool ended = target->second.last_row.has_value();
+  switch (ended ? 4 : prolongs && !this->options.prolong_cuts ? 0 : kind) {
     case 0:
       target->second.model->Restart(this->now);
       break;
--- a/tests/support/job_simulation.h
+++ b/tests/support/job_simulation.h
@@ -33,6 +33,9 @@
   bool change_owners = true;
   bool prolong_cuts = true;    // a worker that is cut off may be cut off again
   bool unlist_workers = true;  // workers leave the list for seconds
+  // Hosts of workers are moved: the worker ends at once, its entry stays listed
+  // for seconds, and another worker joins. The owner reads the list of hosts.
+  bool move_hosts = false;
   bool idle_lease_lapses = true;      // see WorkerSettings
   Milliseconds fault_period{20000};   // faults are injected during this time
   std::size_t max_ends_listed = 500;  // in one report of a worker
@@ -68,6 +71,9 @@
     std::unique_ptr<WorkerModel> model;
     Instant disconnected_until{};
     Instant unlisted_until{};
+    Instant joined{};
+    std::optional<EndpointRow> last_row{};  // set once its host has moved
+    Instant listed_until{};                 // after that
   };
   struct Event {
     Instant at{};
@@ -90,6 +96,9 @@
   void StartOwner();
   void Round();
   void InjectFault();
+  void AddWorker(const std::string& id, std::int64_t start_time_ms);
+  void MoveHost();
+  void ReadHosts();
   void WriteBatch();
   void SendAdvice(const AdviceRequest& call);
   void CheckStart(const StartRun& order, const WorkerModel& worker);
@@ -124,6 +133,7 @@
   std::vector<std::string> violations;
   std::vector<std::string> trace;
   int takeovers = 0;
+  int moves = 0;
 };
 
 }  // namespace peridot
