Leave an expired lease to its holder when the store returns

Cause: an outage of the store that is longer than the lease leaves the lease expired while its holder lives.

Change: a candidate whose own reads of the lease failed waits 400 ms after the store has returned before it probes the holder or claims. A candidate that the store served all the time acts as before, so that an owner that only the store refuses is replaced as fast as before.

Test: owner_task_test "an expired lease is left to its holder when the store returns", which fails before the change.

--- a/src/daemon/owner_task.cc
+++ b/src/daemon/owner_task.cc
@@ -87,12 +87,7 @@
     // The writes of a round renew the lease.
     this->ScheduleRound();
   } else {
-    this->ports->read_one(this->LeaseKey(),
-                          [this, alive = this->alive](const StoreReply& reply) {
-                            if (*alive) {
-                              this->OnLeaseRow(reply);
-                            }
-                          });
+    this->ReadLease();
   }
   const Milliseconds spread{static_cast<std::int64_t>(
       this->random() %
@@ -105,9 +100,36 @@
                     });
 }
 
+void OwnerTask::ReadLease() {
+  this->ports->read_one(this->LeaseKey(),
+                        [this, alive = this->alive](const StoreReply& reply) {
+                          if (*alive) {
+                            this->OnLeaseRow(reply);
+                          }
+                        });
+}
+
+bool OwnerTask::AwaitsHolder() const {
+  return this->store_returned != Instant{} &&
+         this->loop->Now() - this->store_returned <
+             this->config.holder_return_grace &&
+         !this->lease.Row().holder.value.empty();
+}
+
 void OwnerTask::OnLeaseRow(const StoreReply& reply) {
   this->RecordStoreReply(reply);
-  if (reply.outcome != StoreOutcome::kOk || this->releasing) {
+  const bool failed = reply.outcome != StoreOutcome::kOk;
+  if (!failed && this->lease_read_failed) {
+    this->store_returned = this->loop->Now();
+    this->loop->After(this->config.holder_return_grace,
+                      [this, alive = this->alive] {
+                        if (*alive && !this->lease.Held()) {
+                          this->ReadLease();
+                        }
+                      });
+  }
+  this->lease_read_failed = failed;
+  if (failed || this->releasing) {
     return;
   }
   OwnerRow row;
@@ -134,6 +156,9 @@
               {"epoch", std::to_string(row.epoch.value)},
               {"address", row.address}});
   }
+  if (this->AwaitsHolder()) {
+    return;
+  }
   if (this->lease.ShouldClaim(this->StoreMs(), this->loop->Now())) {
     this->Claim();
   } else if (!this->lease.Held()) {
--- a/src/daemon/owner_task.h
+++ b/src/daemon/owner_task.h
@@ -38,6 +38,11 @@
   // Upper bound of the random jitter added to that interval, so that candidates
   // do not claim at the same moment.
   Milliseconds watch_jitter{150};
+  // A candidate whose reads of the lease failed leaves an expired lease to its
+  // holder for this long after the store has returned: the holder, which could
+  // not renew it either, repeats its write within write_retry, and a takeover
+  // would interrupt scheduling.
+  Milliseconds holder_return_grace{400};
   // Minimum delay before a round of decisions; inputs that arrive within it
   // share the round.
   Milliseconds round_delay{2};
@@ -130,7 +135,10 @@
   struct Ownership;  // owner_task.cc
 
   void Watch();
+  void ReadLease();
   void OnLeaseRow(const StoreReply& reply);
+  // Returns whether an expired lease is left to its holder.
+  bool AwaitsHolder() const;
   void ProbeHolder();
   void Claim();
   void OnClaimed(const StoreReply& reply, const OwnerRow& row, Instant sent);
@@ -199,6 +207,8 @@
   bool releasing = false;        // this process is shutting down
   bool release_pending = false;  // the next round releases the lease
   bool claiming = false;
+  bool lease_read_failed = false;    // the last read of the lease
+  Instant store_returned{};          // first successful read after failed ones
   Instant previous_holder_until{};   // end of the lease that preceded the claim
   RowVersion previous_jobs_version;  // newest job that an earlier owner may
                                      // have started
--- a/tests/owner_task_test.cc
+++ b/tests/owner_task_test.cc
@@ -444,6 +444,62 @@
       kLimit));
 }
 
+TEST_CASE("an expired lease is left to its holder when the store returns",
+          "[owner_task]") {
+  // Guards against a takeover at the end of an outage of the store that lasts
+  // longer than the lease: the holder could not renew it and is still there.
+  OwnerFixture fixture;
+  const auto write_row = [&](std::int64_t expires_ms) {
+    StoreTransaction write;
+    write.puts.emplace_back(StoreKey{kOwnerTable, kOwnerPart, kOwnerKey},
+                            EncodeOwner(OwnerRow{.holder = DaemonId("d2"),
+                                                 .instance = "i2",
+                                                 .address = "127.0.0.1:1",
+                                                 .epoch = OwnerEpoch(7),
+                                                 .expires_ms = expires_ms}));
+    fixture.store.Transact(write);
+  };
+  write_row(1);  // long expired
+  const auto read = fixture.ports.read_one;
+  int failed_reads = 0;
+  fixture.ports.read_one = [&](const StoreKey&, StoreCallback done) {
+    ++failed_reads;
+    fixture.Post(std::move(done),
+                 StoreReply{.outcome = StoreOutcome::kNotDone});
+  };
+  fixture.task = std::make_unique<OwnerTask>(
+      fixture.loop.get(), &fixture.ports, fixture.view.get(), &fixture.metrics,
+      fixture.settings, OwnerTaskConfig{},
+      [](const std::string&, int, const auto& done) { (void)done; });
+  fixture.task->Start();
+  REQUIRE(fixture.loop->RunUntil([&] { return failed_reads > 0; }, kLimit));
+  int reads = 0;
+  bool renewed = false;
+  const bool renews = GENERATE(true, false);
+  fixture.ports.read_one = [&](const StoreKey& key, StoreCallback done) {
+    read(key, std::move(done));
+    if (++reads == 1 && renews) {
+      // The holder's own write follows the first read of the candidate.
+      constexpr std::int64_t kFarFuture = 1'000'000'000'000;
+      fixture.loop->Post([&] {
+        renewed = fixture.Row().epoch == OwnerEpoch(7);
+        if (renewed) {
+          write_row(kFarFuture);
+        }
+      });
+    }
+  };
+  if (renews) {
+    REQUIRE(fixture.loop->RunUntil([&] { return reads >= 3; }, kLimit));
+    CHECK(renewed);
+    CHECK(fixture.Row().epoch == OwnerEpoch(7));
+  } else {
+    // A holder that is gone does not keep the lease.
+    CHECK(fixture.loop->RunUntil([&] { return fixture.task->Owns(); }, kLimit));
+    CHECK(fixture.Row().epoch == OwnerEpoch(8));
+  }
+}
+
 TEST_CASE("an owner hands over on request and does not reclaim at once",
           "[owner_task]") {
   // Guards against an owner on a weak host that keeps the lease or claims it
