Measure the arrival rate by the arrival times of jobs

Cause: the rate counted jobs when the owner learned of them and started at zero after a takeover.

Change: ArrivalHistory keeps the arrival time and the work of the jobs of the last 1.5 s. Windows and thresholds stay as they were; the host planner no longer keeps samples.

Tests: arrival_history_test; "jobs that are learned of late count when they arrived" describes what the previous code did wrong.

--- a/src/coordination/host_planner.cc
+++ b/src/coordination/host_planner.cc
@@ -389,7 +389,7 @@
     const auto found = demand.find(service);
     if (found != demand.end()) {
       const ServiceDemand& load = found->second;
-      pool.arrival_rate = this->ArrivalRate(service, load, now);
+      pool.arrival_rate = load.arrival_rate;
       pool.backlog_core_seconds = load.waiting_core_seconds;
       pool.wanted =
           load.long_running_cores +
@@ -440,31 +440,6 @@
   }
 }
 
-double HostPlanner::ArrivalRate(const ServiceId& service,
-                                const ServiceDemand& load,
-                                Instant now) {
-  auto& samples = this->history[service].arrived;
-  samples.push_back({now, load.arrived_core_seconds, load.arrived_jobs});
-  while (now - samples.front().at > this->config.arrival_window) {
-    samples.pop_front();
-  }
-  const auto over = [&](const ArrivalSample& since, Milliseconds window) {
-    return (load.arrived_core_seconds - since.core_seconds) /
-           std::chrono::duration<double>(window).count();
-  };
-  const double arrival_rate =
-      over(samples.front(), this->config.arrival_window);
-  const auto recent = std::find_if(
-      samples.begin(), samples.end(), [&](const ArrivalSample& sample) {
-        return now - sample.at <= this->config.burst_window;
-      });
-  const bool burst =
-      load.arrived_jobs - recent->jobs >= this->config.burst_min_jobs;
-  return burst
-             ? std::max(arrival_rate, over(*recent, this->config.burst_window))
-             : arrival_rate;
-}
-
 HostPlanner::HostRecord* HostPlanner::TakeCheapestHostFor(
     const ServiceId& pool,
     MovableHosts* movable) const {
--- a/src/coordination/host_planner.h
+++ b/src/coordination/host_planner.h
@@ -61,12 +61,6 @@
   // As above for work that is too late to have value to its callers: it must be
   // completed, but must not take hosts from work that can still be in time.
   Milliseconds expired_backlog_drain_time{20000};
-  // Averaging window of the arrival rate.
-  Milliseconds arrival_window{1500};
-  // Shorter window that detects the start of a peak. It counts only if at least
-  // burst_min_jobs arrived within it; fewer jobs may be random variation.
-  Milliseconds burst_window{500};
-  int burst_min_jobs = 8;
   // Fraction of capacity lost to fragmentation when tasks are packed on hosts.
   double fragmentation_overhead = 0.15;
   // No pool releases hosts for this long after a takeover: a new owner has no
@@ -203,14 +197,8 @@
     std::size_t arriving = 0;  // of these, about to enter service
     std::size_t idle = 0;      // of these, without work
   };
-  struct ArrivalSample {
-    Instant at{};
-    double core_seconds = 0;  // total since the takeover
-    int jobs = 0;             // total since the takeover
-  };
   struct PoolHistory {
     std::deque<std::pair<Instant, double>> wanted;
-    std::deque<ArrivalSample> arrived;
     Instant short_since{};  // zero: capacity covers the demand
   };
   using EndpointMap = std::unordered_map<EndpointId, const EndpointSummary*>;
@@ -228,10 +216,6 @@
                     const std::set<ZoneId>& zones_out,
                     Instant now);
   void LogPools(Instant now);
-  // Returns the arrival rate of a service in core-seconds per second.
-  double ArrivalRate(const ServiceId& service,
-                     const ServiceDemand& load,
-                     Instant now);
   void AddHostsToPools(const std::set<ZoneId>& zones_out,
                        HostPlan* plan,
                        Instant now);
--- a/src/coordination/job_scheduler.cc
+++ b/src/coordination/job_scheduler.cc
@@ -164,12 +164,8 @@
     state.recurring.push_back(added);
   }
   state.AddDueOccurrences(added, now);
-  // A job that a previous owner accepted is not part of the arrival rate.
-  if (!before_takeover) {
-    const ServiceId service = state.ServiceOf(*added);
-    state.arrived_core_seconds[service] += state.CoreSeconds(*added, false);
-    ++state.arrived_jobs[service];
-  }
+  state.arrivals[state.ServiceOf(*added)].OnArrival(
+      added->arrived, state.CoreSeconds(*added, false));
   if (state.cancelled_early.erase(id) > 0) {
     this->OnCancel(id, now);
   }
@@ -773,7 +769,7 @@
   return all;
 }
 
-std::map<ServiceId, ServiceDemand> JobScheduler::Demand(Instant now) const {
+std::map<ServiceId, ServiceDemand> JobScheduler::Demand(Instant now) {
   std::map<ServiceId, ServiceDemand> demand;
   for (const auto& [service, config] : this->state->fleet.services) {
     demand[service];
@@ -809,11 +805,8 @@
       }
     }
   }
-  for (const auto& [service, seconds] : this->state->arrived_core_seconds) {
-    demand[service].arrived_core_seconds = seconds;
-  }
-  for (const auto& [service, jobs] : this->state->arrived_jobs) {
-    demand[service].arrived_jobs = jobs;
+  for (auto& [service, arrivals] : this->state->arrivals) {
+    demand[service].arrival_rate = arrivals.Rate(now);
   }
   return demand;
 }
--- a/src/coordination/job_scheduler.h
+++ b/src/coordination/job_scheduler.h
@@ -302,10 +302,9 @@
   double expired_core_seconds = 0;
   double used_cores = 0;          // running now, or long-running
   double long_running_cores = 0;  // of these, long-running work
-  int starved_jobs = 0;  // above 0: a job is ready for starved_after and no
-                         // endpoint accepts it
-  double arrived_core_seconds = 0;  // since the takeover
-  int arrived_jobs = 0;             // since the takeover
+  int starved_jobs = 0;     // above 0: a job is ready for starved_after and no
+                            // endpoint accepts it
+  double arrival_rate = 0;  // core-seconds per second, see ArrivalHistory
 };
 
 //-----------------------------------------------------------------------------
@@ -443,7 +442,7 @@
   // True if an endpoint answers again whose lease lapses by the stored record.
   // It gets no work before OnUsedEndpointsStored().
   bool HasReturnedEndpoints() const;
-  std::map<ServiceId, ServiceDemand> Demand(Instant now) const;
+  std::map<ServiceId, ServiceDemand> Demand(Instant now);
   // Final jobs that were recorded before the instant and may be passed to
   // Forget().
   std::vector<JobId> FinalBefore(Instant instant) const;
--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -19,6 +19,7 @@
 #include <utility>
 #include <vector>
 
+#include "src/coordination/arrival_history.h"
 #include "src/coordination/duration_model.h"
 #include "src/coordination/job_scheduler.h"
 #include "src/coordination/waiting_jobs.h"
@@ -271,8 +272,7 @@
   std::set<EndpointId> cordoned;
   std::map<TeamId, Resources> team_use;
   std::map<std::string, DurationModel> durations;  // by queue
-  std::map<ServiceId, double> arrived_core_seconds;
-  std::map<ServiceId, int> arrived_jobs;
+  std::map<ServiceId, ArrivalHistory> arrivals;
   std::set<ServiceId> unrecovered;  // services with endpoints not recovered yet
   Resources unpolled_capacity;      // total capacity of these endpoints
   Instant recovery_ends{};  // by then the work of previous owners has lapsed
