Keep hosts in reserve for a peak and lend idle ones at once

Change: a pool keeps a quarter of an equal division of the fleet, and lends idle hosts as soon as its present demand fits the rest.

Tests: two cases of host_planner_test; without the change 0 hosts are lent instead of 8, and 18 are released instead of 14.

--- a/src/coordination/host_planner.cc
+++ b/src/coordination/host_planner.cc
@@ -334,13 +334,28 @@
   return host.away && !host.target.value.empty() ? host.target : host.row.pool;
 }
 
+std::size_t HostPlanner::MinPoolHosts() const {
+  const double equal_share = static_cast<double>(this->hosts.size()) /
+                             std::max<double>(1, this->pools.size());
+  return std::max(
+      this->config.min_pool_hosts,
+      static_cast<std::size_t>(this->config.reserve_share * equal_share));
+}
+
 bool HostPlanner::CanReleaseCores(const ServiceId& pool, double cores) const {
   const auto found = this->pools.find(pool);
   return found != this->pools.end() &&
-         found->second.hosts > this->config.min_pool_hosts &&
+         found->second.hosts > this->MinPoolHosts() &&
          found->second.recent <= found->second.capacity - cores;
 }
 
+bool HostPlanner::CanLendCores(const ServiceId& pool, double cores) const {
+  const auto found = this->pools.find(pool);
+  return found != this->pools.end() &&
+         found->second.hosts > this->MinPoolHosts() &&
+         found->second.wanted <= found->second.capacity - cores;
+}
+
 bool HostPlanner::Movable(const HostRecord& host,
                           const std::set<ZoneId>& zones_out,
                           Instant now) const {
@@ -453,7 +468,7 @@
     const bool spare = this->IsSpare(from);
     const double cores =
         static_cast<double>(candidates.back()->row.capacity.milli_cores) / 1000;
-    if (spare ? best == nullptr : this->CanReleaseCores(from, cores)) {
+    if (spare ? best == nullptr : this->CanLendCores(from, cores)) {
       best = &candidates;
       if (!spare) {
         break;
--- a/src/coordination/host_planner.h
+++ b/src/coordination/host_planner.h
@@ -72,6 +72,10 @@
   // Minimum number of hosts in each pool, so that the tasks of the next peak
   // start at once.
   std::size_t min_pool_hosts = 2;
+  // As above, as a share of an equal division of the fleet's hosts among the
+  // pools. A move takes longer than a short job may wait, so the work of the
+  // first seconds of a peak is in time only on hosts that are there already.
+  double reserve_share = 0.25;
   bool moves_enabled = true;
 };
 
@@ -230,7 +234,13 @@
   bool Movable(const HostRecord& host,
                const std::set<ZoneId>& zones_out,
                Instant now) const;
+  // Returns the minimum number of hosts in each pool.
+  std::size_t MinPoolHosts() const;
+  // Returns whether the pool can do without these cores: its demand of the
+  // recent past fits into the rest, or, for a pool that lacks capacity, its
+  // present demand.
   bool CanReleaseCores(const ServiceId& pool, double cores) const;
+  bool CanLendCores(const ServiceId& pool, double cores) const;
   // Returns the pool that the host belongs to or is moving to.
   const ServiceId& PoolOf(const HostRecord& host) const;
   void MarkHostsInOpenWaves();
--- a/tests/host_planner_test.cc
+++ b/tests/host_planner_test.cc
@@ -236,6 +236,58 @@
   CHECK(plan.orders[0].pool == ServiceId("a"));
 }
 
+TEST_CASE("a pool lends idle hosts as soon as its present demand fits the rest",
+          "[host_planner]") {
+  // Guards against a peak that waits while the pool that peaked before it holds
+  // idle hosts for its demand of the recent past.
+  Fleet fleet;
+  std::vector<FleetHost> hosts;
+  for (int i = 0; i < 12; ++i) {
+    hosts.push_back(Host(i, i < 2 ? "a" : "b"));
+    fleet.endpoints.push_back(Summary(i, i < 2 ? "a" : "b"));
+    fleet.endpoints.back().idle = i >= 2;
+  }
+  fleet.planner.OnHosts(hosts, kReady, kReady);
+  fleet.demand[ServiceId("b")].arrival_rate = 280;
+  fleet.Advance(kReady);
+  fleet.demand[ServiceId("b")].arrival_rate = 0;
+  fleet.demand[ServiceId("a")].waiting_core_seconds = 1000;
+  fleet.Advance(kReady + milliseconds(100));
+  const HostPlan plan = fleet.Advance(kReady + milliseconds(300));
+  CHECK(plan.orders.size() == 8);  // two hosts stay in pool b
+  SECTION("but none that its present demand needs") {
+    CHECK(fleet.Advance(kReady + milliseconds(340)).orders.empty());
+  }
+}
+
+TEST_CASE("each pool keeps a share of the fleet in reserve", "[host_planner]") {
+  // Guards against a peak whose first jobs are late because its pool has
+  // released nearly all hosts to the spare pool and a move takes longer than
+  // the jobs may wait.
+  Fleet fleet;
+  std::vector<FleetHost> hosts;
+  for (int i = 0; i < 48; ++i) {
+    const std::string pool = i < 20 ? "a" : i < 40 ? "b" : "off";
+    hosts.push_back(Host(i, pool));
+    if (pool != "off") {
+      fleet.endpoints.push_back(Summary(i, pool));
+    }
+  }
+  fleet.planner.OnHosts(hosts, kStart, kStart);
+  fleet.Advance(kReady);
+  std::map<ServiceId, int> released;
+  for (int ms = 0; ms < 5000; ms += 100) {
+    for (const HostOrder& order :
+         fleet.Advance(kReady + milliseconds(ms)).orders) {
+      const int number = std::stoi(order.host.value.substr(1));
+      ++released[ServiceId(number < 20 ? "a" : "b")];
+    }
+  }
+  // A quarter of the 24 hosts of an equal division stays.
+  CHECK(released[ServiceId("a")] == 14);
+  CHECK(released[ServiceId("b")] == 14);
+}
+
 TEST_CASE("a pool with a large backlog does not starve the others",
           "[host_planner]") {
   // Guards against the backlog of one queue taking the whole spare pool.
