Discard silent connections together when one of them times out

Cause: when all open connections of a host go silent at once, each idle one costs a timeout of its own.

Change: a timeout frees the idle connections to the same peer on which nothing has arrived since the request was sent.

Test: http_client_test "a timeout discards the idle connections that were open before it"; without the change its fourth request gets no answer.

--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -276,6 +276,7 @@
     Callback callback;
     WatchId timer = kNoWatch;
     ConnectionId connection = 0;  // 0: waiting for a connection
+    Instant dispatched{};         // when it got its connection
     bool probing = false;
     bool reused = false;
   };
@@ -326,6 +327,10 @@
   // Removes the connection from the idle ones of its pool.
   void RemoveFromIdle(PeerPool* pool, Connection* connection);
   void CloseLongestIdle();
+  // Frees the idle connections to a peer on which no response has arrived since
+  // then. When a request times out, a network failure may have silenced all
+  // connections that were open at that time; each would cost another timeout.
+  void FreeIdleWithoutResponseSince(const HttpPeer& peer, Instant since);
   void Finish(RequestId id, HttpOutcome outcome);
   void FailRequest(RequestId id,
                    HttpResult result,
@@ -624,6 +629,7 @@
   connection->request_written = false;
   connection->error.reset();
   pending_request->connection = connection->id;
+  pending_request->dispatched = this->loop->Now();
   const HttpRequest& request = pending_request->request;
   evhttp_connection_set_max_body_size(
       connection->evhttp, static_cast<ev_ssize_t>(request.max_response_bytes));
@@ -828,10 +834,29 @@
         this->FreeConnection(connection->id);
       }
     }
+    if (result == HttpResult::kTimeout) {
+      this->FreeIdleWithoutResponseSince(pending_request.peer,
+                                         pending_request.dispatched);
+    }
   }
   this->Finish(id, std::move(outcome));
 }
 
+void HttpClient::Pools::FreeIdleWithoutResponseSince(const HttpPeer& peer,
+                                                     Instant since) {
+  const auto pool = this->peers.find(peer);
+  if (pool == this->peers.end()) {
+    return;
+  }
+  const std::vector<ConnectionId> idle = pool->second.idle;
+  for (const ConnectionId id : idle) {
+    const auto last = this->connections.at(id)->last_response_time;
+    if (!last || *last <= since) {
+      this->FreeConnection(id);
+    }
+  }
+}
+
 void HttpClient::Pools::MarkEnded(Connection* connection) {
   if (connection->ended) {
     return;
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -421,6 +421,26 @@
   REQUIRE(f.AwaitOutcome(2).Answered());
 }
 
+TEST_CASE("a timeout discards the idle connections that were open before it",
+          "[http_client]") {
+  // Guards against a client that spends one timeout on each of its connections
+  // after all of them went silent at once, while new ones work.
+  Fixture f;
+  f.Get("/1");
+  f.Get("/2");
+  f.WriteResponse(0, kOk);
+  f.WriteResponse(1, kOk);
+  f.AwaitOutcome(1);
+  HttpRequest request;
+  request.path = "/3";
+  request.timeout = milliseconds(50);
+  f.Send(request);
+  REQUIRE(f.AwaitOutcome(2).result == HttpResult::kTimeout);
+  f.Get("/4");
+  f.WriteResponse(2, kOk);
+  REQUIRE(f.AwaitOutcome(3).Answered());
+}
+
 TEST_CASE("without a probe path, a request requires a live connection",
           "[http_client]") {
   // Guards against sending a non-idempotent request over a connection whose
