--- a/src/coordination/duration_model.cc
+++ b/src/coordination/duration_model.cc
@@ -14,9 +14,21 @@
 // runs have the same weight.
 constexpr double kNewestWeight = 0.03;
 
+// Spread of declared estimates, which are wrong by a factor of up to ten.
+constexpr double kDeclaredSpread = 0.9;
+
 }  // namespace
 
 void DurationModel::OnDone(Milliseconds declared, Milliseconds actual) {
+  const Milliseconds predicted = this->Predict(declared);
+  if (this->run_count >= kMinRuns && predicted.count() > 0 &&
+      actual.count() > 0) {
+    const double deviation = std::log(static_cast<double>(actual.count()) /
+                                      static_cast<double>(predicted.count()));
+    ++this->deviation_count;
+    this->log_variance += (deviation * deviation - this->log_variance) *
+                          std::max(kNewestWeight, 1.0 / this->deviation_count);
+  }
   ++this->run_count;
   const double weight = std::max(kNewestWeight, 1.0 / this->run_count);
   this->declared_ms +=
@@ -36,4 +48,9 @@
       static_cast<std::int64_t>(this->actual_ms * std::sqrt(relative)));
 }
 
+double DurationModel::Spread() const {
+  return this->deviation_count < kMinRuns ? kDeclaredSpread
+                                          : std::sqrt(this->log_variance);
+}
+
 }  // namespace peridot
--- a/src/coordination/duration_model.h
+++ b/src/coordination/duration_model.h
@@ -30,10 +30,16 @@
   // completed.
   Milliseconds Predict(Milliseconds declared) const;
 
+  // Returns the standard deviation of the logarithm of actual to predicted
+  // durations; that of unreliable estimates until enough runs have completed.
+  double Spread() const;
+
  private:
   int run_count = 0;
   double declared_ms = 0;  // average
   double actual_ms = 0;    // average
+  int deviation_count = 0;
+  double log_variance = 0;  // average square of log(actual / predicted)
 };
 
 }  // namespace peridot
--- a/src/coordination/job_scheduler.h
+++ b/src/coordination/job_scheduler.h
@@ -101,10 +101,6 @@
   Milliseconds stall_timeout{2200};
   double stall_factor = 2.5;
 
-  // How long a task waits for capacity in the rack of its data, relative to the
-  // time it would take elsewhere; after that, a slower endpoint beats waiting
-  // longer.
-  double data_rack_wait_factor = 1.0;
   // Factor by which a task is slower away from its data or across racks.
   double remote_factor = 3.0;
 
@@ -465,6 +461,11 @@
     std::map<std::string, std::uint64_t> advice_by_answer;  // of endpoints
     std::uint64_t polls = 0;
     std::uint64_t polls_failed = 0;
+    // Tasks that waited for room at their preferred place while there was room
+    // elsewhere.
+    std::uint64_t place_waits = 0;
+    std::uint64_t place_waits_at_place = 0;   // of these, started there
+    std::uint64_t place_waits_elsewhere = 0;  // of these, started elsewhere
   };
   const Counters& Counts() const;
 
--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -21,6 +21,7 @@
 
 #include "src/coordination/duration_model.h"
 #include "src/coordination/job_scheduler.h"
+#include "src/coordination/placement_wait.h"
 #include "src/coordination/waiting_jobs.h"
 
 namespace peridot {
@@ -56,6 +57,7 @@
   Instant answered{};                 // when the start was confirmed
   Instant stop_sent{};                // when the last stop order was sent
   bool stop_confirmed = false;        // the endpoint answered the stop order
+  bool waits_for_place = false;       // see StepPlaceWait
   Instant stop_answered{};
   std::string checkpoint;       // newest one reported
   EndpointId avoided_endpoint;  // endpoint of the last failure or refusal
@@ -88,6 +90,16 @@
   Instant waits_since = kNever;
 };
 
+// Wait of a step for room at the place where its tasks run fastest, although
+// there is room elsewhere.
+struct StepPlaceWait {
+  std::string place;  // rack
+  Instant since{};    // begin of the first wait
+  Instant until{};    // latest end, by the last decision
+  PlaceWaitReason reason = PlaceWaitReason::kCostsMore;
+  bool spread = false;  // a gang for which no single rack had room in time
+};
+
 struct ScheduledStep {
   ScheduledJob* job = nullptr;
   int occurrence = 0;
@@ -101,6 +113,8 @@
   Instant ready_since = kNever;  // kNever: earlier steps are not done
   StepAdvice advice;
   RunNumber gang_run = 0;  // last run number used for the whole gang
+  std::unique_ptr<StepPlaceWait> place_wait;  // null: has not waited
+  bool demand_counted = false;                // in RackOutlook::demand
 };
 
 enum class PlaceResult {
@@ -240,6 +254,39 @@
   bool in_turn = false;      // uses the reserved call
 };
 
+// Forecasts of the room in one rack, for the tasks of one service. The claims
+// are those of steps that wait for the rack in the current round.
+struct RackOutlook {
+  // Tasks of equal needs share a forecast.
+  struct Need {
+    int milli_cores = 0;  // number of the interval that holds the value
+    int memory_mb = 0;    // as above
+    std::int64_t accelerators = 0;
+    int max_per_endpoint = 0;
+    std::string label;
+    Milliseconds delay{0};  // before a start, for a ticket
+
+    friend auto operator<=>(const Need&, const Need&) = default;
+  };
+  struct Entry {
+    Instant built{};
+    Instant round{};
+    PlaceForecast base;     // without claims
+    PlaceForecast claimed;  // with the first `applied` claims of the round
+    std::size_t applied = 0;
+  };
+  struct Claim {
+    std::size_t tasks = 0;
+    std::int64_t milli_cores = 0;  // of a task
+    Duration duration{0};
+  };
+  Instant round{};
+  std::vector<Claim> claims;
+  std::size_t waiting = 0;  // sum of the tasks of these claims
+  PlaceDemand demand;
+  std::map<Need, Entry> entries;
+};
+
 struct JobScheduler::State {
   JobSchedulerConfig config;
   Instant started{};
@@ -293,8 +340,10 @@
   std::vector<std::string> decisions;
   std::vector<Resources>
       unplaceable;  // needs that did not fit in this round of a service
-  std::string started_text;  // input of LogStarts()
-  std::string ended_text;    // ends of the report being processed
+  std::map<std::pair<ServiceId, std::string>, RackOutlook> racks;
+  std::vector<EndpointState*> gang_places;  // result of ChooseGangRack()
+  std::string started_text;                 // input of LogStarts()
+  std::string ended_text;  // ends of the report being processed
   SchedulerActions actions;
 
   // Takeovers (job_scheduler_takeover.cc) -----------------------------------
@@ -438,6 +487,57 @@
                                 const QueueConfig* queue,
                                 const std::vector<EndpointState*>& usable,
                                 Instant now) const;
+  // Waits for preferred places (job_scheduler_wait.cc) -----------------------
+  // Returns the rack that the step waits for, if any: that of its data, or the
+  // one in which its group runs. Empty: none.
+  std::string PreferredRack(const ScheduledStep& step) const;
+  // Returns whether the task runs in the rack that its step prefers.
+  bool RunsAtPlace(const ScheduledTask& task,
+                   const EndpointState& endpoint) const;
+  // Returns `found`, another endpoint at the place, or null if the task waits
+  // for its place. Its step has a preference.
+  EndpointState* PreferPlace(ScheduledTask* task,
+                             EndpointState* found,
+                             const QueueConfig* queue,
+                             const std::vector<EndpointState*>& usable,
+                             Instant now);
+  // Decides whether `tasks` tasks, of which this one is the first, wait for
+  // room in the rack, and claims this room if so.
+  bool WaitsForRack(ScheduledTask* task,
+                    std::size_t tasks,
+                    const std::string& rack,
+                    const QueueConfig* queue,
+                    Instant now);
+  // Returns the endpoints among which a gang with a preference is placed, until
+  // the next call; null if it waits.
+  const std::vector<EndpointState*>* ChooseGangRack(
+      ScheduledStep* step,
+      const QueueConfig* queue,
+      const std::vector<EndpointState*>& usable,
+      Instant now);
+  // Adds a step that has a preference and is ready to the demand for its rack.
+  void CountPlaceDemand(ScheduledStep* step, Instant now);
+  // Removes the claims of earlier rounds and returns the outlook of the rack.
+  RackOutlook& OutlookOf(const ScheduledStep& step,
+                         const std::string& rack,
+                         Instant now);
+  PlaceForecast ForecastOf(const ScheduledStep& step,
+                           const std::string& rack,
+                           const QueueConfig* queue,
+                           Instant now);
+  PlaceForecast BuildForecast(const ScheduledStep& step,
+                              const std::string& rack,
+                              Milliseconds delay,
+                              Instant now) const;
+  // Returns the instant from which on the wait of the step began: after a
+  // takeover, the earliest instant at which it may have been ready.
+  Instant PlaceWaitSince(const ScheduledStep& step, Instant now) const;
+  // Records that a task that waited for its place starts on the endpoint.
+  void EndPlaceWait(ScheduledTask* task, const EndpointState& endpoint);
+  std::string ExplainPlaceWait(const ScheduledStep& step, Instant now) const;
+  // A task has completed: adapts the predictions.
+  void LearnDuration(const ScheduledTask& task, Instant now);
+
   // True if a task that needs at most as much did not fit in this round.
   bool IsKnownNotToFit(const StepSpec& spec) const;
   // Returns whether a task of the step fits on the endpoint, apart from advice.
@@ -497,6 +597,17 @@
   return step.advice.refused.contains(endpoint.incarnation);
 }
 
+// Returns whether the tasks run faster in one rack than in others.
+inline bool PrefersPlace(const StepSpec& spec) {
+  return spec.same_rack || !spec.data_rack.empty();
+}
+
+// Labels of an endpoint: the first is its kind, the last is its rack.
+inline std::string RackOf(const EndpointState& endpoint) {
+  return endpoint.row.labels.empty() ? std::string()
+                                     : endpoint.row.labels.back();
+}
+
 // Returns "ID.OCCURRENCE.STEP.INDEX", for logs.
 std::string TaskText(const TaskName& name);
 
--- a/src/coordination/job_scheduler_place.cc
+++ b/src/coordination/job_scheduler_place.cc
@@ -14,12 +14,6 @@
 // Longest time after which the rank of a job follows changed predictions.
 constexpr Milliseconds kRankInterval{2000};
 
-// Labels of an endpoint: the first is its kind, the last is its rack.
-std::string RackOf(const EndpointState& endpoint) {
-  return endpoint.row.labels.empty() ? std::string()
-                                     : endpoint.row.labels.back();
-}
-
 bool IsLongRunning(const ScheduledJob& job) {
   const std::vector<StepSpec>& steps = job.accepted.spec.steps;
   return std::any_of(steps.begin(), steps.end(),
@@ -344,19 +338,6 @@
     const QueueConfig* queue,
     const std::vector<EndpointState*>& usable,
     Instant now) const {
-  // Waits for capacity in the rack of the data while that is faster than
-  // running elsewhere.
-  const bool wait_for_data_rack =
-      !step.spec->data_rack.empty() &&
-      std::any_of(usable.begin(), usable.end(),
-                  [&](const EndpointState* endpoint) {
-                    return HasLabel(*endpoint, step.spec->data_rack) &&
-                           !IsRefused(step, *endpoint);
-                  }) &&
-      now - step.ready_since <
-          Milliseconds(static_cast<std::int64_t>(
-              this->config.data_rack_wait_factor * this->config.remote_factor *
-              static_cast<double>(step.spec->estimate.count())));
   std::string rack;
   if (step.spec->same_rack) {
     for (const ScheduledTask& other : step.tasks) {
@@ -372,8 +353,7 @@
   for (EndpointState* endpoint : usable) {
     const bool near = step.spec->data_rack.empty() ||
                       HasLabel(*endpoint, step.spec->data_rack);
-    if (!this->Accepts(*endpoint, step, queue, now) ||
-        (!near && wait_for_data_rack)) {
+    if (!this->Accepts(*endpoint, step, queue, now)) {
       continue;
     }
     const bool other_rack = !rack.empty() && RackOf(*endpoint) != rack;
@@ -415,6 +395,10 @@
     return PlaceResult::kNoRoom;
   }
   const TeamId& team = step->job->accepted.team;
+  const bool prefers_place = PrefersPlace(*step->spec);
+  if (prefers_place) {
+    this->CountPlaceDemand(step, now);
+  }
   for (ScheduledTask& task : step->tasks) {
     if (task.phase != TaskPhase::kWaiting) {
       continue;
@@ -437,6 +421,12 @@
       }
       return PlaceResult::kPlaced;  // all tasks of a step need the same
     }
+    if (prefers_place) {
+      endpoint = this->PreferPlace(&task, endpoint, queue, usable, now);
+      if (endpoint == nullptr) {
+        continue;  // later tasks would wait longer and may start elsewhere
+      }
+    }
     this->Start(&task, endpoint, now);
   }
   return PlaceResult::kPlaced;
@@ -461,12 +451,19 @@
   if (!this->WithinTeamLimit(step->job->accepted.team, total)) {
     return;
   }
+  const std::vector<EndpointState*>* places = &usable;
+  if (PrefersPlace(*step->spec)) {
+    places = this->ChooseGangRack(step, queue, usable, now);
+    if (places == nullptr) {
+      return;
+    }
+  }
   // Reserves capacity for all members before the first one starts.
   std::vector<EndpointState*> chosen;
   std::vector<Resources> before;
   for (ScheduledTask& task : step->tasks) {
     EndpointState* endpoint =
-        this->ChooseEndpoint(*step, task, queue, usable, now);
+        this->ChooseEndpoint(*step, task, queue, *places, now);
     if (endpoint == nullptr) {
       break;
     }
@@ -504,6 +501,9 @@
 void JobScheduler::State::Start(ScheduledTask* task,
                                 EndpointState* endpoint,
                                 Instant now) {
+  if (task->waits_for_place) {
+    this->EndPlaceWait(task, *endpoint);
+  }
   this->Attach(task, endpoint,
                std::max(task->run, FirstRun(this->config.epoch)) + 1);
   this->SetPhase(task, TaskPhase::kStarting);
--- a/src/coordination/job_scheduler_polls.cc
+++ b/src/coordination/job_scheduler_polls.cc
@@ -94,6 +94,8 @@
     constraint = "advice";
   } else if (accepting == 0) {
     constraint = "placement";
+  } else if (task->waits_for_place) {
+    constraint = "preferred_place";
   }
   const auto used = state.team_use.find(job->accepted.team);
   const auto failed = job->failures.find(NameOf(*task));
@@ -109,7 +111,8 @@
              used == state.team_use.end() ? 0 : used->second.milli_cores) +
          " failures=" +
          std::to_string(failed == job->failures.end() ? 0
-                                                      : failed->second.size());
+                                                      : failed->second.size()) +
+         state.ExplainPlaceWait(step, now);
 }
 
 std::vector<JobId> JobScheduler::WaitingSince(Instant instant) const {
--- a/src/coordination/job_scheduler_runs.cc
+++ b/src/coordination/job_scheduler_runs.cc
@@ -593,11 +593,8 @@
     this->MarkTaskDirty(job, end.task);
   }
   if (current) {
-    if (end.kind == EndKind::kDone && !task->step->spec->long_running &&
-        task->answered != Instant{} && task->step->spec->estimate.count() > 0) {
-      this->durations[job->accepted.queue].OnDone(
-          task->step->spec->estimate,
-          std::chrono::duration_cast<Milliseconds>(now - task->since));
+    if (end.kind == EndKind::kDone) {
+      this->LearnDuration(*task, now);
     }
     this->Detach(task);
     this->SetPhase(task, PhaseWithoutRun(*task));
--- a/src/daemon/owner_housekeeping.cc
+++ b/src/daemon/owner_housekeeping.cc
@@ -175,6 +175,12 @@
                           static_cast<double>(counts.polls));
   this->metrics->SetGauge("owner_looks_failed_count",
                           static_cast<double>(counts.polls_failed));
+  this->metrics->SetGauge("owner_place_waits_count",
+                          static_cast<double>(counts.place_waits));
+  this->metrics->SetGauge("owner_place_waits_at_place_count",
+                          static_cast<double>(counts.place_waits_at_place));
+  this->metrics->SetGauge("owner_place_waits_elsewhere_count",
+                          static_cast<double>(counts.place_waits_elsewhere));
 }
 
 void OwnerTask::LogDecisions() {
