Do not wait for runs and racks that stall

Cause: a rack whose runs outlive their predictions was expected to free up soon, again and again, by each new step.

Change: a forecast includes runs that do not end and places that stall as a whole, and a wait must save at least a tenth.

Test: placement_wait_test "waits for a place are as good as the best alternative", which failed in the case of a rack that never frees up (1166 s against a bound of 1027 s) and passes now.

--- a/src/coordination/placement_wait.cc
+++ b/src/coordination/placement_wait.cc
@@ -19,6 +19,18 @@
 // less than a peak lasts (5 to 10 s).
 constexpr std::chrono::duration<double> kDemandTime{2};
 
+// Share of runs that do not end in any time that matters, such as those of a
+// host that stalls. With it, a run that has far outlived its prediction is
+// expected to go on, and steps do not wait for it.
+constexpr double kStuck = 0.05;
+
+// Share of places that stall as a whole, so that none of their runs ends.
+constexpr double kStalledPlace = 0.01;
+
+// Share of the additional run time elsewhere that a wait must be expected to
+// save. Predictions err, and a slot that is held back may be needed by others.
+constexpr double kLeastGain = 0.1;
+
 // Longest prediction; keeps sums of durations within their range.
 constexpr Duration kLongest = std::chrono::hours(24 * 365);
 
@@ -28,6 +40,56 @@
       std::chrono::duration<double>(std::clamp(seconds, 0.0, longest)));
 }
 
+// Parameters of the log-logistic distribution of the duration of a run.
+struct Shape {
+  explicit Shape(const RunOutlook& run) {
+    const double angle =
+        std::clamp(run.spread, kMinSpread, kMaxSpread) * std::numbers::sqrt3;
+    this->exponent = std::numbers::pi / angle;
+    this->median = std::chrono::duration<double>(run.expected).count() *
+                   std::sin(angle) / angle;
+  }
+
+  // Returns the probability that the run lasts longer than `time`.
+  double Survival(Duration time) const {
+    const double seconds =
+        std::max(0.0, std::chrono::duration<double>(time).count());
+    return kStuck + (1 - kStuck) /
+                        (1 + std::pow(seconds / this->median, this->exponent));
+  }
+
+  double exponent;
+  double median;
+};
+
+// Returns in how many scenarios no run ends, because the whole place stalls: no
+// run has ended since the last one started, which may be unlikely by now.
+std::size_t StalledScenarios(const std::vector<EndpointOutlook>& endpoints) {
+  Duration since_start = Duration::max();
+  for (const EndpointOutlook& endpoint : endpoints) {
+    if (endpoint.free >= 1) {
+      return 0;  // a run may have ended since the last one started
+    }
+    for (const EndpointOutlook::Run& run : endpoint.runs) {
+      since_start = std::min(since_start, run.outlook.age);
+    }
+  }
+  double likelihood = 1;
+  for (const EndpointOutlook& endpoint : endpoints) {
+    for (const EndpointOutlook::Run& run : endpoint.runs) {
+      const Shape shape(run.outlook);
+      if (shape.median > 0) {
+        likelihood *= shape.Survival(run.outlook.age) /
+                      shape.Survival(run.outlook.age - since_start);
+      }
+    }
+  }
+  const double stalled =
+      kStalledPlace / (kStalledPlace + (1 - kStalledPlace) * likelihood);
+  return static_cast<std::size_t>(
+      std::lround(stalled * PlaceForecast::kScenarios));
+}
+
 // Returns the probability that a scenario uses for a run. Each run meets each
 // stratum once, and the strata of different runs are combined differently.
 double ScenarioProbability(std::size_t scenario, std::size_t run) {
@@ -45,20 +107,17 @@
 //-----------------------------------------------------------------------------
 
 Duration RunOutlook::RemainingQuantile(double probability) const {
-  const double mean = std::chrono::duration<double>(this->expected).count();
-  if (mean <= 0) {
+  const Shape shape(*this);
+  if (shape.median <= 0) {
     return Duration{0};
   }
-  const double angle =
-      std::clamp(this->spread, kMinSpread, kMaxSpread) * std::numbers::sqrt3;
-  const double shape = std::numbers::pi / angle;
-  const double median = mean * std::sin(angle) / angle;
-  const double age =
-      std::max(0.0, std::chrono::duration<double>(this->age).count());
-  const double odds = std::pow(age / median, shape);
-  const double total =
-      median * std::pow((1 + odds) / (1 - probability) - 1, 1 / shape);
-  return FromSeconds(total - age);
+  const double left = shape.Survival(this->age) * (1 - probability);
+  if (left <= kStuck) {
+    return kLongest;
+  }
+  const double odds = (1 - kStuck) / (left - kStuck) - 1;
+  return FromSeconds(shape.median * std::pow(odds, 1 / shape.exponent)) -
+         std::max(this->age, Duration{0});
 }
 
 //-----------------------------------------------------------------------------
@@ -70,6 +129,7 @@
   // Absorbs rounding when units are summed.
   constexpr double kTolerance = 1e-6;
   std::vector<std::pair<Duration, double>> ends;
+  const std::size_t stalled = StalledScenarios(endpoints);
   for (std::size_t scenario = 0; scenario < kScenarios; ++scenario) {
     std::vector<Instant>& open = this->openings[scenario];
     std::size_t number = 0;
@@ -92,7 +152,7 @@
       open_up_to(Duration{0});
       for (const auto& [time, freed] : ends) {
         units += freed;
-        open_up_to(time);
+        open_up_to(scenario < stalled ? kLongest : time);
       }
     }
     std::make_heap(open.begin(), open.end(), std::greater<>());
@@ -248,7 +308,8 @@
     return cost;
   };
   const Duration limit = std::min(longest, input.last_useful) - now;
-  double lowest = std::chrono::duration<double>(saving).count() * waits.size();
+  double lowest = (1 - kLeastGain) *
+                  std::chrono::duration<double>(saving).count() * waits.size();
   for (const Duration candidate : waits) {
     if (candidate > limit) {
       break;
