Ask whether a step may run in the rack that it waits for

Cause: a step with a ticket for an endpoint elsewhere asked about no further ones, so that it waited for a rack which the advice service refuses.

Test: placement_wait_test "advice that refuses the rack during a wait ends it", which did not start the task before the change.

--- a/src/coordination/job_scheduler_advice.cc
+++ b/src/coordination/job_scheduler_advice.cc
@@ -173,9 +173,12 @@
     const bool can_start = ready && this->HasRoomFor(*endpoint, step);
     EndpointToAsk ask;
     ask.endpoint = endpoint;
+    ask.far = !step.spec->data_rack.empty() &&
+              !HasLabel(*endpoint, step.spec->data_rack);
     const auto known = advice.allowed.find(endpoint->incarnation);
     if (known != advice.allowed.end()) {
-      ++allowed;
+      // A step that waits for its rack must learn whether it may run there.
+      allowed += ask.far && step.place_wait != nullptr ? 0 : 1;
       ask.renew_after = known->second.renew_after;
       if (!can_start || known->second.expires > now || ask.renew_after > now) {
         continue;
@@ -184,8 +187,6 @@
       continue;
     }
     ask.unknown = known == advice.allowed.end();
-    ask.far = !step.spec->data_rack.empty() &&
-              !HasLabel(*endpoint, step.spec->data_rack);
     ask.failed_calls = FailedCalls(advice, *endpoint);
     candidates.push_back(ask);
   }
--- a/tests/placement_wait_test.cc
+++ b/tests/placement_wait_test.cc
@@ -8,8 +8,10 @@
 #include <catch2/catch.hpp>
 #include <cmath>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "src/coordination/duration_model.h"
@@ -353,5 +355,263 @@
   }
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] Scheduler
+//-----------------------------------------------------------------------------
+
+EndpointRow InRack(const std::string& id, const std::string& rack) {
+  EndpointRow row = Endpoint(id);
+  row.labels = {"a", rack};
+  return row;
+}
+
+// Rack r1 with runs that have just started, and rack r2 with room.
+struct RackFixture : SchedulerFixture {
+  explicit RackFixture(std::vector<EndpointRow> endpoints = {InRack("e1", "r1"),
+                                                             InRack("e2",
+                                                                    "r2")},
+                       int busy = 4,
+                       OwnerEpoch epoch = OwnerEpoch(1))
+      : SchedulerFixture(std::move(endpoints), epoch) {
+    AcceptedJob job = Job("busy", busy);
+    job.spec.steps[0].required_label = "r1";
+    this->Add(job);
+    this->fill = this->Starts();
+    REQUIRE(this->fill.size() == static_cast<std::size_t>(busy));
+    for (const StartRun& start : this->fill) {
+      this->Confirm(start);
+    }
+  }
+
+  void Add(const AcceptedJob& job,
+           bool before_takeover = false,
+           milliseconds age = milliseconds(0)) {
+    this->scheduler.OnJob(job, RowVersion(0), before_takeover, age, this->now);
+  }
+
+  AcceptedJob NearJob() {
+    AcceptedJob job = Job("j", 1);
+    job.spec.steps[0].data_rack = "r1";
+    return job;
+  }
+
+  // Advances in steps of 10 ms until a task starts, for at most 5 s; returns
+  // the time that this took.
+  milliseconds TimeToStart(std::vector<StartRun>* started) {
+    const Instant begin = this->now;
+    while (this->now < begin + seconds(5)) {
+      *started = this->Starts();
+      if (!started->empty()) {
+        break;
+      }
+      this->now += milliseconds(10);
+    }
+    return std::chrono::duration_cast<milliseconds>(this->now - begin);
+  }
+
+  // The last `count` of the first runs complete.
+  void EndFill(int count) {
+    std::map<EndpointId, EndpointReportRows> reports;
+    for (int i = 0; i < count; ++i) {
+      const StartRun& start = this->fill.back();
+      EndpointReportRows& report = reports[start.target.endpoint];
+      report.ended.push_back(
+          End(report.ended.size() + 1, start, EndKind::kDone));
+      this->fill.pop_back();
+    }
+    for (auto& [endpoint, report] : reports) {
+      report.all_ends_listed = false;
+      this->AnswerPoll(endpoint, report);
+    }
+  }
+
+  const JobScheduler::Counters& Counts() { return this->scheduler.Counts(); }
+  std::string Explain() {
+    return this->scheduler.ExplainWait(JobId("j"), this->now);
+  }
+
+  std::vector<StartRun> fill;
+};
+
+TEST_CASE("a task waits for the rack of its data if that frees up soon",
+          "[placement_wait][job_scheduler]") {
+  // Guards against a slow start elsewhere shortly before room opens, and
+  // against a wait that operators cannot see.
+  RackFixture fixture;
+  fixture.now += milliseconds(300);
+  fixture.Add(fixture.NearJob());
+  CHECK(fixture.Starts().empty());
+  for (const char* part : {"constraint=preferred_place", " place=r1",
+                           " since_ms=0", " until_ms=", "reason=saves_time"}) {
+    CHECK_THAT(fixture.Explain(), Catch::Contains(part));
+  }
+  fixture.now += milliseconds(60);
+  fixture.EndFill(1);
+  const std::vector<StartRun> starts = fixture.Starts();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].target.endpoint == EndpointId("e1"));
+  CHECK(fixture.Counts().place_waits == 1);
+  CHECK(fixture.Counts().place_waits_at_place == 1);
+}
+
+TEST_CASE("a task leaves a rack that does not free up",
+          "[placement_wait][job_scheduler]") {
+  // Guards against a wait beyond what the place saves: 2 * 500 ms.
+  RackFixture fixture;
+  fixture.Add(fixture.NearJob());
+  std::vector<StartRun> starts;
+  const milliseconds time = fixture.TimeToStart(&starts);
+  CHECK(time > milliseconds(0));
+  CHECK(time <= milliseconds(1000));
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].target.endpoint == EndpointId("e2"));
+  CHECK(fixture.Counts().place_waits_elsewhere == 1);
+}
+
+TEST_CASE("a task does not wait past its objective",
+          "[placement_wait][job_scheduler]") {
+  // Guards against a wait that makes the job late: elsewhere it takes 1,500 ms
+  // of its 1,700 ms.
+  RackFixture fixture;
+  FleetConfig fleet = Fleet();
+  fleet.queues["q"].objective = milliseconds(1200);
+  fixture.scheduler.OnFleetConfig(fleet);
+  fixture.Add(fixture.NearJob());
+  std::vector<StartRun> starts;
+  CHECK(fixture.TimeToStart(&starts) <= milliseconds(200));
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].target.endpoint == EndpointId("e2"));
+}
+
+TEST_CASE("a rack that becomes unreachable ends the wait",
+          "[placement_wait][job_scheduler]") {
+  // Guards against a wait for runs of endpoints that do not answer.
+  RackFixture fixture;
+  fixture.Add(fixture.NearJob());
+  CHECK(fixture.Starts().empty());
+  PollEndpoint poll;
+  poll.target.endpoint = EndpointId("e1");
+  for (int i = 0; i < 2; ++i) {
+    fixture.scheduler.OnPollResult(poll, std::nullopt, fixture.now,
+                                   fixture.now);
+  }
+  std::vector<StartRun> starts;
+  CHECK(fixture.TimeToStart(&starts) <= milliseconds(30));
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].target.endpoint == EndpointId("e2"));
+}
+
+TEST_CASE("a new owner grants no new wait", "[placement_wait][job_scheduler]") {
+  // Guards against a full wait after each takeover: the job has been ready for
+  // longer than its place saves, and a younger one for a part of that.
+  for (const int age_ms : {3000, 800}) {
+    RackFixture fixture({InRack("e1", "r1"), InRack("e2", "r2")}, 4,
+                        OwnerEpoch(2));
+    fixture.Add(fixture.NearJob(), true, milliseconds(age_ms));
+    std::vector<StartRun> starts;
+    CHECK(fixture.TimeToStart(&starts) <=
+          milliseconds(std::max(0, 1000 - age_ms)));
+    CHECK(starts.size() == 1);
+  }
+}
+
+TEST_CASE("advice that refuses the rack during a wait ends it",
+          "[placement_wait][job_scheduler]") {
+  // Guards against a wait for a rack that may not run the step.
+  RackFixture fixture;
+  FleetConfig fleet = Fleet();
+  fleet.queues["q"].needs_advice = true;
+  fixture.scheduler.OnFleetConfig(fleet);
+  fixture.Add(fixture.NearJob());
+  for (int i = 0; i < 5 && fixture.starts.empty(); ++i) {
+    SchedulerActions actions = fixture.scheduler.Advance(true, fixture.now);
+    fixture.CollectActions(&actions);
+    for (const AdviceRequest& call : std::exchange(fixture.advice, {})) {
+      std::vector<AdviceTicket> tickets;
+      for (const EndpointId& endpoint : call.endpoints) {
+        if (endpoint == EndpointId("e2")) {
+          tickets.push_back(AdviceTicket{endpoint, "t"});
+        }
+      }
+      fixture.scheduler.OnAdvice(call, tickets, milliseconds(0), fixture.now);
+    }
+    fixture.now += milliseconds(1);
+  }
+  REQUIRE(fixture.starts.size() == 1);
+  CHECK(fixture.starts[0].target.endpoint == EndpointId("e2"));
+}
+
+TEST_CASE("a member of a group waits for the rack of the group",
+          "[placement_wait][job_scheduler]") {
+  // Guards against a group that is spread over racks although its rack frees up
+  // soon.
+  RackFixture fixture({InRack("e1", "r1"), InRack("e2", "r2")}, 2);
+  AcceptedJob job = Job("j", 3);
+  job.spec.steps[0].same_rack = true;
+  fixture.now += milliseconds(300);
+  fixture.Add(job);
+  const std::vector<StartRun> first = fixture.Starts();
+  REQUIRE(first.size() == 2);
+  CHECK(first[0].target.endpoint == EndpointId("e1"));
+  fixture.now += milliseconds(60);
+  fixture.EndFill(1);
+  const std::vector<StartRun> next = fixture.Starts();
+  REQUIRE(next.size() == 1);
+  CHECK(next[0].target.endpoint == EndpointId("e1"));
+}
+
+TEST_CASE("a gang waits for one rack", "[placement_wait][job_scheduler]") {
+  // Guards against a gang that is spread over racks although one of them frees
+  // up soon, and against one that waits for ever.
+  for (const bool ends : {true, false}) {
+    RackFixture fixture(
+        {InRack("e1", "r1"), InRack("e2", "r1"), InRack("e3", "r2")}, 4);
+    AcceptedJob job = Job("j", 6);
+    job.spec.steps[0].same_rack = true;
+    job.spec.steps[0].gang = true;
+    fixture.now += milliseconds(300);
+    fixture.Add(job);
+    CHECK(fixture.Starts().empty());
+    fixture.now += milliseconds(60);
+    if (ends) {
+      fixture.EndFill(2);
+    }
+    std::vector<StartRun> starts;
+    CHECK(fixture.TimeToStart(&starts) <= milliseconds(ends ? 0 : 1000));
+    REQUIRE(starts.size() == 6);
+    const auto in_r2 =
+        std::count_if(starts.begin(), starts.end(), [](const StartRun& start) {
+          return start.target.endpoint == EndpointId("e3");
+        });
+    CHECK((in_r2 > 0) == !ends);
+    CHECK(fixture.Counts().place_waits == 1);
+    CHECK(fixture.Counts().place_waits_at_place == (ends ? 1 : 0));
+  }
+}
+
+TEST_CASE("a rack with many waiting steps spills over evenly",
+          "[placement_wait][job_scheduler]") {
+  // Guards against steps that all wait for the same room and then start
+  // elsewhere at the same instant.
+  std::vector<EndpointRow> rows = {InRack("e1", "r1")};
+  for (int i = 2; i < 12; ++i) {
+    rows.push_back(InRack("e" + std::to_string(i), "r2"));
+  }
+  RackFixture fixture(rows);
+  AcceptedJob job = Job("j", 30);
+  job.spec.steps[0].data_rack = "r1";
+  fixture.Add(job);
+  CHECK(fixture.Starts().size() >= 22);  // 8 can have their turn in 1,000 ms
+}
+
+TEST_CASE("a step without a preference starts at once",
+          "[placement_wait][job_scheduler]") {
+  // Guards against waits and records of steps that have no preference.
+  RackFixture fixture;
+  fixture.Add(Job("j", 2));
+  CHECK(fixture.Starts().size() == 2);
+  CHECK(fixture.Counts().place_waits == 0);
+}
+
 }  // namespace
 }  // namespace peridot
