Return the faults and lines of a settings text as values

Cause: a check of a settings file needs the path and line of each fault and of each valid entry, but ParseSettings() returns one message without lines of valid entries, and does not tell a text that is not YAML from one that the schema rejects.

Change: ReadSettingsText() returns the tree, the faults and the lines; ParseSettings() and ParseSettingsRow() use the same reader, and their messages do not change. The generators of random settings documents move unchanged from settings_yaml_test.cc to tests/support, to be used by a second test.

--- a/src/protocol/settings_yaml.cc
+++ b/src/protocol/settings_yaml.cc
@@ -36,26 +36,32 @@
  public:
   explicit SettingsReader(bool is_row) : expects_row(is_row) {}
 
-  Result<SettingsTree> Read(std::string_view text,
-                            std::string_view file,
-                            Revision revision) {
+  SettingsText Read(std::string_view text, Revision revision) {
+    SettingsText result;
     YamlDocument yaml = ReadYaml(text);
     this->faults = std::move(yaml.faults);
-    if (yaml.root.kind != YamlKind::kMapping) {
-      if (this->faults.empty()) {
-        this->Fault(1, "", "a mapping of settings");
+    const bool is_mapping = yaml.root.kind == YamlKind::kMapping;
+    result.is_readable = is_mapping && this->faults.empty();
+    if (is_mapping) {
+      this->ReadRoot(yaml.root);
+      this->AddContentFaults();
+    } else if (this->faults.empty()) {
+      this->Fault(1, "", "a mapping of settings");
+    }
+    if (this->faults.empty()) {
+      if (this->expects_row) {
+        revision = Revision(*this->header.revision);
+      }
+      auto tree = SettingsTree::Create(std::move(this->document), revision);
+      if (tree.has_value()) {
+        result.tree = std::move(tree).value();
+      } else {
+        this->Fault(1, "", tree.error().message);
       }
-      return MakeYamlError(file, std::move(this->faults));
-    }
-    this->ReadRoot(yaml.root);
-    this->AddContentFaults();
-    if (!this->faults.empty()) {
-      return MakeYamlError(file, std::move(this->faults));
-    }
-    if (this->expects_row) {
-      revision = Revision(*this->header.revision);
     }
-    return SettingsTree::Create(std::move(this->document), revision);
+    result.faults = std::move(this->faults);
+    result.lines = std::move(this->lines);
+    return result;
   }
 
   const RowHeader& Header() const { return this->header; }
@@ -70,12 +76,8 @@
     for (const SettingsFault& fault : ValidateSettings(this->document)) {
       const std::string path =
           fault.key_index ? KeyPosition(*fault.key_index) : fault.path;
-      auto line = this->lines.find({path, fault.key});
-      if (line == this->lines.end()) {
-        line = this->lines.find({path, ""});
-      }
       this->Fault(
-          line == this->lines.end() ? 1 : line->second,
+          std::max(1, this->lines.Find(path, fault.key)),
           fault.key.empty() ? fault.path : fault.path + ": " + fault.key,
           fault.expected);
     }
@@ -146,7 +148,7 @@
       this->Fault(entry.key_line, where, KnownKeys(level, other_keys));
       return;
     }
-    this->lines[{path, entry.key}] = entry.key_line;
+    this->lines.Set(path, entry.key, entry.key_line);
     const auto value =
         entry.IsPlain() ? ParseSettingValue(*spec, entry.text) : std::nullopt;
     if (!value) {
@@ -172,12 +174,13 @@
   }
 
   void ReadZones(const YamlNode& zones) {
+    this->lines.Set("/zones", "", zones.key_line);
     if (!this->ExpectMapping(zones, "/zones")) {
       return;
     }
     for (const YamlNode& entry : zones.children) {
       const std::string path = "/zones/" + entry.key;
-      this->lines[{path, ""}] = entry.key_line;
+      this->lines.Set(path, "", entry.key_line);
       if (!entry.IsPlain() || (entry.text != "in" && entry.text != "out")) {
         this->Fault(entry.line, path, "in or out");
         continue;
@@ -247,9 +250,9 @@
       return;
     }
     const std::string position = KeyPosition(this->document.keys.size());
-    this->lines[{position, ""}] = id.key_line;
-    this->lines[{position, "team"}] = team.key_line;
-    this->lines[{position, "digest"}] = digest_node.key_line;
+    this->lines.Set(position, "", id.key_line);
+    this->lines.Set(position, "team", team.key_line);
+    this->lines.Set(position, "digest", digest_node.key_line);
     this->document.keys.push_back(
         {KeyId(id.text), TeamId(team.text), digest.value()});
   }
@@ -260,7 +263,7 @@
     }
     for (const YamlNode& team : teams.children) {
       const std::string path = "/teams/" + team.key;
-      this->lines[{path, ""}] = team.key_line;
+      this->lines.Set(path, "", team.key_line);
       TeamNode& node = this->document.teams[TeamId(team.key)];
       if (!this->ExpectMapping(team, path)) {
         continue;
@@ -277,7 +280,7 @@
     }
     for (const YamlNode& pool : pools.children) {
       const std::string path = "/pools/" + pool.key;
-      this->lines[{path, ""}] = pool.key_line;
+      this->lines.Set(path, "", pool.key_line);
       PoolNode& node = this->document.pools[PoolId(pool.key)];
       if (!this->ExpectMapping(pool, path)) {
         continue;
@@ -301,7 +304,7 @@
     }
     for (const YamlNode& team : teams.children) {
       const std::string path = pool_path + "/teams/" + team.key;
-      this->lines[{path, ""}] = team.key_line;
+      this->lines.Set(path, "", team.key_line);
       PoolTeamNode& node = pool.teams[TeamId(team.key)];
       if (!this->ExpectMapping(team, path)) {
         continue;
@@ -325,7 +328,7 @@
     }
     for (const YamlNode& queue : queues.children) {
       const std::string path = team_path + "/queues/" + queue.key;
-      this->lines[{path, ""}] = queue.key_line;
+      this->lines.Set(path, "", queue.key_line);
       QueueNode& node = team.queues[queue.key];
       if (!this->ExpectMapping(queue, path)) {
         continue;
@@ -341,8 +344,7 @@
   RowHeader header;
   SettingsDocument document;
   std::vector<YamlFault> faults;
-  // Line of each node ("" as key) and of each key of a node.
-  std::map<std::pair<std::string, std::string>, int> lines;
+  SettingsLines lines;
 };
 
 //-----------------------------------------------------------------------------
@@ -515,13 +517,35 @@
 // [SECTION] Public functions
 //-----------------------------------------------------------------------------
 
+int SettingsLines::Find(const std::string& path, const std::string& key) const {
+  auto line = this->lines.find({path, key});
+  if (line == this->lines.end()) {
+    line = this->lines.find({path, ""});
+  }
+  return line == this->lines.end() ? 0 : line->second;
+}
+
+SettingsText ReadSettingsText(std::string_view text, Revision revision) {
+  if (text.size() > kMaxSettingsBytes) {
+    SettingsText result;
+    result.faults.push_back(
+        {1, "", "at most " + std::to_string(kMaxSettingsBytes) + " bytes"});
+    return result;
+  }
+  return SettingsReader(false).Read(text, revision);
+}
+
 Result<SettingsTree> ParseSettings(std::string_view text,
                                    std::string_view file,
                                    Revision revision) {
   if (text.size() > kMaxSettingsBytes) {
     return TooLarge(file);
   }
-  return SettingsReader(false).Read(text, file, revision);
+  SettingsText read = SettingsReader(false).Read(text, revision);
+  if (!read.tree) {
+    return MakeYamlError(file, std::move(read.faults));
+  }
+  return *std::move(read.tree);
 }
 
 std::string FormatSettings(const SettingsDocument& document) {
@@ -537,8 +561,11 @@
     return TooLarge(kRowName);
   }
   SettingsReader reader(true);
-  BOOST_OUTCOME_TRY(tree, reader.Read(value, kRowName, Revision()));
-  return SettingsRow{std::move(tree), *reader.Header().operation_id};
+  SettingsText read = reader.Read(value, Revision());
+  if (!read.tree) {
+    return MakeYamlError(kRowName, std::move(read.faults));
+  }
+  return SettingsRow{*std::move(read.tree), *reader.Header().operation_id};
 }
 
 Result<std::string> FormatSettingsRow(const SettingsRow& row) {
--- a/src/protocol/settings_yaml.h
+++ b/src/protocol/settings_yaml.h
@@ -28,11 +28,14 @@
 #define SRC_PROTOCOL_SETTINGS_YAML_H_
 
 #include <cstddef>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
+#include "src/protocol/yaml_node.h"
 #include "src/state/error.h"
 #include "src/state/settings_tree.h"
 
@@ -45,6 +48,32 @@
 // Equal to the limit of a request body.
 inline constexpr std::size_t kMaxSettingsBytes = 1024UL * 1024UL;
 
+// Line of each node and of each key of a node in a document text.
+class SettingsLines {
+ public:
+  // Returns the line of the key at the path, else that of the node, else 0.
+  int Find(const std::string& path, const std::string& key) const;
+
+  void Set(std::string path, std::string key, int line) {
+    this->lines[{std::move(path), std::move(key)}] = line;
+  }
+
+ private:
+  std::map<std::pair<std::string, std::string>, int> lines;  // key "": the node
+};
+
+// A document text as read by ReadSettingsText().
+struct SettingsText {
+  std::optional<SettingsTree> tree;  // none if there are faults
+  std::vector<YamlFault> faults;     // in reading order
+  bool is_readable = false;          // the text is YAML and holds a mapping
+  SettingsLines lines;               // of the part that could be read
+};
+
+// Parses settings and validates them completely. Unlike ParseSettings() it
+// returns the faults as values, and the lines of nodes and keys.
+SettingsText ReadSettingsText(std::string_view text, Revision revision);
+
 // Parses settings and validates them completely. Fails with kTooLarge or with
 // kInvalidArgument; the message then has one line for each fault, see
 // MakeYamlError(). `file` is the name of the text in messages.
--- a/src/protocol/yaml_node.cc
+++ b/src/protocol/yaml_node.cc
@@ -223,21 +223,32 @@
   return {builder.TakeRoot(), builder.TakeFaults()};
 }
 
-Error MakeYamlError(std::string_view file, std::vector<YamlFault> faults) {
+std::vector<YamlFault> ReportedFaults(std::vector<YamlFault> faults) {
   std::ranges::stable_sort(faults, {}, &YamlFault::line);
+  if (faults.size() > kMaxReportedFaults) {
+    faults.resize(kMaxReportedFaults);
+  }
+  for (YamlFault& fault : faults) {
+    fault.key = Printable(fault.key);
+    fault.expected = Printable(fault.expected);
+  }
+  return faults;
+}
+
+Error MakeYamlError(std::string_view file, std::vector<YamlFault> faults) {
+  const std::size_t count = faults.size();
   std::string message;
-  for (std::size_t i = 0; i < faults.size() && i < kMaxReportedFaults; ++i) {
-    const YamlFault& fault = faults[i];
-    message.append(i == 0 ? "" : "\n").append(file).append(":");
+  for (const YamlFault& fault : ReportedFaults(std::move(faults))) {
+    message.append(message.empty() ? "" : "\n").append(file).append(":");
     message.append(std::to_string(fault.line)).append(": ");
     if (!fault.key.empty()) {
-      message.append(Printable(fault.key)).append(": ");
+      message.append(fault.key).append(": ");
     }
-    message.append("expected ").append(Printable(fault.expected));
+    message.append("expected ").append(fault.expected);
   }
-  if (faults.size() > kMaxReportedFaults) {
+  if (count > kMaxReportedFaults) {
     message.append("\n").append(file).append(": and ");
-    message.append(std::to_string(faults.size() - kMaxReportedFaults));
+    message.append(std::to_string(count - kMaxReportedFaults));
     message.append(" more");
   }
   return MakeError(ErrorCode::kInvalidArgument, "parse", std::string(file),
--- a/src/protocol/yaml_node.h
+++ b/src/protocol/yaml_node.h
@@ -45,9 +45,12 @@
   std::string expected;  // e.g. "true or false"
 };
 
-// Returns an error whose message has one line for each fault, ordered by line
-// number: "FILE:LINE: KEY: expected EXPECTED". Control characters of the text
-// are replaced and long keys are truncated.
+// Returns the faults to report: the first kMaxReportedFaults by line number.
+// Control characters of the text are replaced and long keys are truncated.
+std::vector<YamlFault> ReportedFaults(std::vector<YamlFault> faults);
+
+// Returns an error whose message has one line for each reported fault and the
+// number of omitted faults. The form is "FILE:LINE: KEY: expected EXPECTED".
 Error MakeYamlError(std::string_view file, std::vector<YamlFault> faults);
 
 //-----------------------------------------------------------------------------
--- a/tests/settings_yaml_test.cc
+++ b/tests/settings_yaml_test.cc
@@ -8,10 +8,13 @@
 
 #include "src/protocol/settings_yaml.h"
 #include "src/protocol/yaml_node.h"
+#include "tests/support/any_settings.h"
 
 namespace peridot {
 namespace {
 
+using testing::AnyDocument;
+
 const std::string kDigest(64, 'a');
 const std::string kExample =
     "deadline_ms: 5000\n"
@@ -62,49 +65,6 @@
   REQUIRE(Parse("teams: {counts: }\nzones:\n").FindTeam("counts") != nullptr);
 }
 
-// Often generates names that YAML could read as another type.
-rc::Gen<std::string> AnyName() {
-  return rc::gen::weightedOneOf<std::string>(
-      {{1, rc::gen::elementOf(std::vector<std::string>{
-               "null", "true", "no", "1", "0x1", "1e3", "y", "007", "in"})},
-       {3, rc::gen::suchThat(
-               rc::gen::container<std::string>(
-                   rc::gen::elementOf(std::string("abz019-_"))),
-               [](const std::string& name) { return IsValidName(name); })}});
-}
-
-SettingValues AnyValues(SettingsLevel level) {
-  SettingValues values;
-  for (const SettingSpec& spec : kSettingsSchema) {
-    if (spec.AppliesTo(level) && *rc::gen::arbitrary<bool>()) {
-      values[spec.setting] =
-          *rc::gen::inRange<std::int64_t>(spec.min, spec.max + 1);
-    }
-  }
-  return values;
-}
-
-SettingsDocument AnyDocument() {
-  SettingsDocument document;
-  document.settings = AnyValues(SettingsLevel::kRoot);
-  const auto names =
-      *rc::gen::resize(5, rc::gen::unique<std::vector<std::string>>(AnyName()));
-  for (const std::string& name : names) {
-    document.zones[ZoneId(name)] =
-        *rc::gen::elementOf(std::vector{ZoneState::kIn, ZoneState::kOut});
-    document.teams[TeamId(name)].settings = AnyValues(SettingsLevel::kTeam);
-    document.keys.push_back({KeyId(name), TeamId(name), DigestKeyText(name)});
-    PoolNode& pool = document.pools[PoolId(name)];
-    pool.settings = AnyValues(SettingsLevel::kPool);
-    PoolTeamNode& team = pool.teams[TeamId(name)];
-    team.settings = AnyValues(SettingsLevel::kPoolTeam);
-    for (const std::string& queue : names) {
-      team.queues[queue].settings = AnyValues(SettingsLevel::kQueue);
-    }
-  }
-  return document;
-}
-
 TEST_CASE("every document is unchanged by a round trip as text and as row",
           "[yaml]") {
   // Guards against writing a settings row that cannot be read again, which
