Find settings that have no effect or contradict each other

Cause: settings can be valid and still stop all work of a team, exceed the capacity of a pool or have no effect; operators saw this only after applying them.

Change: CheckSettings() returns typed findings for valid settings, and, if the hosts are known, compares them with the fleet. FindingsOfFaults() does so for rejected texts. RankChanges() orders differences by effect: admission, capacity, timing. All three are pure.

--- a/tests/fuzz/settings_yaml_fuzz.cc
+++ b/tests/fuzz/settings_yaml_fuzz.cc
@@ -1,13 +1,16 @@
 // Fuzz target of the settings parser.
 //
-// Guards against crashes on any text and against accepted settings whose
-// canonical text does not parse to the same settings.
+// Guards against crashes on any text, against accepted settings whose canonical
+// text does not parse to the same settings, and against a check that reports no
+// fault of a rejected text.
 
 #include <cstddef>
 #include <cstdint>
 #include <cstdlib>
 #include <string_view>
 
+#include "src/protocol/settings_check.h"
+#include "src/protocol/settings_effect.h"
 #include "src/protocol/settings_yaml.h"
 
 namespace {
@@ -29,6 +32,21 @@
   }
 }
 
+void CheckFindings(std::string_view text, bool is_valid) {
+  const auto read = peridot::ReadSettingsText(text, peridot::Revision(1));
+  if (read.tree.has_value() != is_valid ||
+      peridot::FindingsOfFaults(read).empty() != is_valid) {
+    std::abort();
+  }
+  if (is_valid) {
+    const peridot::KnownHosts hosts = {
+        {peridot::PoolId("web"), peridot::ZoneId("z1"), peridot::RackId("r1"),
+         peridot::SlotCount(8)}};
+    peridot::CheckSettings(*read.tree, read.lines, hosts);
+    peridot::RankChanges(peridot::DiffSettings({}, read.tree->Document()));
+  }
+}
+
 }  // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
@@ -36,6 +54,7 @@
   const std::string_view text(reinterpret_cast<const char*>(data), size);
   const auto tree =
       peridot::ParseSettings(text, "fuzz.yaml", peridot::Revision(1));
+  CheckFindings(text, tree.has_value());
   if (tree.has_value()) {
     CheckRoundTrip(tree.value());
   }
