Show the slots of endpoints in the list of hosts

Cause: the check of settings against a fleet needs the capacity of a pool, but GET /v1/admin/hosts did not contain the slots of the endpoints.

Change: a daemon keeps the slots of the last report of each endpoint, and returns them as `slots`; the member is absent without a report.

No automated test covers the new member.

--- a/src/daemon/admin_api.cc
+++ b/src/daemon/admin_api.cc
@@ -370,13 +370,17 @@
 void AdminApi::GetHosts(const HttpResponder& responder) {
   json hosts = json::array();
   for (const DispatchTask::HostStatus& host : this->dispatch->Hosts()) {
-    hosts.push_back({{"host", host.listed.host.value},
-                     {"endpoint", host.listed.endpoint.value},
-                     {"pool", host.listed.pool.value},
-                     {"zone", host.listed.zone.value},
-                     {"rack", host.listed.rack.value},
-                     {"leaving", host.leaving},
-                     {"owned", host.owned}});
+    json entry = {{"host", host.listed.host.value},
+                  {"endpoint", host.listed.endpoint.value},
+                  {"pool", host.listed.pool.value},
+                  {"zone", host.listed.zone.value},
+                  {"rack", host.listed.rack.value},
+                  {"leaving", host.leaving},
+                  {"owned", host.owned}};
+    if (host.slots > SlotCount()) {
+      entry["slots"] = host.slots.value;
+    }
+    hosts.push_back(std::move(entry));
   }
   responder.Send(JsonAnswer(hosts));
 }
--- a/src/daemon/dispatch_task.cc
+++ b/src/daemon/dispatch_task.cc
@@ -144,7 +144,7 @@
   hosts.reserve(this->endpoints.size());
   for (const auto& [id, endpoint] : this->endpoints) {
     hosts.push_back({endpoint.host, this->endpoint_membership.IsLeaving(id),
-                     endpoint.owned});
+                     endpoint.owned, endpoint.slots});
   }
   return hosts;
 }
@@ -172,8 +172,10 @@
   std::map<EndpointId, Endpoint> next;
   for (const ListedEndpoint& host : hosts) {
     const auto known = this->endpoints.find(host.endpoint);
-    const bool owned = known != this->endpoints.end() && known->second.owned;
-    next.emplace(host.endpoint, Endpoint{host, owned});
+    const bool is_known = known != this->endpoints.end();
+    next.emplace(host.endpoint,
+                 Endpoint{host, is_known && known->second.owned,
+                          is_known ? known->second.slots : SlotCount()});
   }
   for (const auto& [id, endpoint] : this->endpoints) {
     if (!next.contains(id)) {
@@ -275,6 +277,9 @@
   lease.OnReport(report, sent, now);
   this->endpoint_membership.OnHeartbeat(id, report.boot, report.leaving, now);
   const auto endpoint = this->endpoints.find(id);
+  if (endpoint != this->endpoints.end()) {
+    endpoint->second.slots = report.slots;
+  }
   if (endpoint != this->endpoints.end() && endpoint->second.owned) {
     const PoolId& pool = endpoint->second.host.pool;
     this->outliers.OnEndpoint(id, pool);
--- a/src/daemon/dispatch_task.h
+++ b/src/daemon/dispatch_task.h
@@ -76,6 +76,7 @@
     ListedEndpoint listed;
     bool leaving = false;
     bool owned = false;
+    SlotCount slots;  // as last reported; 0: not known at this daemon
   };
 
   DispatchTask(EventLoop* loop,
@@ -127,6 +128,7 @@
   struct Endpoint {
     ListedEndpoint host;
     bool owned = false;
+    SlotCount slots;  // as last reported; 0: no report
   };
   struct SentDemand {
     std::int64_t waiting = 0;
