Add peridotctl settings check

Cause: operators could only validate a file by applying it, and saw what it changes in the order of paths.

Change: `settings check FILE [--against SERVER]` prints errors with line and path, findings, and with a server the differences in the order of their effect. Its exit codes are 0 (good), 1 (findings) and 2 (not checked, also for wrong arguments). Without a server it needs no key. `--format` is another name of `--output` for all commands.

--- a/src/ctl/command_line.cc
+++ b/src/ctl/command_line.cc
@@ -16,7 +16,7 @@
 
 namespace po = boost::program_options;
 
-constexpr std::array<CommandSpec, 18> kCommands = {{
+constexpr std::array<CommandSpec, 19> kCommands = {{
     {CommandId::kApply, "apply", "-f FILE [--revision N]", 0, 0,
      "file revision", "replace the settings with a file"},
     {CommandId::kGet, "get", "[PATH]", 0, 1, "",
@@ -25,6 +25,8 @@
      "show what applying a file would change"},
     {CommandId::kExplain, "explain", "PATH [SETTING]", 1, 2, "",
      "show the values at a node and where they come from"},
+    {CommandId::kSettingsCheck, "settings check", "FILE [--against SERVER]", 1,
+     1, "against", "report errors and ineffective entries of a file"},
     {CommandId::kKeyGrant, "key grant", "TEAM", 1, 1, "",
      "create a key of a team and print it once"},
     {CommandId::kKeyWithdraw, "key withdraw", "ID", 1, 1, "",
@@ -53,8 +55,8 @@
      "print a completion script for bash"},
 }};
 
-constexpr std::array<const char*, 4> kCommonOptions = {
-    "server", "output", "key-file", "timeout-ms"};
+constexpr std::array<const char*, 5> kCommonOptions = {
+    "server", "output", "format", "key-file", "timeout-ms"};
 
 constexpr std::size_t kMaxIdempotencyKeyLength = 128;
 
@@ -69,9 +71,10 @@
       "server", po::value<std::vector<std::string>>(),
       "IP:PORT of a daemon; may be repeated: the next address "
       "is tried only if no connection was established")(
-      "output", po::value<std::string>()->default_value("table"),
-      "table or json")("key-file", po::value<std::string>(),
-                       "file with the key; default: the variable PERIDOT_KEY")(
+      "output", po::value<std::string>(), "table (default) or json")(
+      "format", po::value<std::string>(), "another name of --output")(
+      "key-file", po::value<std::string>(),
+      "file with the key; default: the variable PERIDOT_KEY")(
       "timeout-ms", po::value<std::string>(), "timeout of one request");
   return options;
 }
@@ -80,6 +83,8 @@
   po::options_description options("Options of single commands");
   options.add_options()("file,f", po::value<std::string>(),
                         "settings (apply, diff) or body (submit)")(
+      "against", po::value<std::string>(),
+      "settings check: IP:PORT of a daemon to compare with")(
       "revision", po::value<std::string>(),
       "apply: revision that the file was made against")(
       "data", po::value<std::string>(), "submit: body")(
@@ -119,7 +124,8 @@
 }
 
 // An argument becomes part of a URL path, so only characters that need no
-// escaping there are allowed. The paths of `get` and `explain` are not sent.
+// escaping there are allowed. The paths of `get`, `explain` and `settings
+// check` are not sent.
 bool IsUrlSafe(const std::string& text) {
   return !text.empty() && text != "." && text != ".." &&
          std::ranges::all_of(text, [](char c) {
@@ -180,6 +186,22 @@
 void ReadServers(const po::variables_map& values,
                  OptionReader& reader,
                  CommandLine& line) {
+  if (line.command == CommandId::kSettingsCheck) {
+    if (reader.Has("server")) {
+      reader.SetError(
+          "--server is not an option of settings check; "
+          "use --against");
+    }
+    if (const auto text = reader.Text("against")) {
+      Result<SocketAddress> address = SocketAddress::Parse(*text);
+      if (address.has_error()) {
+        reader.SetError("--against: " + address.error().message);
+      } else {
+        line.servers.push_back(std::move(address).value());
+      }
+    }
+    return;
+  }
   if (values.count("server") == 0) {
     if (line.command != CommandId::kCompletionBash) {
       reader.SetError("--server: expected the address of a daemon");
@@ -254,8 +276,9 @@
     reader.SetError(std::string("expected: ") + command.words + " " +
                     command.arguments);
   }
-  const bool is_path =
-      line.command == CommandId::kGet || line.command == CommandId::kExplain;
+  const bool is_path = line.command == CommandId::kGet ||
+                       line.command == CommandId::kExplain ||
+                       line.command == CommandId::kSettingsCheck;
   if (!is_path && !std::ranges::all_of(line.arguments, IsUrlSafe)) {
     reader.SetError("expected arguments of letters, digits, '-', '_' and '.'");
   }
@@ -281,6 +304,9 @@
   line.arguments = words;
   OptionReader reader(values);
   line.file = reader.Text("file");
+  if (line.command == CommandId::kSettingsCheck && !words.empty()) {
+    line.file = words.front();
+  }
   line.key_file = reader.Text("key-file");
   CheckOptionsOf(*command, values, reader);
   CheckArguments(*command, line, reader);
@@ -292,7 +318,12 @@
     line.revision = static_cast<std::uint64_t>(*revision);
   }
   line.timeout = TimeoutOf(reader, line);
-  const std::string output = reader.Text("output").value_or("table");
+  const auto format = reader.Text("format");
+  const std::string output =
+      reader.Text("output").value_or(format.value_or("table"));
+  if (format && *format != output) {
+    reader.SetError("expected --output or --format, not both");
+  }
   if (output != "table" && output != "json") {
     reader.SetError("--output: expected table or json");
   }
@@ -333,6 +364,14 @@
   return Interpret(values);
 }
 
+ExitCode ExitCodeOfUsage(const std::vector<std::string>& arguments) {
+  const std::vector<std::string> words = {"settings", "check"};
+  const bool is_check =
+      std::search(arguments.begin(), arguments.end(), words.begin(),
+                  words.end()) != arguments.end();
+  return is_check ? ExitCode::kNotChecked : ExitCode::kUsage;
+}
+
 void PrintUsage(std::ostream& out) {
   constexpr int kCommandWidth = 28;
   out << "usage: peridotctl [OPTIONS] COMMAND\n\nCommands:\n";
--- a/src/ctl/command_line.h
+++ b/src/ctl/command_line.h
@@ -20,6 +20,7 @@
 #include <string>
 #include <vector>
 
+#include "src/ctl/exit_code.h"
 #include "src/protocol/socket_address.h"
 #include "src/state/clock.h"
 #include "src/state/error.h"
@@ -35,6 +36,7 @@
   kGet,
   kDiff,
   kExplain,
+  kSettingsCheck,
   kKeyGrant,
   kKeyWithdraw,
   kKeyList,
@@ -81,11 +83,11 @@
 struct CommandLine {
   CommandId command = CommandId::kStatus;
   std::vector<std::string> arguments;
-  std::vector<SocketAddress> servers;
+  std::vector<SocketAddress> servers;   // `settings check`: at most one
   bool json = false;                    // false: print a table
   std::optional<std::string> key_file;  // none: use PERIDOT_KEY
   Duration timeout{};                   // see kDefaultTimeout
-  std::optional<std::string> file;
+  std::optional<std::string> file;      // of `settings check` too
   std::optional<std::uint64_t> revision;
   SubmitOptions submit;
 };
@@ -111,6 +113,10 @@
 // kInvalidArgument and a message for the operator.
 Result<CommandLine> ParseCommandLine(const std::vector<std::string>& arguments);
 
+// Returns the exit code for arguments that ParseCommandLine() rejects. For
+// `settings check` it is kNotChecked, because 1 means findings there.
+ExitCode ExitCodeOfUsage(const std::vector<std::string>& arguments);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Help and completion
 //-----------------------------------------------------------------------------
--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -10,6 +10,7 @@
 namespace peridot::ctl {
 namespace {
 
+constexpr std::uint64_t kMaxEndpointSlots = 1'000'000;
 constexpr std::string_view kRevisionComment = "# revision: ";
 
 std::optional<std::uint64_t> ParseNumber(std::string_view text) {
@@ -143,4 +144,83 @@
   return ParseSettings(reply.body, "settings", Revision(*revision));
 }
 
+Result<KnownHosts> ParseHostsReply(const HttpReply& reply) {
+  const auto json = nlohmann::json::parse(reply.body, nullptr, false);
+  const Error error =
+      MakeError(ErrorCode::kMalformed, "parse", "server",
+                "expected a JSON list of hosts with pool and zone");
+  if (!json.is_array()) {
+    return error;
+  }
+  KnownHosts hosts;
+  for (const auto& item : json) {
+    if (!item.is_object()) {
+      return error;
+    }
+    const auto text = [&item](const char* name) {
+      const auto member = item.find(name);
+      return member != item.end() && member->is_string()
+                 ? member->get<std::string>()
+                 : std::string();
+    };
+    KnownHost host = {.pool = PoolId(text("pool")),
+                      .zone = ZoneId(text("zone")),
+                      .rack = RackId(text("rack")),
+                      .slots = std::nullopt};
+    if (host.pool.value.empty() || host.zone.value.empty()) {
+      return error;
+    }
+    const auto slots = item.find("slots");
+    // A larger number is no plausible size and could overflow a sum.
+    if (slots != item.end() && slots->is_number_unsigned() &&
+        slots->get<std::uint64_t>() <= kMaxEndpointSlots) {
+      host.slots = SlotCount(slots->get<std::int64_t>());
+    }
+    hosts.push_back(std::move(host));
+  }
+  return hosts;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Settings check
+//-----------------------------------------------------------------------------
+
+std::optional<SettingsText> ReadFileToCheck(const CommandLine& line,
+                                            ExitCode& exit,
+                                            std::ostream& out,
+                                            std::ostream& err) {
+  const Result<std::string> content = ReadFile(*line.file);
+  if (content.has_error()) {
+    err << content.error().message << "\n";
+    exit = ExitCode::kNotChecked;
+    return std::nullopt;
+  }
+  SettingsText text = ReadSettingsText(content.value(), Revision());
+  if (!text.tree) {
+    PrintCheck(FindingsOfFaults(text), std::nullopt, out, line.json);
+    if (text.faults.size() > kMaxReportedFaults) {
+      err << *line.file << ": and " << text.faults.size() - kMaxReportedFaults
+          << " more\n";
+    }
+    exit = text.is_readable ? ExitCode::kFindings : ExitCode::kNotChecked;
+    return std::nullopt;
+  }
+  return text;
+}
+
+ExitCode CheckFile(const SettingsText& text,
+                   const SettingsTree* in_force,
+                   const KnownHosts& hosts,
+                   std::ostream& out,
+                   bool json) {
+  const auto findings = CheckSettings(*text.tree, text.lines, hosts);
+  std::optional<std::vector<RankedChange>> changes;
+  if (in_force != nullptr) {
+    changes =
+        RankChanges(DiffSettings(in_force->Document(), text.tree->Document()));
+  }
+  PrintCheck(findings, changes, out, json);
+  return findings.empty() ? ExitCode::kDone : ExitCode::kFindings;
+}
+
 }  // namespace peridot::ctl
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -3,6 +3,7 @@
 // Index:
 //   [SECTION] Inputs
 //   [SECTION] Requests
+//   [SECTION] Settings check
 //   [SECTION] Command runner
 //   [SECTION] Entry point
 //
@@ -25,6 +26,7 @@
 #include "src/ctl/exit_code.h"
 #include "src/ctl/render.h"
 #include "src/ctl/submit.h"
+#include "src/protocol/settings_check.h"
 #include "src/protocol/settings_yaml.h"
 #include "src/state/error.h"
 #include "src/state/settings_tree.h"
@@ -64,6 +66,31 @@
 // revision header is missing, else as ParseSettings() does.
 Result<SettingsTree> ParseSettingsReply(const HttpReply& reply);
 
+// Parses the response to GET /v1/admin/hosts. Other members of the wrong type
+// are treated as absent. Fails with kMalformed unless it is a list of objects
+// with `pool` and `zone`.
+Result<KnownHosts> ParseHostsReply(const HttpReply& reply);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Settings check
+//-----------------------------------------------------------------------------
+
+// Reads and parses the file of `settings check`. If it cannot be checked,
+// prints the reason or the faults, sets `exit` and returns nothing.
+std::optional<SettingsText> ReadFileToCheck(const CommandLine& line,
+                                            ExitCode& exit,
+                                            std::ostream& out,
+                                            std::ostream& err);
+
+// Checks the settings of a file, which must be valid, and prints the findings.
+// `in_force` is null without a server; otherwise prints the changes too.
+// Returns kDone or kFindings; changes are not findings.
+ExitCode CheckFile(const SettingsText& text,
+                   const SettingsTree* in_force,
+                   const KnownHosts& hosts,
+                   std::ostream& out,
+                   bool json);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Command runner
 //-----------------------------------------------------------------------------
@@ -89,6 +116,8 @@
       case CommandId::kExplain:
       case CommandId::kKeyList:
         return this->ShowSettings();
+      case CommandId::kSettingsCheck:
+        return this->CheckAgainst();
       case CommandId::kKeyGrant:
       case CommandId::kKeyWithdraw:
       case CommandId::kZoneOut:
@@ -254,6 +283,34 @@
     return ExitCode::kDone;
   }
 
+  // Checks a file against the settings and hosts that the server returns.
+  ExitCode CheckAgainst() {
+    ExitCode exit = ExitCode::kDone;
+    const std::optional<SettingsText> text =
+        ReadFileToCheck(this->line, exit, this->out, this->err);
+    if (!text) {
+      return exit;
+    }
+    const std::optional<SettingsTree> in_force = this->Settings(exit);
+    if (!in_force) {
+      return ExitCode::kNotChecked;
+    }
+    HttpRequest request;
+    request.path = "/v1/admin/hosts";
+    const std::optional<HttpReply> reply = this->Send(std::move(request), exit);
+    if (!reply) {
+      return ExitCode::kNotChecked;
+    }
+    const Result<KnownHosts> hosts = ParseHostsReply(*reply);
+    if (hosts.has_error()) {
+      this->err << "The server's hosts cannot be parsed: "
+                << hosts.error().message << "\n";
+      return ExitCode::kNotChecked;
+    }
+    return CheckFile(*text, &*in_force, hosts.value(), this->out,
+                     this->line.json);
+  }
+
   ExitCode Get(const SettingsTree& tree) {
     if (this->line.arguments.empty() && !this->line.json) {
       this->out << FormatWithRevision(tree);
@@ -323,10 +380,16 @@
     PrintBashCompletion(out);
     return ExitCode::kDone;
   }
+  const bool is_check = line.command == CommandId::kSettingsCheck;
+  if (is_check && line.servers.empty()) {
+    ExitCode exit = ExitCode::kDone;
+    const auto text = ReadFileToCheck(line, exit, out, err);
+    return text ? CheckFile(*text, nullptr, {}, out, line.json) : exit;
+  }
   const Result<KeySecret> key = ReadKey(line, variable);
   if (key.has_error()) {
     err << key.error().message << "\n";
-    return ExitCode::kUsage;
+    return is_check ? ExitCode::kNotChecked : ExitCode::kUsage;
   }
   return CommandRunner<S>(line, key.value(), server, out, err).Run();
 }
--- a/src/ctl/exit_code.h
+++ b/src/ctl/exit_code.h
@@ -24,6 +24,10 @@
   kUnknown = 5,      // the request may or may not have taken effect
   kNotInForce = 6,   // change accepted, but not yet in force everywhere
   kFailed = 7,       // the task ran and failed
+
+  // Codes of `settings check`, which also returns kDone.
+  kFindings = 1,    // there are findings
+  kNotChecked = 2,  // no check: invalid arguments, file, or no server
 };
 
 }  // namespace peridot::ctl
--- a/src/ctl/peridotctl_main.cc
+++ b/src/ctl/peridotctl_main.cc
@@ -21,7 +21,7 @@
   if (line.has_error()) {
     std::cerr << "peridotctl: " << line.error().message
               << "; see peridotctl --help\n";
-    return static_cast<int>(peridot::ctl::ExitCode::kUsage);
+    return static_cast<int>(peridot::ctl::ExitCodeOfUsage(arguments));
   }
   // Without this, a server that closes its connection during a write would
   // terminate the program.
--- a/src/ctl/render.cc
+++ b/src/ctl/render.cc
@@ -55,6 +55,18 @@
   return table;
 }
 
+Json JsonOfRows(const Table& table) {
+  Json list = Json::array();
+  for (const auto& row : table.rows) {
+    Json object = Json::object();
+    for (std::size_t i = 0; i < table.columns.size(); ++i) {
+      object[table.columns[i]] = row[i];
+    }
+    list.push_back(std::move(object));
+  }
+  return list;
+}
+
 bool IsAtOrBelow(std::string_view path, std::string_view ancestor) {
   if (ancestor == "/" || path == ancestor) {
     return true;
@@ -70,15 +82,7 @@
 
 void Table::Print(std::ostream& out, bool json) const {
   if (json) {
-    Json list = Json::array();
-    for (const auto& row : this->rows) {
-      Json object = Json::object();
-      for (std::size_t i = 0; i < this->columns.size(); ++i) {
-        object[this->columns[i]] = row[i];
-      }
-      list.push_back(std::move(object));
-    }
-    out << Dump(list) << "\n";
+    out << Dump(JsonOfRows(*this)) << "\n";
     return;
   }
   std::vector<std::size_t> widths;
@@ -251,6 +255,50 @@
   return table;
 }
 
+void PrintCheck(const std::vector<SettingsFinding>& findings,
+                const std::optional<std::vector<RankedChange>>& changes,
+                std::ostream& out,
+                bool json) {
+  Table found{{"severity", "line", "path", "setting", "kind", "message"}, {}};
+  for (const SettingsFinding& finding : findings) {
+    found.rows.push_back(
+        {SeverityName(finding.severity),
+         finding.line == 0 ? "-" : std::to_string(finding.line),
+         finding.path.empty() ? "-" : finding.path,
+         finding.setting.empty() ? "-" : finding.setting,
+         FindingKindName(finding.kind), finding.message});
+  }
+  Table changed{{"effect", "path", "setting", "old", "new"}, {}};
+  if (changes) {
+    for (const auto& [effect, change] : *changes) {
+      changed.rows.push_back({EffectName(effect), change.path, change.setting,
+                              change.old_value.value_or("-"),
+                              change.new_value.value_or("-")});
+    }
+  }
+  if (json) {
+    Json object = {{"findings", JsonOfRows(found)}};
+    if (changes) {
+      object["changes"] = JsonOfRows(changed);
+    }
+    out << Dump(object) << "\n";
+    return;
+  }
+  if (findings.empty()) {
+    out << "no findings\n";
+  } else {
+    found.Print(out, false);
+  }
+  if (changes) {
+    out << "\n";
+    if (changes->empty()) {
+      out << "no changes\n";
+    } else {
+      changed.Print(out, false);
+    }
+  }
+}
+
 Table TableOfKeys(const SettingsDocument& document) {
   Table table{{"id", "team"}, {}};
   for (const TeamKey& key : document.keys) {
--- a/src/ctl/render.h
+++ b/src/ctl/render.h
@@ -8,12 +8,15 @@
 #ifndef SRC_CTL_RENDER_H_
 #define SRC_CTL_RENDER_H_
 
+#include <optional>
 #include <ostream>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "src/ctl/admin_reply.h"
+#include "src/protocol/settings_check.h"
+#include "src/protocol/settings_effect.h"
 #include "src/protocol/settings_yaml.h"
 #include "src/state/error.h"
 #include "src/state/settings_tree.h"
@@ -72,6 +75,14 @@
                                std::string_view path,
                                std::string_view setting);
 
+// Prints the result of `settings check`: the findings, and the changes if there
+// is a server to compare with. As JSON, an object with the lists `findings` and
+// `changes`, the latter only with a server.
+void PrintCheck(const std::vector<SettingsFinding>& findings,
+                const std::optional<std::vector<RankedChange>>& changes,
+                std::ostream& out,
+                bool json);
+
 // Rows of id and team, without the digests.
 Table TableOfKeys(const SettingsDocument& document);
 
--- a/tests/ctl_commands_test.cc
+++ b/tests/ctl_commands_test.cc
@@ -58,10 +58,12 @@
 Outcome Run(std::vector<std::string> arguments,
             const Result<HttpReply>& answer = HttpReply{200, {}, "{}"},
             const char* variable = kKey.c_str()) {
-  arguments.insert(arguments.begin(), {"--server", "127.0.0.1:7000"});
+  if (arguments.empty() || arguments[0] != "settings") {
+    arguments.insert(arguments.begin(), {"--server", "127.0.0.1:7000"});
+  }
   const Result<CommandLine> line = ParseCommandLine(arguments);
   if (line.has_error()) {
-    return {ExitCode::kUsage, "", line.error().message, {}};
+    return {ExitCodeOfUsage(arguments), "", line.error().message, {}};
   }
   FakeServer server;
   server.answer = [&](const HttpRequest& request) -> Result<HttpReply> {
@@ -289,6 +291,95 @@
   REQUIRE(Run({"key", "list"}).out == "id  team\nk1  counts\n");
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] Settings check
+//-----------------------------------------------------------------------------
+
+constexpr const char* kCheckFile = "ctl_test_check.yaml";
+
+Outcome Check(const std::string& text,
+              std::vector<std::string> options = {},
+              const Result<HttpReply>& hosts = HttpReply{200, {}, "[]"},
+              const char* variable = kKey.c_str()) {
+  const TemporaryFile file(kCheckFile, text);
+  options.insert(options.begin(), {"settings", "check", kCheckFile});
+  return Run(options, hosts, variable);
+}
+
+TEST_CASE("settings check has its own exit codes", "[ctl][settings_check]") {
+  // Guards against a script that applies a file because it was not checked.
+  const std::vector<std::string> against = {"--against", "127.0.0.1:7000"};
+  const Outcome good = Check(kSettings, {}, HttpReply{}, nullptr);
+  REQUIRE(good.exit == ExitCode::kDone);
+  REQUIRE(good.out == "no findings\n");
+  REQUIRE(good.requests.empty());
+  REQUIRE(Check(kSettings, against).exit == ExitCode::kDone);
+
+  REQUIRE(Check("run_ms: 1000\n" + kSettings).exit == ExitCode::kFindings);
+  const Outcome invalid = Check("run_ms: 0\n" + kSettings, against);
+  REQUIRE(invalid.exit == ExitCode::kFindings);
+  REQUIRE(invalid.requests.empty());
+
+  REQUIRE(Check("[").exit == ExitCode::kNotChecked);
+  REQUIRE(Check("").exit == ExitCode::kNotChecked);
+  REQUIRE(Check(std::string(kMaxSettingsBytes + 1, '#')).exit ==
+          ExitCode::kNotChecked);
+  REQUIRE(Run({"settings", "check", "no_such_file"}).exit ==
+          ExitCode::kNotChecked);
+  for (const Result<HttpReply>& answer : std::vector<Result<HttpReply>>{
+           LostResponseError(), HttpReply{200, {}, "no JSON"},
+           HttpReply{200, {}, "[7]"}, HttpReply{200, {}, R"([{"pool":"p"}])"},
+           Refusal(403, R"("ran":"no")")}) {
+    const Outcome outcome = Check(kSettings, against, answer);
+    CHECK(outcome.exit == ExitCode::kNotChecked);
+    CHECK_FALSE(outcome.err.empty());
+  }
+  REQUIRE(Check(kSettings, against, HttpReply{}, nullptr).exit ==
+          ExitCode::kNotChecked);
+  for (const auto& options : std::vector<std::vector<std::string>>{
+           {"more"},
+           {"--against", "localhost"},
+           {"--server", "127.0.0.1:7000"},
+           {"-f", "b"},
+           {"--format", "xml"},
+           {"--format", "json", "--output", "table"}}) {
+    const Outcome outcome = Check(kSettings, options);
+    CAPTURE(options, outcome.err);
+    CHECK(outcome.exit == ExitCode::kNotChecked);
+    CHECK_FALSE(outcome.err.empty());
+  }
+}
+
+TEST_CASE("settings check prints findings and changes by effect",
+          "[ctl][settings_check]") {
+  const std::vector<std::string> against = {"--against", "127.0.0.1:7000"};
+  // Slots of the wrong type are treated as not known.
+  const HttpReply hosts = {
+      200,
+      {},
+      R"([{"pool":"web","zone":"z1","rack":"r1","slots":-1},{"pool":"web","zone":"z2"}])"};
+  std::string text = "run_ms: 1000\n" + kSettings;
+  text.replace(text.find("z1: in"), 6, "z1: out");
+  const Outcome table = Check(text, against, hosts);
+  CAPTURE(table.out);
+  REQUIRE(table.exit == ExitCode::kFindings);
+  REQUIRE(table.out.starts_with(
+      "severity  line  path        setting  kind                message\n"
+      "warning   -     /zones/z2   -        zone_not_listed     "));
+  REQUIRE(
+      table.out.ends_with("effect     path       setting  old  new\n"
+                          "admission  /zones/z1  state    in   out\n"
+                          "timing     /          run_ms   -    1000\n"));
+  std::vector<std::string> options = against;
+  options.insert(options.end(), {"--format", "json"});
+  const auto json = nlohmann::json::parse(Check(text, options, hosts).out);
+  REQUIRE(json["findings"].size() == 4);
+  REQUIRE(json["findings"][3]["kind"] == "redundant_value");
+  REQUIRE(json["findings"][3]["line"] == "1");
+  REQUIRE(json["changes"].size() == 2);
+  REQUIRE(Check("x\x80: \x01", {"--format", "json"}).exit != ExitCode::kDone);
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Requests
 //-----------------------------------------------------------------------------
