--- a/src/coordination/job_scheduler.h
+++ b/src/coordination/job_scheduler.h
@@ -59,6 +59,9 @@
 
   // The list of hosts may not show an endpoint yet that is younger than this.
   Milliseconds host_list_delay{3000};
+  // A list of hosts that names a smaller share of the listed endpoints is
+  // ignored as incomplete. Moves of the emptiest pools end about two thirds.
+  double min_host_list_share = 0.25;
 
   // Long-poll time: how long a poll waits for a run to end. Bounds the age of
   // the last report of an endpoint on which no run ends.
--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -353,6 +353,11 @@
   // Returns whether a previous owner may have started a run of the job on an
   // endpoint that was not polled yet.
   bool MayRunUnseen(const ScheduledJob& job) const;
+  // Returns whether the list of hosts seems to be complete. It is not if it
+  // omits an endpoint that has answered since it was requested, or most of
+  // those that are listed.
+  bool IsPlausibleHostList(const std::set<EndpointId>& current,
+                           Instant sent) const;
   // Time since the endpoint's process started, or since it became known.
   Duration AgeOf(const EndpointState& endpoint, Instant at) const;
 
--- a/src/coordination/job_scheduler_takeover.cc
+++ b/src/coordination/job_scheduler_takeover.cc
@@ -81,6 +81,11 @@
                                    Instant sent,
                                    Instant now) {
   State& state = *this->state;
+  if (!state.IsPlausibleHostList(current, sent)) {
+    state.LogDecision("decision=host_list_ignored endpoints=" +
+                      std::to_string(current.size()));
+    return;
+  }
   int ended = 0;
   for (const auto& [id, endpoint] : state.endpoints) {
     const bool answers =
@@ -101,6 +106,28 @@
   }
 }
 
+bool JobScheduler::State::IsPlausibleHostList(
+    const std::set<EndpointId>& current,
+    Instant sent) const {
+  std::size_t expected = 0;
+  std::size_t present = 0;
+  for (const auto& [id, endpoint] : this->endpoints) {
+    if (!endpoint->listed || endpoint->excluded ||
+        this->AgeOf(*endpoint, sent) < this->config.host_list_delay) {
+      continue;
+    }
+    ++expected;
+    if (current.contains(id)) {
+      ++present;
+    } else if (endpoint->fenced && endpoint->failed_polls == 0 &&
+               endpoint->clock_read > sent) {
+      return false;
+    }
+  }
+  return static_cast<double>(present) >=
+         this->config.min_host_list_share * static_cast<double>(expected);
+}
+
 Duration JobScheduler::State::AgeOf(const EndpointState& endpoint,
                                     Instant at) const {
   if (endpoint.row.start_time_ms == 0) {
--- a/tests/job_scheduler_takeover_test.cc
+++ b/tests/job_scheduler_takeover_test.cc
@@ -59,6 +59,21 @@
   }
 }
 
+TEST_CASE("an incomplete list of hosts ends no endpoint", "[job_scheduler]") {
+  // Guards against a second run of a task: a platform without hosts, or one
+  // whose list omits some of them, says nothing about endpoints.
+  TakeoverFixture fixture;
+  SECTION("it is empty") {
+    fixture.ListHosts({});
+  }
+  SECTION("it omits an endpoint that has answered since") {
+    const Instant sent = fixture.now;
+    fixture.AnswerPoll(EndpointId("e1"), {});
+    fixture.scheduler.OnHostEndpoints({EndpointId("e3")}, sent, fixture.now);
+  }
+  CHECK(fixture.Starts().empty());
+}
+
 TEST_CASE("a young endpoint does not count as ended", "[job_scheduler]") {
   // Guards against a second run of a task: the list of hosts may not show an
   // endpoint yet that has just joined and on which a previous owner started it.
