--- a/src/daemon/daemon_config.cc
+++ b/src/daemon/daemon_config.cc
@@ -1,10 +1,12 @@
 #include "src/daemon/daemon_config.h"
 
 #include <array>
+#include <charconv>
 #include <fstream>
 #include <iterator>
 #include <optional>
 #include <set>
+#include <system_error>
 #include <utility>
 #include <vector>
 
@@ -52,6 +54,17 @@
   return false;
 }
 
+// Reads a number from 1 to 1,000,000.
+template <std::size_t DaemonConfig::*kField>
+bool ReadCount(const std::string& text, DaemonConfig& config) {
+  std::size_t count = 0;
+  const char* const end = text.data() + text.size();
+  const auto [rest, error] = std::from_chars(text.data(), end, count);
+  config.*kField = count;
+  return error == std::errc() && rest == end && count >= 1 &&
+         count <= 1'000'000;
+}
+
 // One key of the file, how it is parsed and the expected value for errors.
 struct FieldSpec {
   const char* name;
@@ -62,12 +75,14 @@
 
 constexpr const char* kExpectedName = "a name of lower-case letters and digits";
 
+constexpr const char* kExpectedCount = "a number from 1 to 1000000";
+
 template <SocketAddress DaemonConfig::*kField>
 bool ReadAddressField(const std::string& text, DaemonConfig& config) {
   return ReadAddress(text, config.*kField);
 }
 
-constexpr std::array<FieldSpec, 9> kFields = {{
+constexpr std::array<FieldSpec, 11> kFields = {{
     {"daemon", kExpectedName, true,
      [](const std::string& text, DaemonConfig& config) {
        return ReadName(text, config.daemon.value);
@@ -94,6 +109,9 @@
      [](const std::string& text, DaemonConfig& config) {
        return ReadLogLevel(text, config.log_level);
      }},
+    {"memory_mb", kExpectedCount, false, ReadCount<&DaemonConfig::memory_mb>},
+    {"max_descriptors", kExpectedCount, false,
+     ReadCount<&DaemonConfig::max_descriptors>},
 }};
 
 const FieldSpec* FindField(std::string_view name) {
--- a/src/daemon/daemon_config.h
+++ b/src/daemon/daemon_config.h
@@ -14,6 +14,8 @@
 //   membership: 10.0.0.4:7300
 //   admin_key_digest: 64 hexadecimal digits
 //   log_level: info
+//   memory_mb: 160
+//   max_descriptors: 4096
 
 #ifndef SRC_DAEMON_DAEMON_CONFIG_H_
 #define SRC_DAEMON_DAEMON_CONFIG_H_
@@ -48,6 +50,8 @@
   SocketAddress membership;    // required
   KeyDigest admin_key_digest;  // required; valid like granted keys
   LogLevel log_level = LogLevel::kInfo;
+  std::size_t memory_mb = 0;        // memory of the host; 0: not stated
+  std::size_t max_descriptors = 0;  // of the process; 0: not stated
 
   // Parses and validates a configuration. Fails with kTooLarge or with
   // kInvalidArgument; the message of the latter has one line per fault, see
--- a/tests/daemon_config_test.cc
+++ b/tests/daemon_config_test.cc
@@ -38,6 +38,20 @@
           LogLevel::kInfo);
 }
 
+TEST_CASE("the limits of the host are read as positive numbers", "[config]") {
+  // Guards against a limit that is ignored because it cannot be read.
+  const DaemonConfig config =
+      DaemonConfig::Parse(kGood + "memory_mb: 160\nmax_descriptors: 4096\n",
+                          "d.yaml")
+          .value();
+  REQUIRE(config.memory_mb == 160);
+  REQUIRE(config.max_descriptors == 4096);
+  for (const char* bad : {"0", "-1", "1.5", "64MB", "99999999999999999999"}) {
+    REQUIRE(FaultsOf(kGood + "memory_mb: " + bad + "\n") ==
+            "d.yaml:9: memory_mb: expected a number from 1 to 1000000\n");
+  }
+}
+
 TEST_CASE("parsing a daemon configuration reports every fault", "[config]") {
   // Guards against a daemon that starts with an incomplete or partly ignored
   // configuration.
@@ -66,7 +80,8 @@
           "d.yaml:7: admin_key_digest: expected 64 hexadecimal digits\n"
           "d.yaml:8: log_level: expected one of debug, info, warn, error\n"
           "d.yaml:9: port: expected one of daemon, zone, listen, peer_listen, "
-          "table, objects, membership, admin_key_digest, log_level\n"
+          "table, objects, membership, admin_key_digest, log_level, "
+          "memory_mb, max_descriptors\n"
           "d.yaml:10: daemon: expected a key once; it is also on line 1");
   REQUIRE(FaultsOf("") == "d.yaml:1: expected a mapping");
   REQUIRE(FaultsOf("daemon: [") != "");
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -101,8 +101,9 @@
   int daemons = 3;  // alternately in zones z1 and z2
   int limit = 6;    // running tasks of kNonIdempotentTeam
   int run_ms = 30;
-  int endpoints = 2;  // per zone
-  int slots = 4;      // per endpoint
+  int endpoints = 2;     // per zone
+  int slots = 4;         // per endpoint
+  std::string config{};  // further lines of each daemon's configuration
 };
 
 // Not thread-safe: call it only from the thread that constructed it.
@@ -324,7 +325,8 @@
          << "table: " << local(this->table)
          << "objects: " << local(this->objects)
          << "membership: " << local(this->membership)
-         << "admin_key_digest: " << this->admin.Digest().Hex() << "\n";
+         << "admin_key_digest: " << this->admin.Digest().Hex() << "\n"
+         << this->options.config;
   }
 
   void ApplyFirstSettings() {
