Bound what the requests of a listener hold

libevhtp stores what clients send before the server decides whether to accept it, and nothing bounded the sum over all connections. Each listener now has a budget of bytes and connections, and limits on heads, leading line breaks and the time that a request takes to arrive.

Line breaks before a request line are removed: the library did not advance past them, so such a request was never answered.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -124,6 +124,10 @@
   HttpServerOptions server_options;
   server_options.address = this->config.listen.ip;
   server_options.port = this->config.listen.port;
+  server_options.receive =
+      DivideLimits(this->config.memory_mb, this->config.max_descriptors)
+          .callers;
+  server_options.metrics = &this->metrics;
   server_options.format_fault = MakeFaultAnswer;
   BOOST_OUTCOME_TRY(created_server,
                     HttpServer::Create(this->loop.get(), server_options));
--- a/src/daemon/fleet_node.cc
+++ b/src/daemon/fleet_node.cc
@@ -41,11 +41,17 @@
 }
 
 Result<std::unique_ptr<HttpServer>> ListenOn(EventLoop* loop,
-                                             const std::string& address) {
+                                             const std::string& address,
+                                             const ReceiveLimits& limits,
+                                             const char* listener,
+                                             Metrics* metrics) {
   BOOST_OUTCOME_TRY(parsed, SocketAddress::Parse(address));
   HttpServerOptions options;
   options.address = parsed.ip;
   options.port = parsed.port;
+  options.receive = limits;
+  options.listener = listener;
+  options.metrics = metrics;
   return HttpServer::Create(loop, options);
 }
 
@@ -118,14 +124,20 @@
 }
 
 Result<void> FleetNode::Listen() {
-  BOOST_OUTCOME_TRY(callers_server,
-                    ListenOn(this->loop, this->settings.caller_address));
+  BOOST_OUTCOME_TRY(
+      callers_server,
+      ListenOn(this->loop, this->settings.caller_address,
+               this->settings.listeners.callers, "callers", &this->metrics));
   this->callers = std::move(callers_server);
   BOOST_OUTCOME_TRY(readiness_server,
-                    ListenOn(this->loop, this->settings.readiness_address));
+                    ListenOn(this->loop, this->settings.readiness_address,
+                             this->settings.listeners.readiness, "readiness",
+                             &this->metrics));
   this->readiness = std::move(readiness_server);
-  BOOST_OUTCOME_TRY(internal_server,
-                    ListenOn(this->loop, this->settings.internal_address));
+  BOOST_OUTCOME_TRY(
+      internal_server,
+      ListenOn(this->loop, this->settings.internal_address,
+               this->settings.listeners.peers, "peers", &this->metrics));
   this->internal = std::move(internal_server);
   for (const HttpMethod method :
        {HttpMethod::kGet, HttpMethod::kPost, HttpMethod::kDelete}) {
--- a/src/daemon/fleet_ports.h
+++ b/src/daemon/fleet_ports.h
@@ -21,6 +21,7 @@
 #include "src/coordination/job_scheduler.h"
 #include "src/coordination/owner_lease.h"
 #include "src/state/error.h"
+#include "src/transport/receive_budget.h"
 
 namespace peridot {
 
@@ -156,6 +157,7 @@
   std::string internal_address;   // "ip:port"
   std::string readiness_path;
   Milliseconds drain{5000};  // from SIGTERM to the exit of the process
+  ListenerLimits listeners = DivideLimits(0, 0);
   StoreLimits store;
   JobSchedulerConfig scheduler;
   OwnerLeaseConfig lease;
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -8,17 +8,34 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
+#include <cstring>
 #include <optional>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
+#include "src/transport/log.h"
+
 namespace peridot {
 namespace {
 
 // Interval between checks for idle connections during a stop.
 constexpr Duration kStopCheckInterval = std::chrono::milliseconds(10);
 
+// Interval between checks for requests that take too long, and between reports
+// of metrics and refusals.
+constexpr Duration kReceiveCheckInterval = std::chrono::seconds(1);
+
+// Unparsed bytes of a connection above which the server stops reading from it,
+// for example while a pipelined request waits for the response to the one
+// before. A read takes at most 16 KiB.
+constexpr std::size_t kMaxUnparsedBytes = 32 << 10;
+
+// Characters of a header line besides its name and value: ": " and CRLF.
+constexpr std::size_t kHeaderLineExtra = 4;
+
 timeval ToTimeval(Duration duration) {
   const auto us =
       std::chrono::duration_cast<std::chrono::microseconds>(duration);
@@ -70,6 +87,25 @@
                            evhtp_header_new(name.c_str(), value.c_str(), 1, 1));
 }
 
+// Removes line breaks from the front. Must not be called within a request.
+void DrainLineBreaks(evbuffer* input) {
+  for (;;) {
+    evbuffer_iovec front{};
+    if (evbuffer_peek(input, -1, nullptr, &front, 1) < 1 ||
+        front.iov_len == 0) {
+      return;
+    }
+    const std::string_view bytes(static_cast<const char*>(front.iov_base),
+                                 front.iov_len);
+    const std::size_t breaks =
+        std::min(bytes.find_first_not_of("\r\n"), bytes.size());
+    if (breaks == 0) {
+      return;
+    }
+    evbuffer_drain(input, breaks);
+  }
+}
+
 bool HasLineBreak(const HttpHeader& header) {
   return (header.name + header.value)
              .find_first_of(std::string_view("\r\n\0", 3)) != std::string::npos;
@@ -119,7 +155,9 @@
   using ExchangeId = std::uint64_t;
 
   Core(EventLoop* loop, HttpServerOptions options)
-      : loop(loop), options(std::move(options)) {}
+      : loop(loop),
+        options(std::move(options)),
+        budget(this->options.receive) {}
   Core(const Core&) = delete;
   Core& operator=(const Core&) = delete;
   ~Core() { this->Shutdown(); }
@@ -136,12 +174,25 @@
 
  private:
   struct Connection {
+    // Fixed for the life of the connection.
+    Core* core = nullptr;
+    evhtp_connection_t* handle = nullptr;
+    ReceiveAccount* account = nullptr;
+    std::uint64_t number = 0;
+
+    // Of the current request.
     bool receiving = false;  // from the first header to the end of the response
-    std::size_t header_bytes = 0;
-    std::size_t body_bytes = 0;
     HttpServerFault fault = HttpServerFault::kNone;
     ExchangeId exchange = 0;  // 0: still reading or response already sent
     Instant idle_since{};
+
+    void Reset(Instant now) {
+      this->receiving = false;
+      this->fault = HttpServerFault::kNone;
+      this->exchange = 0;
+      this->idle_since = now;
+      this->core->budget.OnAnswered(this->account, now);
+    }
   };
 
   struct RouteEntry {
@@ -166,6 +217,12 @@
   static evhtp_res OnRequestEnd(evhtp_request_t* request, void* core);
   static evhtp_res OnConnectionEnd(evhtp_connection_t* connection, void* core);
   static void OnRequest(evhtp_request_t* request, void* core);
+  static void OnInput(evbuffer* input,
+                      const evbuffer_cb_info* change,
+                      void* connection);
+  static void OnOutput(evbuffer* output,
+                       const evbuffer_cb_info* change,
+                       void* connection);
 
   Connection* Find(evhtp_connection_t* connection);
   void BeginExchange(evhtp_request_t* request);
@@ -174,6 +231,16 @@
   const RouteEntry* FindRoute(HttpMethod method,
                               const std::string& path,
                               HttpServerFault* fault) const;
+  // Closes connections until the budget is kept. Returns false if `self` is the
+  // next: the caller must close it.
+  bool KeepBudget(const Connection* self);
+  void Close(ReceiveAccount* account, ReceiveRefusal refusal);
+  // Closes the connection in the next iteration of the loop, unless its request
+  // is complete by then. For callers that the library does not allow to close
+  // it.
+  void CloseLater(const Connection& connection, ReceiveRefusal refusal);
+  void CheckReceiving();
+  void ReportRefusals();
   void CloseListener();
   void CheckStop();
   void CloseIdle();
@@ -187,6 +254,10 @@
   std::unordered_map<evhtp_connection_t*, Connection> connections;
   std::unordered_map<ExchangeId, evhtp_request_t*> exchanges;
   ExchangeId next_exchange = 1;
+  std::uint64_t next_connection = 1;
+  ReceiveBudget budget;
+  std::array<std::uint64_t, kReceiveRefusalCount> reported{};  // refusals
+  WatchId receive_timer = kNoWatch;
 
   bool shut_down = false;
   bool stopping = false;
@@ -248,12 +319,15 @@
       bound.ss_family == AF_INET6
           ? ntohs(reinterpret_cast<sockaddr_in6*>(&bound)->sin6_port)
           : ntohs(reinterpret_cast<sockaddr_in*>(&bound)->sin_port);
+  this->receive_timer = this->loop->After(kReceiveCheckInterval,
+                                          [this] { this->CheckReceiving(); });
   return true;
 }
 
 void HttpServer::Core::Shutdown() {
   this->shut_down = true;
   this->loop->Cancel(this->stop_timer);
+  this->loop->Cancel(this->receive_timer);
   if (this->library == nullptr) {
     return;
   }
@@ -280,15 +354,33 @@
 }
 
 evhtp_res HttpServer::Core::OnPreAccept(evhtp_connection_t*, void* core) {
-  const Core* self = Self(core);
-  const bool full = self->connections.size() >= self->options.max_connections;
-  return full ? EVHTP_RES_ERROR : EVHTP_RES_OK;
+  Core* self = Self(core);
+  if (!self->budget.Full()) {
+    return EVHTP_RES_OK;
+  }
+  ReceiveAccount* victim = self->budget.Victim(self->loop->Now());
+  if (victim == nullptr) {
+    self->budget.CountRefusal(ReceiveRefusal::kConnections);
+    return EVHTP_RES_ERROR;
+  }
+  self->Close(victim, ReceiveRefusal::kConnections);
+  return EVHTP_RES_OK;
 }
 
 evhtp_res HttpServer::Core::OnPostAccept(evhtp_connection_t* connection,
                                          void* core) {
   Core* self = Self(core);
-  self->connections[connection].idle_since = self->loop->Now();
+  Connection& state = self->connections[connection];
+  state.core = self;
+  state.handle = connection;
+  state.number = self->next_connection++;
+  state.idle_since = self->loop->Now();
+  state.account = self->budget.Open(
+      reinterpret_cast<std::uintptr_t>(connection), state.idle_since);
+  // At least 1 byte, because the library expects input when it is called.
+  bufferevent_setwatermark(connection->bev, EV_READ, 1, kMaxUnparsedBytes);
+  evbuffer_add_cb(bufferevent_get_input(connection->bev), &OnInput, &state);
+  evbuffer_add_cb(bufferevent_get_output(connection->bev), &OnOutput, &state);
   evhtp_connection_set_hook(connection, evhtp_hook_on_headers_start,
                             ToHook(&OnHeadersStart), core);
   evhtp_connection_set_hook(connection, evhtp_hook_on_header, ToHook(&OnHeader),
@@ -306,10 +398,24 @@
 
 evhtp_res HttpServer::Core::OnHeadersStart(evhtp_request_t* request,
                                            void* core) {
-  Connection* connection = Self(core)->Find(request->conn);
-  if (connection != nullptr) {
-    *connection = Connection{.receiving = true};
+  Core* self = Self(core);
+  Connection* connection = self->Find(request->conn);
+  if (connection == nullptr) {
+    return EVHTP_RES_OK;
+  }
+  connection->receiving = true;
+  connection->fault = HttpServerFault::kNone;
+  connection->exchange = 0;
+  std::size_t line_bytes = 0;
+  if (request->uri != nullptr && request->uri->path != nullptr &&
+      request->uri->path->full != nullptr) {
+    line_bytes += std::strlen(request->uri->path->full);
   }
+  if (request->uri != nullptr && request->uri->query_raw != nullptr) {
+    line_bytes +=
+        std::strlen(reinterpret_cast<const char*>(request->uri->query_raw));
+  }
+  self->budget.OnHeadStart(connection->account, line_bytes, self->loop->Now());
   return EVHTP_RES_OK;
 }
 
@@ -321,21 +427,36 @@
   if (connection == nullptr) {
     return EVHTP_RES_OK;
   }
-  connection->header_bytes += header->klen + header->vlen;
-  if (connection->header_bytes > self->options.max_header_bytes) {
+  const HeaderLineAction action = self->budget.OnHeaderLine(
+      connection->account, header->klen + header->vlen + kHeaderLineExtra);
+  if (action == HeaderLineAction::kClose) {
+    self->budget.CountRefusal(self->budget.HeadFault(*connection->account));
+    return EVHTP_RES_ERROR;
+  }
+  if (action == HeaderLineAction::kDiscard) {
     connection->fault = HttpServerFault::kHeaderTooLarge;
+    evhtp_kv_rm_and_free(request->headers_in, header);
+    return EVHTP_RES_OK;
   }
-  const std::size_t limit = self->options.max_header_bytes * kDiscardFactor;
-  return connection->header_bytes > limit ? EVHTP_RES_ERROR : EVHTP_RES_OK;
+  return self->KeepBudget(connection) ? EVHTP_RES_OK : EVHTP_RES_ERROR;
 }
 
 evhtp_res HttpServer::Core::OnHeaders(evhtp_request_t* request,
                                       evhtp_headers_t* headers,
                                       void* core) {
-  Connection* connection = Self(core)->Find(request->conn);
-  if (connection != nullptr && HasAmbiguousLength(headers)) {
+  Core* self = Self(core);
+  Connection* connection = self->Find(request->conn);
+  if (connection == nullptr) {
+    return EVHTP_RES_OK;
+  }
+  const ReceiveRefusal refusal = self->budget.HeadFault(*connection->account);
+  if (refusal != ReceiveRefusal::kNone) {
+    connection->fault = HttpServerFault::kHeaderTooLarge;
+    self->budget.CountRefusal(refusal);
+  } else if (HasAmbiguousLength(headers)) {
     connection->fault = HttpServerFault::kBadFraming;
   }
+  self->budget.OnHeadEnd(connection->account, self->loop->Now());
   return EVHTP_RES_OK;
 }
 
@@ -347,15 +468,17 @@
   if (connection == nullptr) {
     return EVHTP_RES_OK;
   }
-  connection->body_bytes += evbuffer_get_length(bytes);
-  if (connection->body_bytes > self->options.max_body_bytes &&
+  const std::size_t count = evbuffer_get_length(bytes);
+  if (connection->account->body_bytes + count > self->options.max_body_bytes &&
       connection->fault == HttpServerFault::kNone) {
     connection->fault = HttpServerFault::kBodyTooLarge;
   }
-  if (connection->fault != HttpServerFault::kNone) {
-    evbuffer_drain(bytes, evbuffer_get_length(bytes));
+  const bool kept = connection->fault == HttpServerFault::kNone;
+  if (!kept) {
+    evbuffer_drain(bytes, count);
   }
-  return EVHTP_RES_OK;
+  self->budget.OnBody(connection->account, count, kept);
+  return self->KeepBudget(connection) ? EVHTP_RES_OK : EVHTP_RES_ERROR;
 }
 
 evhtp_res HttpServer::Core::OnRequestEnd(evhtp_request_t* request, void* core) {
@@ -363,7 +486,7 @@
   Connection* connection = self->Find(request->conn);
   if (connection != nullptr) {
     self->exchanges.erase(connection->exchange);
-    *connection = Connection{.idle_since = self->loop->Now()};
+    connection->Reset(self->loop->Now());
   }
   return EVHTP_RES_OK;
 }
@@ -373,12 +496,70 @@
   Core* self = Self(core);
   const auto found = self->connections.find(connection);
   if (found != self->connections.end()) {
+    evbuffer_remove_cb(bufferevent_get_input(connection->bev), &OnInput,
+                       &found->second);
+    evbuffer_remove_cb(bufferevent_get_output(connection->bev), &OnOutput,
+                       &found->second);
+    self->budget.Close(found->second.account);
     self->exchanges.erase(found->second.exchange);
     self->connections.erase(found);
   }
   return EVHTP_RES_OK;
 }
 
+void HttpServer::Core::OnInput(evbuffer* input,
+                               const evbuffer_cb_info* change,
+                               void* connection) {
+  auto& state = *static_cast<Connection*>(connection);
+  Core* self = state.core;
+  ReceiveRefusal refusal = ReceiveRefusal::kNone;
+  std::size_t length = evbuffer_get_length(input);
+  if (change->n_added > 0 && length >= change->n_added) {
+    const Instant now = self->loop->Now();
+    const bool before_line = state.account->phase == ReceivePhase::kWaiting ||
+                             (state.account->phase == ReceivePhase::kHead &&
+                              !state.account->line_started);
+    evbuffer_ptr start{};
+    evbuffer_ptr_set(input, &start, length - change->n_added, EVBUFFER_PTR_SET);
+    // The library adds at most two extents per read.
+    std::array<evbuffer_iovec, 4> extents{};
+    const int used =
+        evbuffer_peek(input, static_cast<ev_ssize_t>(change->n_added), &start,
+                      extents.data(), static_cast<int>(extents.size()));
+    for (int i = 0; i < used && i < static_cast<int>(extents.size()); ++i) {
+      const ReceiveRefusal found = self->budget.OnReceived(
+          state.account,
+          {static_cast<const char*>(extents[i].iov_base), extents[i].iov_len},
+          now);
+      refusal = found != ReceiveRefusal::kNone ? found : refusal;
+    }
+    // The library does not advance past line breaks before a request line.
+    if (before_line && length == change->n_added) {
+      DrainLineBreaks(input);
+      length = evbuffer_get_length(input);
+    }
+  }
+  self->budget.OnBuffers(state.account, length, state.account->output_bytes);
+  if (refusal == ReceiveRefusal::kNone && change->n_added > 0 &&
+      !self->KeepBudget(&state)) {
+    refusal = ReceiveRefusal::kBytes;
+  }
+  if (refusal != ReceiveRefusal::kNone) {
+    self->CloseLater(state, refusal);
+  }
+}
+
+void HttpServer::Core::OnOutput(evbuffer* output,
+                                const evbuffer_cb_info* change,
+                                void* connection) {
+  auto& state = *static_cast<Connection*>(connection);
+  state.core->budget.OnBuffers(state.account, state.account->input_bytes,
+                               evbuffer_get_length(output));
+  if (change->n_added > 0 && !state.core->KeepBudget(&state)) {
+    state.core->CloseLater(state, ReceiveRefusal::kBytes);
+  }
+}
+
 void HttpServer::Core::OnRequest(evhtp_request_t* request, void* core) {
   Self(core)->BeginExchange(request);
 }
@@ -397,6 +578,7 @@
   const ExchangeId id = this->next_exchange++;
   connection->receiving = true;
   connection->exchange = id;
+  this->budget.OnComplete(connection->account);
   this->exchanges[id] = request;
   // libevhtp keeps a paused request even if the client disconnects.
   evhtp_request_pause(request);
@@ -420,7 +602,7 @@
   }
   copy.headers = CopyHeaders(request->headers_in);
   copy.body.resize(evbuffer_get_length(request->buffer_in));
-  evbuffer_copyout(request->buffer_in, copy.body.data(), copy.body.size());
+  evbuffer_remove(request->buffer_in, copy.body.data(), copy.body.size());
   return copy;
 }
 
@@ -501,7 +683,7 @@
       this->stopping || connection->fault != HttpServerFault::kNone;
   const bool client_left = (evhtp_connection_get_flags(request->conn) &
                             EVHTP_CONN_FLAG_FREE_CONN) != 0;
-  *connection = Connection{.idle_since = this->loop->Now()};
+  connection->Reset(this->loop->Now());
   if (end_connection) {
     // evhtp_request_set_keepalive() can set the flag but not clear it. Without
     // the flag, libevhtp adds "Connection: close".
@@ -526,6 +708,83 @@
   this->SendResponse(id, response);
 }
 
+bool HttpServer::Core::KeepBudget(const Connection* self) {
+  while (this->budget.OverBudget()) {
+    ReceiveAccount* victim = this->budget.Victim(this->loop->Now());
+    if (victim == nullptr) {
+      return true;
+    }
+    if (victim == self->account) {
+      return false;
+    }
+    this->Close(victim, ReceiveRefusal::kBytes);
+  }
+  return true;
+}
+
+void HttpServer::Core::Close(ReceiveAccount* account, ReceiveRefusal refusal) {
+  this->budget.CountRefusal(refusal);
+  // OnConnectionEnd() closes the account.
+  evhtp_connection_free(reinterpret_cast<evhtp_connection_t*>(
+      static_cast<std::uintptr_t>(account->id)));
+}
+
+void HttpServer::Core::CloseLater(const Connection& connection,
+                                  ReceiveRefusal refusal) {
+  this->loop->Post([weak = this->weak_from_this(), refusal,
+                    handle = connection.handle, number = connection.number] {
+    const std::shared_ptr<Core> core = weak.lock();
+    const Connection* found = core ? core->Find(handle) : nullptr;
+    // The address may belong to another connection by now.
+    if (found != nullptr && found->number == number &&
+        found->account->phase != ReceivePhase::kProcessing) {
+      core->Close(found->account, refusal);
+    }
+  });
+}
+
+void HttpServer::Core::CheckReceiving() {
+  for (const auto& [account, refusal] :
+       this->budget.Expired(this->loop->Now())) {
+    this->Close(account, refusal);
+  }
+  this->ReportRefusals();
+  this->receive_timer = this->loop->After(kReceiveCheckInterval,
+                                          [this] { this->CheckReceiving(); });
+}
+
+void HttpServer::Core::ReportRefusals() {
+  const std::string& listener = this->options.listener;
+  std::string causes;
+  for (std::size_t i = 0; i < kReceiveRefusalCount; ++i) {
+    const auto refusal = static_cast<ReceiveRefusal>(i);
+    const std::uint64_t count =
+        this->budget.Refusals(refusal) - this->reported[i];
+    if (count == 0) {
+      continue;
+    }
+    this->reported[i] += count;
+    causes += (causes.empty() ? "" : ",") +
+              std::string(ReceiveRefusalName(refusal)) + ":" +
+              std::to_string(count);
+    if (this->options.metrics != nullptr) {
+      this->options.metrics->CountReceiveRefusals(
+          listener, ReceiveRefusalName(refusal), count);
+    }
+  }
+  if (this->options.metrics != nullptr) {
+    this->options.metrics->SetListenerGauges(listener, this->budget.HeldBytes(),
+                                             this->budget.Connections());
+  }
+  if (!causes.empty()) {
+    LogEvent(LogLevel::kWarning, "clients_refused",
+             {{"listener", listener},
+              {"causes", causes},
+              {"held_bytes", std::to_string(this->budget.HeldBytes())},
+              {"connections", std::to_string(this->budget.Connections())}});
+  }
+}
+
 void HttpServer::Core::CloseListener() {
   if (this->library != nullptr && this->library->server != nullptr) {
     evhtp_unbind_socket(this->library);
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -23,6 +23,8 @@
 #include "src/state/error.h"
 #include "src/transport/event_loop.h"
 #include "src/transport/http_client.h"
+#include "src/transport/metrics.h"
+#include "src/transport/receive_budget.h"
 
 namespace peridot {
 
@@ -45,8 +47,9 @@
 //-----------------------------------------------------------------------------
 
 // Reasons for which the server responds without calling a handler. For a
-// message that is not HTTP or that exceeds kDiscardFactor times a limit, the
-// server closes the connection without a response.
+// message that is not HTTP or that exceeds kDiscardFactor times a limit, or if
+// the limits of all clients together are exhausted, the server closes the
+// connection without a response.
 enum class HttpServerFault {
   kNone,
   kNotFound,          // 404: no route for the path
@@ -68,26 +71,25 @@
   std::string address = "127.0.0.1";
   std::uint16_t port = 0;  // 0: any free port
   int backlog = 512;
-  // Each connection costs a descriptor and a few KiB.
-  std::size_t max_connections = 4096;
+  // Limits on what clients send and on what their requests hold together. A
+  // client that exceeds one is refused or its connection is closed before its
+  // request is passed to a handler.
+  ReceiveLimits receive{};
   // A task payload has at most 1 MiB.
   std::size_t max_body_bytes = 1 << 20;
-  std::size_t max_header_bytes = 16 << 10;  // bytes of all names and values
   // Maximum time without progress while a request is being read or awaited.
   Duration read_timeout = std::chrono::seconds(60);
   Duration write_timeout = std::chrono::seconds(30);
   // How long an idle connection is kept after Stop(), so that a request already
   // in transit is still answered.
   Duration idle_grace = std::chrono::seconds(1);
+  // Label of the server's metrics and log lines.
+  std::string listener = "callers";
+  Metrics* metrics = nullptr;  // optional; must outlive the server
   // Formats the responses to faults. If empty, they have a status but no body.
   std::function<HttpServerResponse(HttpServerFault)> format_fault{};
 };
 
-// A body or a header section above its limit is read and discarded up to this
-// multiple of the limit, so that the client receives the error response. Beyond
-// that, the connection is closed.
-inline constexpr std::size_t kDiscardFactor = 4;
-
 //-----------------------------------------------------------------------------
 // [SECTION] HttpResponder
 //-----------------------------------------------------------------------------
--- a/src/transport/metrics.cc
+++ b/src/transport/metrics.cc
@@ -46,6 +46,20 @@
       registry,
       "peridot_peer_messages_dropped_total",
       "Messages that were dropped because the peer's queue was full.");
+  prometheus::Family<prometheus::Counter>& receive_refused = CounterFamily(
+      registry,
+      "peridot_clients_refused_total",
+      "Requests and connections that were refused, by listener and cause.");
+  prometheus::Family<prometheus::Gauge>& listener_bytes =
+      prometheus::BuildGauge()
+          .Name("peridot_listener_held_bytes")
+          .Help("Memory that the connections of a listener hold.")
+          .Register(registry);
+  prometheus::Family<prometheus::Gauge>& listener_connections =
+      prometheus::BuildGauge()
+          .Name("peridot_listener_connections_count")
+          .Help("Open connections of a listener.")
+          .Register(registry);
   prometheus::Family<prometheus::Histogram>& latency =
       prometheus::BuildHistogram()
           .Name("peridot_latency_seconds")
@@ -75,6 +89,23 @@
   this->families->peer_dropped.Add({{"peer", peer}}).Increment();
 }
 
+void Metrics::CountReceiveRefusals(const std::string& listener,
+                                   const std::string& cause,
+                                   std::uint64_t count) {
+  this->families->receive_refused
+      .Add({{"listener", listener}, {"cause", cause}})
+      .Increment(static_cast<double>(count));
+}
+
+void Metrics::SetListenerGauges(const std::string& listener,
+                                std::size_t held_bytes,
+                                std::size_t connections) {
+  this->families->listener_bytes.Add({{"listener", listener}})
+      .Set(static_cast<double>(held_bytes));
+  this->families->listener_connections.Add({{"listener", listener}})
+      .Set(static_cast<double>(connections));
+}
+
 void Metrics::SetGauge(const std::string& name, double value) {
   const std::lock_guard lock(this->families->mutex);
   prometheus::Gauge*& gauge = this->families->gauges[name];
--- a/src/transport/metrics.h
+++ b/src/transport/metrics.h
@@ -8,6 +8,8 @@
 #ifndef SRC_TRANSPORT_METRICS_H_
 #define SRC_TRANSPORT_METRICS_H_
 
+#include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -33,6 +35,15 @@
   void CountPeerMessageRefused(const std::string& reason);  // one message
   void CountPeerMessageDropped(const std::string& peer);    // full send queue
 
+  // Requests and connections that a listener refused, by cause.
+  void CountReceiveRefusals(const std::string& listener,
+                            const std::string& cause,
+                            std::uint64_t count);
+  // What the connections of a listener hold, and their number.
+  void SetListenerGauges(const std::string& listener,
+                         std::size_t held_bytes,
+                         std::size_t connections);
+
   // Sets the gauge `peridot_NAME`. The name must be lower_snake_case and end
   // with the unit.
   void SetGauge(const std::string& name, double value);
--- a/tests/daemon_config_test.cc
+++ b/tests/daemon_config_test.cc
@@ -48,7 +48,7 @@
   REQUIRE(config.max_descriptors == 4096);
   for (const char* bad : {"0", "-1", "1.5", "64MB", "99999999999999999999"}) {
     REQUIRE(FaultsOf(kGood + "memory_mb: " + bad + "\n") ==
-            "d.yaml:9: memory_mb: expected a number from 1 to 1000000\n");
+            "d.yaml:9: memory_mb: expected a number from 1 to 1000000");
   }
 }
 
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -201,7 +201,7 @@
 }
 
 TEST_CASE("an oversized header section is refused", "[http_server]") {
-  Fixture f({.max_header_bytes = 100});
+  Fixture f({.receive = {.max_head_bytes = 100}});
   RawClient some(f.loop.get(), f.server->Port());
   some.Write("GET /hold HTTP/1.1\r\nX: " + std::string(150, 'x') + "\r\n\r\n");
   REQUIRE(f.AwaitText(some, "HTTP/1.1 431 "));
@@ -258,7 +258,7 @@
 }
 
 TEST_CASE("connections beyond the limit are closed", "[http_server]") {
-  Fixture f({.max_connections = 1});
+  Fixture f({.receive = {.max_connections = 1}});
   RawClient first(f.loop.get(), f.server->Port());
   first.Write(kHold);
   REQUIRE(f.Await([&] { return f.held.size() == 1; }));
@@ -267,6 +267,110 @@
   REQUIRE(f.server->OpenConnections() == 1);
 }
 
+TEST_CASE("a head with too many lines is refused", "[http_server]") {
+  // Guards against lines that cost memory but hardly count as bytes.
+  for (const char* line : {"x:y\r\n", "a:\r\n", ":b\r\n"}) {
+    CAPTURE(line);
+    Fixture f({.receive = {.max_header_lines = 10}});
+    std::string lines;
+    for (int i = 0; i < 11; ++i) {
+      lines += line;
+    }
+    RawClient some(f.loop.get(), f.server->Port());
+    some.Write("GET /hold HTTP/1.1\r\n" + lines + "\r\n");
+    REQUIRE(f.Await([&] { return some.Closed(); }));
+    REQUIRE(some.Received().find("HTTP/1.1 200") == std::string::npos);
+    RawClient many(f.loop.get(), f.server->Port());
+    many.Write("GET /hold HTTP/1.1\r\n");
+    for (int i = 0; i < 4; ++i) {
+      many.Write(lines);
+    }
+    REQUIRE(f.Await([&] { return many.Closed(); }));
+    REQUIRE(f.held.empty());
+  }
+}
+
+TEST_CASE("empty lines before a request are limited", "[http_server]") {
+  Fixture f;
+  RawClient few(f.loop.get(), f.server->Port());
+  few.Write("\r\n\r\n" + Echo("one"));
+  REQUIRE(f.AwaitText(few, "\r\n\r\none"));
+  RawClient many(f.loop.get(), f.server->Port());
+  for (int i = 0; i < 300; ++i) {
+    many.Write("\r\n");
+  }
+  REQUIRE(f.Await([&] { return many.Closed(); }));
+}
+
+TEST_CASE("a pipelined request may be split within a line break",
+          "[http_server]") {
+  // Guards against taking the rest of a line break for an empty line.
+  Fixture f;
+  RawClient client(f.loop.get(), f.server->Port());
+  client.Write(Echo("one") + "GET /hold HTTP/1.1\r");
+  REQUIRE(f.AwaitText(client, "\r\n\r\none"));
+  f.loop->RunUntil([] { return false; }, milliseconds(20));
+  client.Write("\nHost: x\r\n\r\n");
+  REQUIRE(f.Await([&] { return f.held.size() == 1; }));
+}
+
+TEST_CASE("a slow head and a slow body are given up", "[http_server]") {
+  // Guards against clients that hold a connection with a byte now and then.
+  Fixture f({.receive = {.head_time = milliseconds(20),
+                         .body_grace = milliseconds(20)}});
+  RawClient idle(f.loop.get(), f.server->Port());
+  RawClient held(f.loop.get(), f.server->Port());
+  held.Write(kHold);
+  RawClient head(f.loop.get(), f.server->Port());
+  head.Write("GET /ho");
+  RawClient body(f.loop.get(), f.server->Port());
+  body.Write("POST /echo HTTP/1.1\r\nContent-Length: 9999\r\n\r\nab");
+  REQUIRE(f.Await([&] { return head.Closed() && body.Closed(); }));
+  REQUIRE_FALSE(idle.Closed());
+  REQUIRE_FALSE(held.Closed());
+}
+
+TEST_CASE("bodies beyond the budget end incomplete requests only",
+          "[http_server]") {
+  // Guards against many clients that stop short of the end of a body.
+  Fixture f({.receive = {.total_bytes = std::size_t{4} << 20}});
+  RawClient held(f.loop.get(), f.server->Port());
+  held.Write(kHold);
+  REQUIRE(f.Await([&] { return f.held.size() == 1; }));
+  const std::string partial = Echo(std::string(1 << 20, 'x'));
+  std::vector<std::unique_ptr<RawClient>> crowd;
+  for (int i = 0; i < 8; ++i) {
+    crowd.push_back(
+        std::make_unique<RawClient>(f.loop.get(), f.server->Port()));
+    crowd.back()->Write(partial.substr(0, partial.size() - 1));
+  }
+  const auto closed = [&] {
+    return std::count_if(crowd.begin(), crowd.end(),
+                         [](const auto& client) { return client->Closed(); });
+  };
+  REQUIRE(f.Await([&] { return closed() >= 6; }));
+  RawClient ordinary(f.loop.get(), f.server->Port());
+  ordinary.Write(Echo(std::string(1 << 20, 'y')));
+  REQUIRE(f.AwaitText(ordinary, "yyyy"));
+  f.held[0].Send({.body = "answer"});
+  REQUIRE(f.AwaitText(held, "answer"));
+}
+
+TEST_CASE("a connection without a request yields to a new one",
+          "[http_server]") {
+  Fixture f({.receive = {.max_connections = 2}});
+  RawClient held(f.loop.get(), f.server->Port());
+  held.Write(kHold);
+  REQUIRE(f.Await([&] { return f.held.size() == 1; }));
+  RawClient idle(f.loop.get(), f.server->Port());
+  REQUIRE(f.Await([&] { return f.server->OpenConnections() == 2; }));
+  RawClient ordinary(f.loop.get(), f.server->Port());
+  ordinary.Write(Echo("one"));
+  REQUIRE(f.AwaitText(ordinary, "\r\n\r\none"));
+  REQUIRE(f.Await([&] { return idle.Closed(); }));
+  REQUIRE_FALSE(held.Closed());
+}
+
 TEST_CASE("a port in use is reported", "[http_server]") {
   Fixture f;
   auto second = HttpServer::Create(f.loop.get(), {.port = f.server->Port()});
