--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -375,8 +375,7 @@
   state.handle = connection;
   state.number = self->next_connection++;
   state.idle_since = self->loop->Now();
-  state.account = self->budget.Open(
-      reinterpret_cast<std::uintptr_t>(connection), state.idle_since);
+  state.account = self->budget.Open(state.number, state.idle_since);
   // At least 1 byte, because the library expects input when it is called.
   bufferevent_setwatermark(connection->bev, EV_READ, 1, kMaxUnparsedBytes);
   evbuffer_add_cb(bufferevent_get_input(connection->bev), &OnInput, &state);
@@ -724,9 +723,13 @@
 
 void HttpServer::Core::Close(ReceiveAccount* account, ReceiveRefusal refusal) {
   this->budget.CountRefusal(refusal);
-  // OnConnectionEnd() closes the account.
-  evhtp_connection_free(reinterpret_cast<evhtp_connection_t*>(
-      static_cast<std::uintptr_t>(account->id)));
+  const auto found = std::find_if(
+      this->connections.begin(), this->connections.end(),
+      [&](const auto& entry) { return entry.second.account == account; });
+  if (found != this->connections.end()) {
+    // OnConnectionEnd() closes the account.
+    evhtp_connection_free(found->first);
+  }
 }
 
 void HttpServer::Core::CloseLater(const Connection& connection,
