--- a/tests/platform_wire_test.cc
+++ b/tests/platform_wire_test.cc
@@ -237,6 +237,13 @@
   CHECK(settings.value().node.internal_address == "10.0.0.1:7000");
   CHECK(settings.value().node.scheduler.remote_factor == 1.5);
   CHECK(settings.value().node.store.max_row_bytes == 49152);
+  // Guards against listeners that do not fit the host.
+  const std::string limited = good + "Limits: {MemoryMb: 64, MaxFds: 400}\n";
+  const ListenerLimits listeners =
+      ParseNodeSettings(limited).value().node.listeners;
+  CHECK(listeners.callers.total_bytes == std::size_t{16} << 20);
+  CHECK(listeners.callers.max_connections == 200);
+  CHECK(listeners.readiness.total_bytes == std::size_t{2} << 20);
   std::string other = good;
   other.replace(other.find("platform: {"), 11, "platform: {RowBytes: 4096, ");
   CHECK(ParseNodeSettings(other).value().node.store.max_row_bytes == 3072);
