--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -414,7 +414,8 @@
     line_bytes +=
         std::strlen(reinterpret_cast<const char*>(request->uri->query_raw));
   }
-  self->budget.OnHeadStart(connection->account, line_bytes, self->loop->Now());
+  self->budget.OnHeadStart(connection->account, line_bytes,
+                           connection->account->last_received);
   return EVHTP_RES_OK;
 }
 
@@ -455,7 +456,8 @@
   } else if (HasAmbiguousLength(headers)) {
     connection->fault = HttpServerFault::kBadFraming;
   }
-  self->budget.OnHeadEnd(connection->account, self->loop->Now());
+  self->budget.OnHeadEnd(connection->account,
+                         connection->account->last_received);
   return EVHTP_RES_OK;
 }
 
@@ -533,7 +535,8 @@
       refusal = found != ReceiveRefusal::kNone ? found : refusal;
     }
     // The library does not advance past line breaks before a request line.
-    if (before_line && length == change->n_added) {
+    if (before_line && state.account->leading_bytes > 0 &&
+        length == change->n_added) {
       DrainLineBreaks(input);
       length = evbuffer_get_length(input);
     }
