--- a/src/coordination/duration_model.cc
+++ b/src/coordination/duration_model.cc
@@ -25,9 +25,13 @@
       (static_cast<double>(actual.count()) - this->actual_ms) * weight;
 }
 
+bool DurationModel::Learned() const {
+  return this->run_count >= kMinRuns;
+}
+
 DurationModel::Milliseconds DurationModel::Predict(
     Milliseconds declared) const {
-  if (this->run_count < kMinRuns || declared.count() <= 0) {
+  if (!this->Learned() || declared.count() <= 0) {
     return declared;
   }
   const double relative =
--- a/src/coordination/duration_model.h
+++ b/src/coordination/duration_model.h
@@ -30,6 +30,9 @@
   // completed.
   Milliseconds Predict(Milliseconds declared) const;
 
+  // Returns whether enough runs have completed for Predict() to use them.
+  bool Learned() const;
+
  private:
   int run_count = 0;
   double declared_ms = 0;  // average
--- a/src/coordination/job_scheduler.h
+++ b/src/coordination/job_scheduler.h
@@ -30,6 +30,8 @@
 
 namespace peridot {
 
+struct LoadReport;  // job_admission.h
+
 //-----------------------------------------------------------------------------
 // [SECTION] Tunables
 //-----------------------------------------------------------------------------
@@ -444,6 +446,13 @@
   // It gets no work before OnUsedEndpointsStored().
   bool HasReturnedEndpoints() const;
   std::map<ServiceId, ServiceDemand> Demand(Instant now) const;
+  // The backlog of each service by client account and order of service, for the
+  // admission of jobs. Services that may still run work of a previous owner
+  // unseen are omitted, since their backlog may be held back for it. Hosts that
+  // may join a service are not known here.
+  LoadReport Load(Instant now) const;
+  // Predicted core-seconds of the tasks that have completed, by service.
+  const std::map<ServiceId, double>& CompletedCoreSeconds() const;
   // Final jobs that were recorded before the instant and may be passed to
   // Forget().
   std::vector<JobId> FinalBefore(Instant instant) const;
--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -273,6 +273,7 @@
   std::map<std::string, DurationModel> durations;  // by queue
   std::map<ServiceId, double> arrived_core_seconds;
   std::map<ServiceId, int> arrived_jobs;
+  std::map<ServiceId, double> completed_core_seconds;  // as predicted
   std::set<ServiceId> unrecovered;  // services with endpoints not recovered yet
   Resources unpolled_capacity;      // total capacity of these endpoints
   Instant recovery_ends{};  // by then the work of previous owners has lapsed
--- a/src/coordination/job_scheduler_runs.cc
+++ b/src/coordination/job_scheduler_runs.cc
@@ -622,6 +622,11 @@
       }
       ++step->done;
       --job->open_tasks;
+      if (!step->spec->long_running) {
+        this->completed_core_seconds[this->ServiceOf(*job)] +=
+            static_cast<double>(Reserved(*step->spec).milli_cores) / 1000 *
+            std::chrono::duration<double>(step->expected).count();
+      }
       job->checkpoints.erase(NameOf(member));
       this->MarkTaskDirty(job, NameOf(member));
       if (&member != task && MayBeRunning(member)) {
