Store refusals so that no earlier submission of the id can run

Cause: a refusal for lack of capacity states that the job never runs, but another daemon may still be writing an earlier submission of the id whose caller got no answer.

Change: a refusal is a conditional write of the job's own row. A submission replaces it only if its daemon knew of a store version as new as the refusal when the submission arrived. Entries of a write that conflicts are repeated without newer ones, so that they are not held up.

Result: job_store_test "a refused job is not stored by an earlier submission", "a refused job is accepted when it is submitted again" and "a refusal is no job to other calls" pass.

--- a/src/coordination/job.h
+++ b/src/coordination/job.h
@@ -102,6 +102,9 @@
   // Final state of a job whose row has been compacted to that state; none while
   // the row still holds the whole job.
   std::optional<JobState> closed_as;
+  // The row holds no job but the refusal of its id: it keeps submissions that
+  // arrived before the refusal from being stored. Such a row is also closed.
+  bool refused = false;
 };
 
 struct TaskName {
--- a/src/daemon/job_store.cc
+++ b/src/daemon/job_store.cc
@@ -1,7 +1,7 @@
 #include "src/daemon/job_store.h"
 
 #include <algorithm>
-#include <set>
+#include <iterator>
 #include <utility>
 
 #include "src/protocol/job_json.h"
@@ -61,10 +61,33 @@
   *this->alive = false;
 }
 
+void JobWriter::OnStoreVersion(RowVersion version) {
+  this->newest = std::max(this->newest, version);
+}
+
 void JobWriter::Accept(const AcceptedJob& job, Callback done) {
-  const std::string part = PartOf(job.id);
+  this->Accept(job, this->newest, std::move(done));
+}
+
+void JobWriter::Accept(const AcceptedJob& job,
+                       RowVersion known,
+                       Callback done) {
+  this->Add(Entry{.id = job.id, .row = EncodeJob(job), .known = known},
+            std::move(done));
+}
+
+void JobWriter::Refuse(const JobId& id, Callback done) {
+  // Daemons of versions before the refusals read the row as a closed job.
+  const AcceptedJob refusal{
+      .id = id, .closed_as = JobState::kCancelled, .refused = true};
+  this->Add(Entry{.id = id, .row = EncodeJob(refusal), .refusal = true},
+            std::move(done));
+}
+
+void JobWriter::Add(Entry entry, Callback done) {
+  const std::string part = PartOf(entry.id);
   PartQueue& part_queue = this->part_queues[part];
-  const auto same = [&](const Entry& entry) { return entry.id == job.id; };
+  const auto same = [&](const Entry& other) { return other.id == entry.id; };
   const auto waiting =
       std::find_if(part_queue.waiting.begin(), part_queue.waiting.end(), same);
   if (waiting != part_queue.waiting.end()) {
@@ -77,9 +100,6 @@
     writing->callbacks.push_back(std::move(done));
     return;
   }
-  Entry entry;
-  entry.id = job.id;
-  entry.row = EncodeJob(job);
   if (entry.row.size() > this->config.store.max_row_bytes) {
     this->loop->Post(
         [done = std::move(done)] { done(AcceptResult::kTooLarge); });
@@ -101,13 +121,19 @@
   while (!part_queue.waiting.empty() &&
          part_queue.writing.size() < this->config.max_batch) {
     Entry& entry = part_queue.waiting.front();
+    // Repeated entries no longer conflict and must not be held up by new ones
+    // that do.
+    if (!part_queue.writing.empty() &&
+        part_queue.writing.front().repeated != entry.repeated) {
+      break;
+    }
     bytes += entry.row.size();
     if (bytes > this->config.store.max_batch_bytes &&
         !part_queue.writing.empty()) {
       break;
     }
     const StoreKey key{kJobTable, part, entry.id.value};
-    transaction.conditions.emplace_back(key, RowVersion{});
+    transaction.conditions.emplace_back(key, entry.expected);
     transaction.puts.emplace_back(key, entry.row);
     part_queue.writing.push_back(std::move(entry));
     part_queue.waiting.pop_front();
@@ -128,35 +154,70 @@
   }
 }
 
+std::optional<AcceptResult> JobWriter::ResolveConflict(Entry* entry,
+                                                       const StoreRow& row) {
+  const bool exists = row.version != RowVersion{} && !row.removed;
+  if (!exists) {
+    entry->expected = RowVersion{};
+    return std::nullopt;
+  }
+  const Result<AcceptedJob> stored = DecodeJob(row.value);
+  if (!stored || !stored.value().refused) {
+    return AcceptResult::kAccepted;
+  }
+  // A refusal replaces an earlier one, because submissions that came after that
+  // one may be in progress.
+  if (entry->refusal || row.version <= entry->known) {
+    entry->expected = row.version;
+    return std::nullopt;
+  }
+  return AcceptResult::kRefused;
+}
+
 void JobWriter::OnReply(const std::string& part, const StoreReply& reply) {
   PartQueue& part_queue = this->part_queues[part];
   part_queue.write_in_progress = false;
   std::vector<Entry> written = std::exchange(part_queue.writing, {});
-  std::set<std::string> existing;
+  std::map<std::string, const StoreRow*> found;
   if (reply.outcome == StoreOutcome::kConflict) {
     for (const StoreRow& row : reply.rows) {
-      if (row.version != RowVersion{} && !row.removed) {
-        existing.insert(row.key.key);
-      }
+      found[row.key.key] = &row;
     }
   }
+  // A conflict of one entry repeats the write of the others, which is none of
+  // theirs.
+  const bool explained =
+      std::any_of(written.begin(), written.end(), [&](const Entry& entry) {
+        const auto row = found.find(entry.id.value);
+        return row != found.end() && row->second->version != entry.expected;
+      });
+  if (reply.outcome == StoreOutcome::kOk ||
+      reply.outcome == StoreOutcome::kConflict) {
+    this->OnStoreVersion(reply.version);
+  }
   const Instant now = this->loop->Now();
   bool pause = false;
+  std::vector<Entry> repeated;
   for (Entry& entry : written) {
     const auto waited = now - entry.arrived;
     bool retry_write = false;
     AcceptResult result = AcceptResult::kUnknown;
     switch (reply.outcome) {
       case StoreOutcome::kOk:
-        result = AcceptResult::kAccepted;
+        result =
+            entry.refusal ? AcceptResult::kRefused : AcceptResult::kAccepted;
         break;
-      case StoreOutcome::kConflict:
-        result = AcceptResult::kAccepted;
-        if (!existing.contains(entry.id.value)) {
-          retry_write = ++entry.conflicts < kMaxConflicts;
-          result = AcceptResult::kUnknown;
-        }
+      case StoreOutcome::kConflict: {
+        const auto row = found.find(entry.id.value);
+        const std::optional<AcceptResult> resolved =
+            row == found.end() ? std::nullopt
+                               : ResolveConflict(&entry, *row->second);
+        entry.conflicts += explained ? 0 : 1;
+        retry_write = !resolved && entry.conflicts < kMaxConflicts &&
+                      waited < this->config.resend_window;
+        result = resolved.value_or(AcceptResult::kUnknown);
         break;
+      }
       case StoreOutcome::kNotDone:
         retry_write = waited < this->config.retry_window;
         pause = true;
@@ -173,12 +234,18 @@
         retry_write = waited < this->config.resend_window;
         break;
     }
-    if (retry_write) {
+    if (retry_write && reply.outcome == StoreOutcome::kConflict) {
+      entry.repeated = true;
+      repeated.push_back(std::move(entry));
+    } else if (retry_write) {
       part_queue.waiting.push_back(std::move(entry));
     } else {
       this->Answer(&entry, result);
     }
   }
+  part_queue.waiting.insert(part_queue.waiting.begin(),
+                            std::make_move_iterator(repeated.begin()),
+                            std::make_move_iterator(repeated.end()));
   if (!pause) {
     this->Flush(part);
     return;
@@ -249,7 +316,9 @@
                      return;
                    }
                    const Result<AcceptedJob> job = DecodeJob(row->value);
-                   if (job && job.value().closed_as) {
+                   if (job && job.value().refused) {
+                     done(LookUpResult::kUnknownJob, JobState::kPending);
+                   } else if (job && job.value().closed_as) {
                      done(LookUpResult::kFound, *job.value().closed_as);
                    } else {
                      LookUpProgress(ports, id, done);
@@ -273,6 +342,10 @@
       return;
     }
     const Result<AcceptedJob> stored = DecodeJob(row->value);
+    if (stored && stored.value().refused) {
+      done(LookUpResult::kUnknownJob);
+      return;
+    }
     if (stored && stored.value().closed_as) {
       done(LookUpResult::kFound);  // the job has ended: nothing to cancel
       return;
--- a/src/daemon/job_store.h
+++ b/src/daemon/job_store.h
@@ -9,6 +9,12 @@
 // A job is accepted when its row has been written under the condition that it
 // did not exist, so that a repeated submission results in one job. Submissions
 // that arrive during a write share the next one.
+//
+// A refusal for lack of capacity is a row under the same key and condition.
+// Another daemon may still be writing an earlier submission of the id whose
+// caller got no answer; that write then fails. A submission replaces the
+// refusal only if its daemon knew of a store version as new as the refusal when
+// the submission arrived, so that the submission came after the refusal.
 
 #ifndef SRC_DAEMON_JOB_STORE_H_
 #define SRC_DAEMON_JOB_STORE_H_
@@ -17,6 +23,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -68,6 +75,7 @@
   kNotRun,    // not stored, and never will be
   kUnknown,   // may be stored
   kTooLarge,  // not stored: the job exceeds a row of the store
+  kRefused,   // a refusal is stored instead: not run, and never will be
 };
 
 // Not thread-safe: use it on the event loop's thread only.
@@ -80,16 +88,33 @@
   JobWriter(const JobWriter&) = delete;
   JobWriter& operator=(const JobWriter&) = delete;
 
+  // A reply of the store named this version.
+  void OnStoreVersion(RowVersion version);
+  // The newest version that a reply has named.
+  RowVersion NewestVersion() const { return this->newest; }
+
   // Calls back once, from the loop.
   void Accept(const AcceptedJob& job, Callback done);
+  // As above for a submission that arrived when the newest version was `known`.
+  void Accept(const AcceptedJob& job, RowVersion known, Callback done);
+
+  // Stores that the id is refused unless a job is stored under it (kAccepted)
+  // or a submission of it is being written here (the result of that). Otherwise
+  // kRefused; kNotRun and kUnknown if the refusal may be missing. Calls back
+  // once, from the loop.
+  void Refuse(const JobId& id, Callback done);
 
  private:
   struct Entry {
     JobId id;
     std::string row;
     Instant arrived{};
+    bool refusal = false;        // the row is a refusal, not a job
+    RowVersion known;            // newest version when the call arrived
+    RowVersion expected;         // of the refusal to replace; 0: no row
     bool maybe_written = false;  // an earlier write was not answered
-    int conflicts = 0;
+    bool repeated = false;       // after a conflict
+    int conflicts = 0;           // that no row explains
     std::vector<Callback> callbacks;
   };
   struct PartQueue {
@@ -98,6 +123,13 @@
     bool write_in_progress = false;
   };
 
+  // Adds the entry unless there is one with its id; the caller then gets the
+  // result of that one.
+  void Add(Entry entry, Callback done);
+  // Processes the row that the store holds under the entry's key: returns the
+  // result, or none if the write is to be repeated.
+  static std::optional<AcceptResult> ResolveConflict(Entry* entry,
+                                                     const StoreRow& row);
   void Flush(const std::string& part);
   void OnReply(const std::string& part, const StoreReply& reply);
   void Answer(Entry* entry, AcceptResult result);
@@ -105,6 +137,7 @@
   EventLoop* loop;
   const FleetPorts* ports;
   JobWriterConfig config;
+  RowVersion newest;                             // that a reply has named
   std::map<std::string, PartQueue> part_queues;  // by part
   std::shared_ptr<bool> alive;
 };
--- a/src/protocol/job_json.cc
+++ b/src/protocol/job_json.cc
@@ -146,6 +146,7 @@
   out["id"] = job.id.value;
   if (job.closed_as) {
     out["closed_as"] = JobStateName(*job.closed_as);
+    PutIf(&out, "refused", job.refused, false);
     return out.dump();
   }
   out["queue"] = job.queue;
@@ -174,6 +175,7 @@
       if (!IsFinal(*job.closed_as)) {
         throw std::runtime_error("a job is closed in a final state only");
       }
+      job.refused = in.value("refused", false);
       return job;
     }
     job.queue = in.at("queue").get<std::string>();
--- a/tests/job_store_test.cc
+++ b/tests/job_store_test.cc
@@ -4,6 +4,8 @@
 #include "src/daemon/job_store.h"
 
 #include <catch2/catch.hpp>
+#include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -12,6 +14,7 @@
 #include "src/daemon/table_follower.h"
 #include "src/protocol/job_json.h"
 #include "src/transport/event_loop.h"
+#include "stand_ins/row_store.h"
 
 namespace peridot {
 namespace {
@@ -105,6 +108,132 @@
   CHECK(Accept(&store, "a0") == AcceptResult::kUnknown);
 }
 
+// Two daemons that write to one store; the writes of the second one are held
+// until they are delivered.
+struct TwoWriters {
+  TwoWriters() {
+    this->ports.transact = [this](const StoreTransaction& call,
+                                  StoreCallback done) {
+      const StoreReply reply = this->store.Transact(call);
+      this->loop->Post([done = std::move(done), reply] { done(reply); });
+    };
+    this->late_ports.transact = [this](StoreTransaction call,
+                                       StoreCallback done) {
+      this->held.emplace_back(std::move(call), std::move(done));
+    };
+  }
+
+  // Performs the held writes, and those that follow from them, until the
+  // result is known.
+  AcceptResult Deliver(const std::optional<AcceptResult>& result) {
+    this->loop->RunUntil(
+        [&] {
+          for (auto& [call, done] : std::exchange(this->held, {})) {
+            this->ports.transact(call, std::move(done));
+          }
+          return result.has_value();
+        },
+        kLimit);
+    REQUIRE(result);
+    return *result;
+  }
+
+  AcceptResult Refuse(const std::string& id) {
+    std::optional<AcceptResult> result;
+    this->first.Refuse(JobId(id), [&](AcceptResult is) { result = is; });
+    return this->Deliver(result);
+  }
+
+  AcceptedJob Stored(const std::string& id) {
+    const StoreKey key{kJobTable, PartOf(JobId(id)), id};
+    return DecodeJob(this->store.Read(key, "", 1).rows.at(0).value).value();
+  }
+
+  SystemClock clock;
+  std::unique_ptr<EventLoop> loop =
+      std::move(EventLoop::Create(this->clock).value());
+  RowStore store;
+  FleetPorts ports;
+  FleetPorts late_ports;
+  std::vector<std::pair<StoreTransaction, StoreCallback>> held;
+  JobWriter first{loop.get(), &ports, JobWriterConfig{}};
+  JobWriter second{loop.get(), &late_ports, JobWriterConfig{}};
+};
+
+TEST_CASE("a refused job is not stored by an earlier submission",
+          "[job_store]") {
+  // Guards against a refusal that is untrue: another daemon is still writing an
+  // earlier submission of the id whose caller got no answer.
+  TwoWriters writers;
+  std::optional<AcceptResult> late;
+  const auto accept = [&] {
+    writers.second.Accept(Job("a0"), [&](AcceptResult is) { late = is; });
+  };
+  SECTION("the first submission") {
+    accept();
+  }
+  SECTION("a submission after an earlier refusal") {
+    REQUIRE(writers.Refuse("a0") == AcceptResult::kRefused);
+    writers.second.OnStoreVersion(writers.store.Version());
+    accept();
+  }
+  // The held write must not be delivered by the refusal.
+  auto held = std::exchange(writers.held, {});
+  REQUIRE(writers.Refuse("a0") == AcceptResult::kRefused);
+  writers.held = std::move(held);
+  CHECK(writers.Deliver(late) == AcceptResult::kRefused);
+  CHECK(writers.Stored("a0").refused);
+}
+
+TEST_CASE("an accepted job is not refused", "[job_store]") {
+  TwoWriters writers;
+  std::optional<AcceptResult> result;
+  writers.second.Accept(Job("a0"), [&](AcceptResult is) { result = is; });
+  REQUIRE(writers.Deliver(result) == AcceptResult::kAccepted);
+  CHECK(writers.Refuse("a0") == AcceptResult::kAccepted);
+  CHECK_FALSE(writers.Stored("a0").refused);
+}
+
+TEST_CASE("a refused job is accepted when it is submitted again",
+          "[job_store]") {
+  // Guards against an id that stays refused, and against jobs of the same write
+  // that fail with it.
+  TwoWriters writers;
+  REQUIRE(writers.Refuse("a0") == AcceptResult::kRefused);
+  writers.second.OnStoreVersion(writers.store.Version());
+  std::optional<AcceptResult> first;
+  std::optional<AcceptResult> again;
+  std::optional<AcceptResult> other;
+  writers.second.Accept(Job("e0"), [&](AcceptResult is) { first = is; });
+  writers.second.Accept(Job("a0"), [&](AcceptResult is) { again = is; });
+  writers.second.Accept(Job("i0"), [&](AcceptResult is) { other = is; });
+  CHECK(writers.Deliver(first) == AcceptResult::kAccepted);
+  CHECK(writers.Deliver(again) == AcceptResult::kAccepted);
+  CHECK(writers.Deliver(other) == AcceptResult::kAccepted);
+  CHECK_FALSE(writers.Stored("a0").refused);
+  CHECK(writers.Stored("i0").queue == "q");
+}
+
+TEST_CASE("a refusal is no job to other calls", "[job_store]") {
+  // Guards against a refused job that is reported as cancelled, or cancelled.
+  FakeStore store;
+  const std::string row = EncodeJob(AcceptedJob{
+      .id = JobId("a0"), .closed_as = JobState::kCancelled, .refused = true});
+  StoreReply reply{.outcome = StoreOutcome::kOk};
+  reply.rows.push_back(
+      StoreRow{StoreKey{kJobTable, "0", "a0"}, row, RowVersion(3), false});
+  store.replies = {reply, reply};
+  std::vector<LookUpResult> results;
+  LookUpState(store.ports, JobId("a0"), [&](LookUpResult result, JobState) {
+    results.push_back(result);
+  });
+  StoreCancel(store.ports, JobId("a0"),
+              [&](LookUpResult result) { results.push_back(result); });
+  store.loop->RunUntil([&] { return results.size() == 2; }, kLimit);
+  CHECK(results == std::vector(2, LookUpResult::kUnknownJob));
+  CHECK(store.calls.empty());
+}
+
 TEST_CASE("a job that exceeds a row of the store is refused", "[job_store]") {
   // Guards against a job that the store rejects together with all other jobs of
   // the same write.
