Refuse jobs that cannot be of use and answer with a predicted Retry-After

Cause: Retry-After was 1 for every refusal, and no job was refused for lack of capacity.

Change: the owner produces a load report on request, the other daemons fetch it through GET /internal/v1/load while they receive submissions, and the job API decides. The owner does not run refused ids and removes their rows after 30 s. Counters by reason, a histogram of predicted against actual completion, and a log line for each refusal.

--- a/src/daemon/fleet_node.cc
+++ b/src/daemon/fleet_node.cc
@@ -1,11 +1,13 @@
 #include "src/daemon/fleet_node.h"
 
 #include <charconv>
+#include <chrono>
 #include <csignal>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "src/protocol/job_json.h"
+#include "src/protocol/load_json.h"
 #include "src/protocol/socket_address.h"
 #include "src/transport/log.h"
 
@@ -17,6 +19,7 @@
 constexpr char kInstancePath[] = "/internal/v1/instance";
 constexpr char kJobPath[] = "/internal/v1/jobs/";
 constexpr char kQueuePath[] = "/internal/v1/queues/";
+constexpr char kLoadPath[] = "/internal/v1/load";
 // Strength of a candidate that requests a handover from a weaker owner.
 constexpr char kStrengthHeader[] = "Candidate-Strength";
 
@@ -69,6 +72,12 @@
   return std::nullopt;
 }
 
+JobAdmissionConfig AdmissionConfig(const JobSchedulerConfig& scheduler) {
+  return JobAdmissionConfig{
+      .late_factor = scheduler.late_factor,
+      .late_objective_weight = scheduler.late_objective_weight};
+}
+
 }  // namespace
 
 FleetNode::FleetNode(EventLoop* loop,
@@ -85,25 +94,32 @@
           &this->view,
           &this->metrics,
           this->settings,
-          OwnerTaskConfig{},
+          OwnerTaskConfig{.admission =
+                              AdmissionConfig(this->settings.scheduler)},
           [this](
               const std::string& address,
               int strength,
               std::function<void(std::optional<OwnerTask::PeerAnswer>)> done) {
             this->Probe(address, strength, std::move(done));
           }),
-      job_api(loop,
-              &this->ports,
-              &this->view,
-              &this->owner,
-              &this->metrics,
-              this->settings.store,
-              [this](const std::string& address,
-                     const JobId& job,
-                     const std::string& queue,
-                     std::function<void(OwnerReply)> done) {
-                this->QueryOwner(address, job, queue, std::move(done));
-              }) {}
+      job_api(
+          loop,
+          &this->ports,
+          &this->view,
+          &this->owner,
+          &this->metrics,
+          this->settings.store,
+          AdmissionConfig(this->settings.scheduler),
+          [this](const std::string& address,
+                 const JobId& job,
+                 const std::string& queue,
+                 std::function<void(OwnerReply)> done) {
+            this->QueryOwner(address, job, queue, std::move(done));
+          },
+          [this](const std::string& address,
+                 std::function<void(std::optional<std::string>)> done) {
+            this->FetchLoad(address, std::move(done));
+          }) {}
 
 Result<std::unique_ptr<FleetNode>> FleetNode::Create(
     EventLoop* loop,
@@ -174,6 +190,22 @@
         responder.Send(waiting ? JsonAnswer(200, {{"waiting", *waiting}})
                                : JsonAnswer(404, nlohmann::json::object()));
       });
+  this->internal->Route(
+      HttpMethod::kGet, kLoadPath,
+      [this](const HttpServerRequest&, const HttpResponder& responder) {
+        Instant produced{};
+        const LoadReport* const report = this->owner.Load(&produced);
+        if (report == nullptr) {
+          responder.Send(JsonAnswer(404, nlohmann::json::object()));
+          return;
+        }
+        HttpServerResponse answer;
+        answer.headers.push_back({"Content-Type", "application/json"});
+        answer.body = EncodeLoadReport(
+            *report,
+            std::chrono::ceil<Milliseconds>(this->loop->Now() - produced));
+        responder.Send(answer);
+      });
   this->internal->Route(
       HttpMethod::kGet, "/metrics",
       [this](const HttpServerRequest&, const HttpResponder& responder) {
@@ -306,4 +338,26 @@
       });
 }
 
+void FleetNode::FetchLoad(
+    const std::string& address,
+    std::function<void(std::optional<std::string>)> done) {
+  const Result<SocketAddress> peer = SocketAddress::Parse(address);
+  if (!peer) {
+    this->loop->Post([done = std::move(done)] { done(std::nullopt); });
+    return;
+  }
+  HttpRequest request;
+  request.path = kLoadPath;
+  request.timeout = kPeerTimeout;
+  this->peers.Send(HttpPeer{peer.value().ip, peer.value().port},
+                   std::move(request),
+                   [done = std::move(done)](const HttpOutcome& outcome) {
+                     if (outcome.Answered() && outcome.status == 200) {
+                       done(outcome.body);
+                     } else {
+                       done(std::nullopt);
+                     }
+                   });
+}
+
 }  // namespace peridot
--- a/src/daemon/fleet_node.h
+++ b/src/daemon/fleet_node.h
@@ -9,6 +9,8 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 
 #include "src/daemon/fleet_ports.h"
 #include "src/daemon/job_api.h"
@@ -60,6 +62,8 @@
                   const JobId& job,
                   const std::string& queue,
                   std::function<void(OwnerReply)> done);
+  void FetchLoad(const std::string& address,
+                 std::function<void(std::optional<std::string>)> done);
 
   EventLoop* loop;
   FleetPorts ports;
--- a/src/daemon/job_api.cc
+++ b/src/daemon/job_api.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cctype>
 #include <chrono>
+#include <cmath>
 #include <utility>
 
 #include "src/daemon/wall_time.h"
@@ -15,10 +16,6 @@
 
 constexpr std::size_t kJobIdLength = 16;
 
-// Value of Retry-After in seconds: an unavailable store or owner has usually
-// recovered after this time.
-constexpr char kRetryAfterSeconds[] = "1";
-
 bool IsJobId(std::string_view text) {
   return text.size() == kJobIdLength &&
          std::all_of(text.begin(), text.end(),
@@ -30,22 +27,34 @@
 JobApi::JobApi(EventLoop* loop,
                const FleetPorts* ports,
                const OperatorView* view,
-               const OwnerTask* owner,
+               OwnerTask* owner,
                Metrics* metrics,
                const StoreLimits& limits,
-               QueryOwner query_owner)
+               const JobAdmissionConfig& admission_config,
+               QueryOwner query_owner,
+               FetchLoad fetch_load)
     : loop(loop),
       ports(ports),
       view(view),
       owner(owner),
       metrics(metrics),
+      admission_control(admission_config),
       query_owner(std::move(query_owner)),
+      load(
+          loop,
+          metrics,
+          LoadFollowerConfig{.max_report_age = admission_config.max_report_age},
+          [owner, fetch_load = std::move(fetch_load)](
+              std::function<void(std::optional<std::string>)> done) {
+            fetch_load(owner->OwnerAddress(), std::move(done));
+          }),
       writer(loop, ports, JobWriterConfig{.store = limits}) {}
 
 void JobApi::Answer(const Call& call,
                     int status,
                     const char* reason,
-                    std::string body) const {
+                    std::string body,
+                    int retry_after) const {
   HttpServerResponse answer;
   answer.status = status;
   if (!body.empty()) {
@@ -53,7 +62,7 @@
     answer.body = std::move(body);
   }
   if (status == 503 || status == 429) {
-    answer.headers.push_back({"Retry-After", kRetryAfterSeconds});
+    answer.headers.push_back({"Retry-After", std::to_string(retry_after)});
   }
   const Duration took = this->loop->Now() - call.arrived;
   // Every request is refused while the store is unavailable, so refusals count
@@ -146,7 +155,88 @@
   job.team = admission.team;
   job.accepted_ms = UnixMs();
   job.spec = std::move(spec.value());
-  this->writer.Accept(job, [this, call](AcceptResult result) {
+  this->writer.OnStoreVersion(this->owner->NewestVersion());
+  const RowVersion known = this->writer.NewestVersion();
+  const JobAdmission decision = this->Decide(job, queue->second);
+  this->metrics->CountAdmission(JobAdmissionReasonName(decision.reason));
+  if (decision.accepted) {
+    this->Accept(call, job, known);
+  } else {
+    this->Refuse(call, job, known, decision);
+  }
+}
+
+JobAdmission JobApi::Decide(const AcceptedJob& job, const QueueConfig& queue) {
+  const Instant now = this->loop->Now();
+  if (this->owner->Owns()) {
+    Instant produced{};
+    // No report is needed for a queue without an objective.
+    const LoadReport* const report =
+        queue.objective.count() > 0 ? this->owner->Load(&produced) : nullptr;
+    return this->admission_control.OnJob(report, now - produced, job, queue,
+                                         now);
+  }
+  if (queue.objective.count() > 0) {
+    this->load.OnSubmission();
+  }
+  return this->admission_control.OnJob(this->load.Report(), this->load.Age(),
+                                       job, queue, now);
+}
+
+void JobApi::Refuse(const Call& call,
+                    const AcceptedJob& job,
+                    RowVersion known,
+                    const JobAdmission& decision) {
+  const auto number = [](double value) {
+    return std::to_string(std::llround(value * 1000) / 1000.0);
+  };
+  const bool owns = this->owner->Owns();
+  LogRateLimited(
+      LogLevel::kInfo, "job_refusal",
+      {{"job", job.id.value},
+       {"queue", job.queue},
+       {"service", job.service.value},
+       {"team", job.team.value},
+       {"reason", JobAdmissionReasonName(decision.reason)},
+       {"ahead_core_s", number(decision.ahead_core_seconds)},
+       {"own_ahead_core_s", number(decision.own_ahead_core_seconds)},
+       {"cores", number(decision.cores)},
+       {"possible_cores", number(decision.possible_cores)},
+       {"rate", number(decision.rate)},
+       {"earliest_start_ms", std::to_string(decision.earliest_start.count())},
+       {"path_ms", std::to_string(decision.path.count())},
+       {"predicted_ms", std::to_string(decision.predicted.count())},
+       {"last_useful_ms", std::to_string(decision.last_useful.count())},
+       {"retry_after_s", std::to_string(decision.retry_after)},
+       {"report", owns ? "own" : "owner"},
+       {"report_age_ms", std::to_string(decision.report_age.count())}});
+  this->writer.Refuse(
+      job.id, [this, call, job, known, decision](AcceptResult result) {
+        switch (result) {
+          case AcceptResult::kAccepted:
+            // The job was stored by an earlier submission.
+            this->Answer(call, 200, "stored");
+            return;
+          case AcceptResult::kRefused:
+            this->Answer(call, 429, JobAdmissionReasonName(decision.reason),
+                         R"({"error":"the job could not complete in time"})",
+                         decision.retry_after);
+            return;
+          case AcceptResult::kNotRun:
+          case AcceptResult::kUnknown:
+          case AcceptResult::kTooLarge:
+            // Without a stored refusal, an earlier submission could still run.
+            this->metrics->CountAdmission("refusal_not_stored");
+            this->Accept(call, job, known);
+            return;
+        }
+      });
+}
+
+void JobApi::Accept(const Call& call,
+                    const AcceptedJob& job,
+                    RowVersion known) {
+  this->writer.Accept(job, known, [this, call](AcceptResult result) {
     switch (result) {
       case AcceptResult::kAccepted:
         this->Answer(call, 200, "stored");
@@ -161,6 +251,9 @@
       case AcceptResult::kUnknown:
         this->Answer(call, 504, "store_silent");
         return;
+      case AcceptResult::kRefused:
+        this->Answer(call, 429, "refused_meanwhile");
+        return;
     }
   });
 }
--- a/src/daemon/job_api.h
+++ b/src/daemon/job_api.h
@@ -5,8 +5,10 @@
 //   [SECTION] JobApi
 //
 // Accepts a job once it is stored. A refusal means that the job has not run
-// and never will; if that is not certain, the answer is 504. Not thread-safe:
-// use it on the event loop's thread only.
+// and never will; if that is not certain, the answer is 504. A job that could
+// not complete while it is of use is refused with 429 once its refusal is
+// stored (docs/design/admission.md). Not thread-safe: use it on the event
+// loop's thread only.
 
 #ifndef SRC_DAEMON_JOB_API_H_
 #define SRC_DAEMON_JOB_API_H_
@@ -16,8 +18,10 @@
 #include <optional>
 #include <string>
 
+#include "src/coordination/job_admission.h"
 #include "src/daemon/fleet_ports.h"
 #include "src/daemon/job_store.h"
+#include "src/daemon/load_follower.h"
 #include "src/daemon/operator_view.h"
 #include "src/daemon/owner_task.h"
 #include "src/transport/http_server.h"
@@ -48,15 +52,22 @@
                                         const JobId& job,
                                         const std::string& queue,
                                         std::function<void(OwnerReply)>)>;
+  // Requests the load report of the owner at an address; none: no answer, or
+  // that daemon has no report.
+  using FetchLoad =
+      std::function<void(const std::string& address,
+                         std::function<void(std::optional<std::string>)>)>;
 
   // The pointees must outlive the task.
   JobApi(EventLoop* loop,
          const FleetPorts* ports,
          const OperatorView* view,
-         const OwnerTask* owner,
+         OwnerTask* owner,
          Metrics* metrics,
          const StoreLimits& limits,
-         QueryOwner query_owner);
+         const JobAdmissionConfig& admission_config,
+         QueryOwner query_owner,
+         FetchLoad fetch_load);
 
   // Answers one request, before or after the call returns.
   void Handle(const HttpServerRequest& request, const HttpResponder& responder);
@@ -72,6 +83,13 @@
   void Submit(const Call& call,
               const CallAdmission& admission,
               const HttpServerRequest& request);
+  JobAdmission Decide(const AcceptedJob& job, const QueueConfig& queue);
+  // `known` is the newest version of the store when the call arrived.
+  void Accept(const Call& call, const AcceptedJob& job, RowVersion known);
+  void Refuse(const Call& call,
+              const AcceptedJob& job,
+              RowVersion known,
+              const JobAdmission& decision);
   void ShowState(const Call& call, const JobId& id);
   void ShowStored(const Call& call, const JobId& id);
   void AnswerFromStore(const Call& call,
@@ -82,14 +100,21 @@
   void Answer(const Call& call,
               int status,
               const char* reason,
-              std::string body = {}) const;
+              std::string body = {},
+              int retry_after = kShortRetryAfter) const;
+
+  // Value of Retry-After in seconds: an unavailable store or owner has usually
+  // recovered after this time.
+  static constexpr int kShortRetryAfter = 1;
 
   EventLoop* loop;
   const FleetPorts* ports;
   const OperatorView* view;
-  const OwnerTask* owner;
+  OwnerTask* owner;
   Metrics* metrics;
+  JobAdmissionControl admission_control;
   QueryOwner query_owner;
+  LoadFollower load;
   JobWriter writer;
 };
 
--- a/src/daemon/owner_housekeeping.cc
+++ b/src/daemon/owner_housekeeping.cc
@@ -1,5 +1,5 @@
-// Housekeeping of the owner: closes and removes the rows of finished jobs, logs
-// why jobs wait, and publishes metrics.
+// Housekeeping of the owner: closes and removes the rows of finished jobs,
+// reports the load, logs why jobs wait, and publishes metrics.
 
 #include <chrono>
 #include <map>
@@ -31,6 +31,10 @@
 // Time between two log reports on waiting jobs.
 constexpr Milliseconds kExplainInterval{1000};
 
+// Time between two comparisons of completions with their predictions, which
+// bounds the error of the comparison.
+constexpr Milliseconds kCompareInterval{100};
+
 // Rows removed in one call, which takes 100.
 constexpr std::size_t kRemovedRows = 90;
 
@@ -88,6 +92,7 @@
     return;
   }
   owned.next_sweep = now + kSweepInterval;
+  this->RemoveOldRefusals();
   const std::vector<JobId> old =
       owned.scheduler.FinalBefore(now - this->config.final_job_retention);
   if (old.empty()) {
@@ -136,6 +141,140 @@
   this->ports->transact(std::move(transaction), this->IfOwner(std::move(done)));
 }
 
+void OwnerTask::RemoveOldRefusals() {
+  Ownership& owned = *this->owned;
+  const Instant before = this->loop->Now() - this->config.refusal_retention;
+  StoreTransaction transaction;
+  transaction.across_parts = true;
+  std::vector<JobId> removed;
+  for (const auto& [id, refusal] : owned.refusals) {
+    if (refusal.second >= before) {
+      continue;
+    }
+    if (removed.size() == kClosedBatch) {
+      owned.next_sweep = this->loop->Now() + kFullSweepInterval;
+      break;
+    }
+    // A job may have replaced the refusal.
+    const StoreKey key{kJobTable, PartOf(id), id.value};
+    transaction.conditions.emplace_back(key, refusal.first);
+    transaction.removals.push_back(key);
+    removed.push_back(id);
+  }
+  if (removed.empty()) {
+    return;
+  }
+  std::function<void(StoreReply)> done = [this,
+                                          removed](const StoreReply& reply) {
+    if (reply.outcome == StoreOutcome::kOk) {
+      for (const JobId& id : removed) {
+        this->owned->refusals.erase(id);
+      }
+      return;
+    }
+    LogEvent(LogLevel::kWarning, "refusals_not_removed",
+             {{"count", std::to_string(removed.size())},
+              {"outcome", StoreOutcomeName(reply.outcome)}});
+    // The rows that conflict were replaced or are removed already.
+    for (const StoreRow& row : reply.rows) {
+      const auto found = this->owned->refusals.find(JobId(row.key.key));
+      if (reply.outcome == StoreOutcome::kConflict &&
+          found != this->owned->refusals.end() &&
+          found->second.first != row.version) {
+        this->owned->refusals.erase(found);
+      }
+    }
+  };
+  this->ports->transact(std::move(transaction), this->IfOwner(std::move(done)));
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Load
+//-----------------------------------------------------------------------------
+
+const LoadReport* OwnerTask::Load(Instant* produced) {
+  if (!this->Owns()) {
+    return nullptr;
+  }
+  Ownership& owned = *this->owned;
+  const Instant now = this->loop->Now();
+  // Without the list of hosts, the capacity that may be added is not known.
+  if (owned.hosts_read == Instant{} ||
+      now - owned.hosts_read > this->config.max_host_list_age) {
+    return nullptr;
+  }
+  if (owned.load_produced == Instant{} ||
+      now - owned.load_produced >= this->config.min_report_interval) {
+    owned.load = owned.scheduler.Load(now);
+    owned.load_produced = now;
+    for (auto& [id, service] : owned.load.services) {
+      service.completion_rate = owned.rates.Rate(id);
+      double known = service.usable_cores;
+      for (const ArrivingCores& added : service.arriving) {
+        known += added.cores;
+      }
+      const double reachable = this->settings.hosts.moves_enabled
+                                   ? owned.all_host_cores
+                                   : owned.host_cores[id];
+      if (reachable > known) {
+        service.arriving.push_back(ArrivingCores{
+            reachable - known, this->config.earliest_host_arrival});
+      }
+    }
+    if (const Result<void> checked = CheckLoadReport(owned.load); !checked) {
+      LogError(LogLevel::kWarning, "load_report_ignored", checked.error());
+      owned.load = LoadReport{};
+    }
+  }
+  *produced = owned.load_produced;
+  return &owned.load;
+}
+
+void OwnerTask::PredictCompletion(const AcceptedJob& job, Milliseconds age) {
+  Ownership& owned = *this->owned;
+  const FleetConfig& fleet = this->view->Config().fleet;
+  const auto queue = fleet.queues.find(job.queue);
+  // Only jobs of queues with an objective are subject to admission.
+  if (queue == fleet.queues.end() || queue->second.objective.count() <= 0 ||
+      owned.predicted.size() >= this->config.max_predicted_jobs) {
+    return;
+  }
+  Instant produced{};
+  const LoadReport* const load = this->Load(&produced);
+  if (load == nullptr) {
+    return;
+  }
+  const Instant now = this->loop->Now();
+  const JobAdmission decision = DecideJobAdmission(
+      load, now - produced, job, queue->second, this->config.admission);
+  if (decision.predicted.count() > 0) {
+    owned.predicted[job.id] =
+        Ownership::Predicted{now - age, decision.predicted};
+  }
+}
+
+void OwnerTask::ComparePredictions() {
+  Ownership& owned = *this->owned;
+  const Instant now = this->loop->Now();
+  if (now < owned.next_comparison) {
+    return;
+  }
+  owned.next_comparison = now + kCompareInterval;
+  std::erase_if(owned.predicted, [&](const auto& entry) {
+    const auto& [id, predicted] = entry;
+    const std::optional<JobState> state = owned.scheduler.StateOf(id);
+    if (state && !IsFinal(*state)) {
+      return false;
+    }
+    if (state == JobState::kCompleted) {
+      this->metrics->ObservePrediction(
+          std::chrono::duration<double>(now - predicted.arrived).count() /
+          std::chrono::duration<double>(predicted.after).count());
+    }
+    return true;
+  });
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Logs and metrics
 //-----------------------------------------------------------------------------
--- a/src/daemon/owner_load.cc
+++ b/src/daemon/owner_load.cc
@@ -231,6 +231,11 @@
   }
   Ownership& owned = *this->owned;
   const Instant now = this->loop->Now();
+  if (job.value().refused) {
+    owned.refusals[job.value().id] = {row.version, now};
+    return;
+  }
+  owned.refusals.erase(job.value().id);
   const bool before = row.version <= this->previous_jobs_version;
   const std::int64_t age =
       std::clamp<std::int64_t>(UnixMs() - job.value().accepted_ms, 0, 120000);
@@ -240,6 +245,9 @@
                     {"queue", job.value().queue},
                     {"age_ms", std::to_string(age)},
                     {"row_version", std::to_string(row.version.value)}});
+    if (!before) {
+      this->PredictCompletion(job.value(), Milliseconds(age));
+    }
   }
   owned.scheduler.OnJob(std::move(job.value()), row.version, before,
                         Milliseconds(age), now);
--- a/src/daemon/owner_rounds.cc
+++ b/src/daemon/owner_rounds.cc
@@ -89,6 +89,8 @@
   this->Write();
   this->CloseJobs();
   this->RemoveOldJobs();
+  owned.rates.OnTotals(owned.scheduler.CompletedCoreSeconds(), now);
+  this->ComparePredictions();
   this->ExplainWaiting();
   this->LogDecisions();
   this->SetTimer();
@@ -187,6 +189,17 @@
             const Instant received = this->loop->Now();
             this->owned->scheduler.OnHostEndpoints(RunningEndpoints(*hosts),
                                                    now, received);
+            this->owned->host_cores.clear();
+            this->owned->all_host_cores = 0;
+            for (const FleetHost& host : *hosts) {
+              if (host.state != FleetHostState::kDown) {
+                const double cores =
+                    static_cast<double>(host.capacity.milli_cores) / 1000;
+                this->owned->host_cores[host.pool] += cores;
+                this->owned->all_host_cores += cores;
+              }
+            }
+            this->owned->hosts_read = received;
             this->owned->planner.OnHosts(std::move(*hosts), now, received);
           }
           this->ScheduleRound();
--- a/src/daemon/owner_task.cc
+++ b/src/daemon/owner_task.cc
@@ -64,6 +64,9 @@
   if (answered) {
     this->store_answered = this->loop->Now();
   }
+  if (answered) {
+    this->newest_version = std::max(this->newest_version, reply.version);
+  }
   if (answered && reply.store_ms > 0) {
     this->store_ms = reply.store_ms;
     this->store_read = this->loop->Now();
@@ -350,6 +353,10 @@
          this->lease.Valid(this->loop->Now());
 }
 
+RowVersion OwnerTask::NewestVersion() const {
+  return this->newest_version;
+}
+
 const std::string& OwnerTask::OwnerAddress() const {
   return this->lease.Row().address;
 }
--- a/src/daemon/owner_task.h
+++ b/src/daemon/owner_task.h
@@ -20,6 +20,7 @@
 #include <random>
 #include <string>
 
+#include "src/coordination/job_admission.h"
 #include "src/daemon/fleet_ports.h"
 #include "src/daemon/operator_view.h"
 #include "src/daemon/table_follower.h"
@@ -76,6 +77,19 @@
   // The log states the reason for waiting of jobs that wait longer than this.
   Milliseconds explain_after{2000};
   std::size_t max_explained_jobs = 5;  // jobs per second
+  // Time for which the refusal of an id stays in the store: the longest
+  // Retry-After, and ten times as long as a daemon repeats an earlier write.
+  Milliseconds refusal_retention{30000};
+  // Minimum time between two load reports; a report visits all waiting jobs.
+  Milliseconds min_report_interval{250};
+  // Age up to which the list of hosts is used for a report.
+  Milliseconds max_host_list_age{10000};
+  // Earliest arrival of a host that is not in the service yet. A move takes
+  // 1.5 s; it may have been ordered before the list of hosts was read.
+  Milliseconds earliest_host_arrival{500};
+  // Number of jobs whose completion is compared with the prediction at a time.
+  std::size_t max_predicted_jobs = 500;
+  JobAdmissionConfig admission;
 };
 
 //-----------------------------------------------------------------------------
@@ -124,6 +138,12 @@
   // None unless this daemon owns the fleet and its job feed is up to date: a
   // count without the newest jobs would be wrong.
   std::optional<int> WaitingIn(const std::string& queue) const;
+  // The load of the services, at most min_report_interval old; null unless this
+  // daemon owns the fleet and knows its hosts. The pointer is valid until the
+  // event loop continues.
+  const LoadReport* Load(Instant* produced);
+  // The newest version that a reply of the store named.
+  RowVersion NewestVersion() const;
   bool StoreReachable(Instant now) const;
   // Answers a candidate that has just read the lease from the store. An owner
   // that could not write in the meantime ends its ownership. An owner on a much
@@ -180,6 +200,10 @@
   void ReportWave(const WaveProgress& progress);
   void CloseJobs();
   void RemoveOldJobs();
+  void RemoveOldRefusals();
+  // Predicts when the job completes, for the comparison when it has.
+  void PredictCompletion(const AcceptedJob& job, Milliseconds age);
+  void ComparePredictions();
   void ExplainWaiting();
   void PublishCounts();
   void WriteRelease();
@@ -213,6 +237,7 @@
   RowVersion previous_jobs_version;  // newest job that an earlier owner may
                                      // have started
   std::function<void()> on_released;
+  RowVersion newest_version;  // that a reply of the store named
   std::int64_t store_ms = 0;  // the store's clock at store_read
   Instant store_read{};
   Instant store_answered{};
--- a/src/daemon/owner_task_internal.h
+++ b/src/daemon/owner_task_internal.h
@@ -40,6 +40,20 @@
   std::vector<HostOrder> orders_to_record;
   std::vector<HostOrder> orders_in_write;
   std::map<HostId, std::int64_t> recorded_orders;  // latest time, store's clock
+  // Refused ids, by the version of their rows and when they became known.
+  std::map<JobId, std::pair<RowVersion, Instant>> refusals;
+  std::map<ServiceId, double> host_cores;  // of all hosts that are not down
+  double all_host_cores = 0;               // sum of host_cores
+  Instant hosts_read{};                    // zero: not read yet
+  CompletionRates rates;
+  LoadReport load;
+  Instant load_produced{};  // zero: no report yet
+  struct Predicted {
+    Instant arrived{};
+    Milliseconds after{0};
+  };
+  std::map<JobId, Predicted> predicted;
+  Instant next_comparison{};
   WatchId timer = kNoWatch;
   Instant began_at{};
   Instant next_plan{};
--- a/src/transport/metrics.cc
+++ b/src/transport/metrics.cc
@@ -19,6 +19,10 @@
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25,
     0.5,   0.75,   1.0,   1.1,  1.5,   2.5,  5.0, 10.0};
 
+// Powers of the square root of 2 around 1, wider apart outside.
+const prometheus::Histogram::BucketBoundaries kRatioBounds = {
+    0.1, 0.25, 0.5, 0.71, 1.0, 1.41, 2.0, 4.0, 10.0};
+
 prometheus::Family<prometheus::Counter>& CounterFamily(
     prometheus::Registry& registry,
     const char* name,
@@ -51,6 +55,17 @@
           .Name("peridot_latency_seconds")
           .Help("Time taken, by step.")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& admissions =
+      CounterFamily(registry,
+                    "peridot_job_admissions_total",
+                    "Decisions on submitted jobs by predicted completion, by "
+                    "reason.");
+  prometheus::Histogram& predictions =
+      prometheus::BuildHistogram()
+          .Name("peridot_completion_to_prediction_ratio")
+          .Help("Actual time to completion divided by the predicted one.")
+          .Register(registry)
+          .Add({}, kRatioBounds);
   std::mutex mutex;
   std::map<std::string, prometheus::Gauge*> gauges;  // guarded by mutex
 };
@@ -75,6 +90,14 @@
   this->families->peer_dropped.Add({{"peer", peer}}).Increment();
 }
 
+void Metrics::CountAdmission(const std::string& reason) {
+  this->families->admissions.Add({{"reason", reason}}).Increment();
+}
+
+void Metrics::ObservePrediction(double actual_to_predicted) {
+  this->families->predictions.Observe(actual_to_predicted);
+}
+
 void Metrics::SetGauge(const std::string& name, double value) {
   const std::lock_guard lock(this->families->mutex);
   prometheus::Gauge*& gauge = this->families->gauges[name];
--- a/src/transport/metrics.h
+++ b/src/transport/metrics.h
@@ -33,6 +33,11 @@
   void CountPeerMessageRefused(const std::string& reason);  // one message
   void CountPeerMessageDropped(const std::string& peer);    // full send queue
 
+  void CountAdmission(const std::string& reason);  // one decision on a job
+  // Adds to the histogram of the actual time from acceptance to completion
+  // divided by the predicted one.
+  void ObservePrediction(double actual_to_predicted);
+
   // Sets the gauge `peridot_NAME`. The name must be lower_snake_case and end
   // with the unit.
   void SetGauge(const std::string& name, double value);
--- a/tests/owner_task_test.cc
+++ b/tests/owner_task_test.cc
@@ -429,6 +429,69 @@
   CHECK(kept);
 }
 
+TEST_CASE("a refused job does not run unless it is submitted again",
+          "[owner_task]") {
+  // Guards against a refusal that the owner takes for a job, and against a job
+  // that it ignores because the id was refused before.
+  OwnerFixture fixture(OwnerTaskConfig{.refusal_retention = milliseconds(100)});
+  const JobId refused("5c0e7a21d94b36f9");
+  const StoreKey key{kJobTable, PartOf(refused), refused.value};
+  StoreTransaction row;
+  row.puts.emplace_back(
+      key,
+      EncodeJob(AcceptedJob{
+          .id = refused, .closed_as = JobState::kCancelled, .refused = true}));
+  fixture.store.Transact(row);
+  fixture.AddEndpointAndJob();
+  REQUIRE(fixture.loop->RunUntil([&] { return fixture.started; }, kLimit));
+  CHECK(fixture.run.task.job == fixture.job.id);
+  CHECK_FALSE(fixture.task->StateOf(refused));
+  SECTION("its row is removed after a time") {
+    CHECK(fixture.loop->RunUntil(
+        [&] { return fixture.store.Read(key, "", 1).rows.empty(); }, kLimit));
+    CHECK(fixture.run.task.job == fixture.job.id);
+  }
+  SECTION("it is submitted again") {
+    fixture.job.id = refused;
+    StoreTransaction again;
+    again.puts.emplace_back(key, EncodeJob(fixture.job));
+    fixture.store.Transact(again);
+    CHECK(fixture.loop->RunUntil(
+        [&] { return fixture.run.task.job == refused; }, kLimit));
+  }
+}
+
+TEST_CASE("an owner reports its load only once it knows its hosts",
+          "[owner_task]") {
+  // Guards against refusals after a takeover, when the capacity that a service
+  // may still get is not known.
+  OwnerFixture fixture;
+  std::function<void()> answer;
+  fixture.ports.read_hosts = [&](const auto& done) {
+    answer = [done] {
+      done(std::vector<FleetHost>{FleetHost{.id = HostId("h1"),
+                                            .pool = ServiceId("spare"),
+                                            .state = FleetHostState::kUp,
+                                            .capacity = {64000, 0, 0}}});
+    };
+  };
+  Instant produced{};
+  CHECK(fixture.task->Load(&produced) == nullptr);
+  fixture.AddEndpointAndJob();
+  REQUIRE(fixture.loop->RunUntil([&] { return fixture.started && answer; },
+                                 kLimit));
+  CHECK(fixture.task->Load(&produced) == nullptr);
+  fixture.loop->Post(answer);
+  const LoadReport* load = nullptr;
+  REQUIRE(fixture.loop->RunUntil(
+      [&] { return (load = fixture.task->Load(&produced)) != nullptr; },
+      kLimit));
+  const ServiceLoad& service = load->services.at(ServiceId("s"));
+  CHECK(service.usable_cores == 4);
+  REQUIRE(service.arriving.size() == 1);
+  CHECK(service.arriving[0].cores == 60);
+}
+
 TEST_CASE("no count of waiting jobs is reported while the job feed is stale",
           "[owner_task]") {
   // Guards against an owner that reports 0 waiting jobs because its job feed
