--- a/src/daemon/job_api.cc
+++ b/src/daemon/job_api.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cctype>
 #include <chrono>
-#include <cmath>
 #include <utility>
 
 #include "src/daemon/wall_time.h"
@@ -187,9 +186,6 @@
                     const AcceptedJob& job,
                     RowVersion known,
                     const JobAdmission& decision) {
-  const auto number = [](double value) {
-    return std::to_string(std::llround(value * 1000) / 1000.0);
-  };
   const bool owns = this->owner->Owns();
   LogRateLimited(
       LogLevel::kInfo, "job_refusal",
@@ -198,11 +194,11 @@
        {"service", job.service.value},
        {"team", job.team.value},
        {"reason", JobAdmissionReasonName(decision.reason)},
-       {"ahead_core_s", number(decision.ahead_core_seconds)},
-       {"own_ahead_core_s", number(decision.own_ahead_core_seconds)},
-       {"cores", number(decision.cores)},
-       {"possible_cores", number(decision.possible_cores)},
-       {"rate", number(decision.rate)},
+       {"ahead_core_s", std::to_string(decision.ahead_core_seconds)},
+       {"own_ahead_core_s", std::to_string(decision.own_ahead_core_seconds)},
+       {"cores", std::to_string(decision.cores)},
+       {"possible_cores", std::to_string(decision.possible_cores)},
+       {"rate", std::to_string(decision.rate)},
        {"earliest_start_ms", std::to_string(decision.earliest_start.count())},
        {"path_ms", std::to_string(decision.path.count())},
        {"predicted_ms", std::to_string(decision.predicted.count())},
