--- a/src/coordination/duration_model.h
+++ b/src/coordination/duration_model.h
@@ -34,6 +34,9 @@
   // durations; that of unreliable estimates until enough runs have completed.
   double Spread() const;
 
+  // Returns whether enough runs have completed for Predict() to use them.
+  bool Learned() const;
+
  private:
   int run_count = 0;
   double declared_ms = 0;  // average
--- a/src/transport/metrics.h
+++ b/src/transport/metrics.h
@@ -44,6 +44,11 @@
                          std::size_t held_bytes,
                          std::size_t connections);
 
+  void CountAdmission(const std::string& reason);  // one decision on a job
+  // Adds to the histogram of the actual time from acceptance to completion
+  // divided by the predicted one.
+  void ObservePrediction(double actual_to_predicted);
+
   // Sets the gauge `peridot_NAME`. The name must be lower_snake_case and end
   // with the unit.
   void SetGauge(const std::string& name, double value);
