--- a/src/coordination/host_planner.cc
+++ b/src/coordination/host_planner.cc
@@ -335,8 +335,9 @@
 }
 
 std::size_t HostPlanner::MinPoolHosts() const {
-  const double equal_share = static_cast<double>(this->hosts.size()) /
-                             std::max<double>(1, this->pools.size());
+  const double equal_share =
+      static_cast<double>(this->hosts.size()) /
+      static_cast<double>(std::max<std::size_t>(1, this->pools.size()));
   return std::max(
       this->config.min_pool_hosts,
       static_cast<std::size_t>(this->config.reserve_share * equal_share));
