Write the file of the settings check tests once per process

Cause: two test cases wrote and removed the same file, and ctest runs them side by side.

Change: the name contains the process id. The checks are unchanged.

--- a/tests/ctl_commands_test.cc
+++ b/tests/ctl_commands_test.cc
@@ -1,5 +1,7 @@
 // Tests of peridotctl's commands against a fake server.
 
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
 #include <cstdio>
 #include <fstream>
@@ -295,14 +297,17 @@
 // [SECTION] Settings check
 //-----------------------------------------------------------------------------
 
-constexpr const char* kCheckFile = "ctl_test_check.yaml";
+// Two test cases write this file, and ctest runs them at the same time.
+std::string CheckFile() {
+  return "ctl_test_check_" + std::to_string(getpid()) + ".yaml";
+}
 
 Outcome Check(const std::string& text,
               std::vector<std::string> options = {},
               const Result<HttpReply>& hosts = HttpReply{200, {}, "[]"},
               const char* variable = kKey.c_str()) {
-  const TemporaryFile file(kCheckFile, text);
-  options.insert(options.begin(), {"settings", "check", kCheckFile});
+  const TemporaryFile file(CheckFile(), text);
+  options.insert(options.begin(), {"settings", "check", CheckFile()});
   return Run(options, hosts, variable);
 }
 
