Record the services that a moved queue's jobs may run in

Cause: a new owner waited only for endpoints of the service at acceptance if the queue goes there now. Nothing stored told which services the queue had gone to in between. Change: the owner stores the moves of queues and starts a job in another service than that of its acceptance only once the move is stored; a new owner waits for all recorded services.

--- a/src/coordination/job_scheduler.h
+++ b/src/coordination/job_scheduler.h
@@ -23,6 +23,7 @@
 #include <limits>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -296,6 +297,17 @@
   friend bool operator==(const UsedEndpoint&, const UsedEndpoint&) = default;
 };
 
+// Services other than that of a job's acceptance in which previous owners may
+// have started tasks, by queue; stored for the next owner. A queue is listed
+// only if the configuration has sent it to another service.
+struct QueueMoves {
+  // The previous owner left no record: any queue may have run in any service.
+  bool unknown = false;
+  std::map<std::string, std::set<ServiceId>> services;
+
+  friend bool operator==(const QueueMoves&, const QueueMoves&) = default;
+};
+
 // Demand of one service, for the host planner.
 struct ServiceDemand {
   double waiting_core_seconds = 0;  // ready and not started
@@ -360,6 +372,9 @@
   void OnPreviousOwnerEndpoints(const std::vector<UsedEndpoint>& endpoints,
                                 Instant now);
 
+  // The moves of queues that previous owners recorded.
+  void OnPreviousQueueMoves(const QueueMoves& moves);
+
   // The endpoints that run on the fleet's hosts, from a complete list of hosts
   // that was requested at `sent`. A move or maintenance ends the endpoint of
   // its host at once, while the list of endpoints shows it for some seconds and
@@ -419,6 +434,14 @@
   // The endpoints of the last TakeUsedEndpoints() have been stored.
   void OnUsedEndpointsStored();
 
+  // Returns the moves of queues to store for the next owner. A job starts in
+  // another service than that of its acceptance only once the move is stored.
+  QueueMoves TakeQueueMoves(Instant now);
+  // The moves of the last TakeQueueMoves() have been stored.
+  void OnQueueMovesStored();
+  // True if jobs wait for OnQueueMovesStored().
+  bool HasUnstoredQueueMoves() const;
+
   // Queries. ----------------------------------------------------------------
 
   // The state to report to callers; none if the job is unknown.
--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -143,8 +143,9 @@
   bool rank_due = false;         // in State::rank_due
   JobRank rank;                  // as of the last ranking
   Instant rank_timer{};  // when the rank is due anew; in State::rank_timers
-  ServiceState* queued_in = nullptr;       // waits there; null: no task waits
-  bool unfit = false;                      // in ServiceState::unfit of it
+  ServiceState* queued_in = nullptr;  // waits there; null: no task waits
+  bool moved = false;  // its queue goes to another service than at acceptance
+  bool unfit = false;  // in ServiceState::unfit of queued_in
   JobState decided = JobState::kPending;   // state in memory
   JobState recorded = JobState::kPending;  // state in the store
   Instant recorded_at{};                   // when a final state was recorded
@@ -323,6 +324,10 @@
   std::map<ServiceId, double> completed_core_seconds;  // as predicted
   std::set<ServiceId> unrecovered;  // services with endpoints not recovered yet
   Resources unpolled_capacity;      // total capacity of these endpoints
+  QueueMoves moves;                 // of previous owners and of this one
+  QueueMoves taken_moves;           // as of the last TakeQueueMoves()
+  QueueMoves stored_moves;          // of these, the ones that are stored
+  Instant next_moves_check{};       // when moves without effect are removed
   Instant recovery_ends{};  // by then the work of previous owners has lapsed
   std::int64_t wall_offset_ms = 0;  // Unix time minus steady clock
   RowVersion newest_job;            // newest version of a job's row received
@@ -354,6 +359,13 @@
   // Returns whether a previous owner may have started a run of the job on an
   // endpoint that was not polled yet.
   bool MayRunUnseen(const ScheduledJob& job) const;
+  // Notes the service to which the queue of a waiting job goes now.
+  void UpdateMoved(ScheduledJob* job);
+  // Returns whether the next owner would know that the job may have run in the
+  // service to which its queue goes now.
+  bool IsMoveStored(const ScheduledJob& job) const;
+  // Removes the moves that no longer matter to any job.
+  void RemoveSettledMoves(Instant now);
   // Returns whether the list of hosts seems to be complete. It is not if it
   // omits an endpoint that has answered since it was requested, or most of
   // those that are listed.
--- a/src/coordination/job_scheduler_place.cc
+++ b/src/coordination/job_scheduler_place.cc
@@ -132,6 +132,7 @@
                    path_left + Milliseconds(1));
   }
   job->rank = rank;
+  this->UpdateMoved(job);
   job->queued_in = &this->services[this->ServiceOf(*job)];
   job->unfit = !this->FitsWhenIdle(*job, job->queued_in->endpoints);
   if (job->unfit) {
@@ -208,7 +209,8 @@
            static_cast<double>(used->second) > shares[team];
   };
   const auto held_back = [&](const ScheduledJob& job) {
-    return job.version > this->startable || this->MayRunUnseen(job);
+    return job.version > this->startable || !this->IsMoveStored(job) ||
+           this->MayRunUnseen(job);
   };
   std::map<TeamId, int> failed;  // jobs that did not fit
   int without_room = 0;
--- a/src/coordination/job_scheduler_polls.cc
+++ b/src/coordination/job_scheduler_polls.cc
@@ -82,6 +82,8 @@
     constraint = "no_lease";
   } else if (job->version > state.startable) {
     constraint = "not_recorded";
+  } else if (!state.IsMoveStored(*job)) {
+    constraint = "move_not_recorded";
   } else if (state.MayRunUnseen(*job)) {
     constraint = "takeover";
   } else if (!within_limit) {
--- a/src/coordination/job_scheduler_takeover.cc
+++ b/src/coordination/job_scheduler_takeover.cc
@@ -167,13 +167,117 @@
 }
 
 bool JobScheduler::State::MayRunUnseen(const ScheduledJob& job) const {
-  if (!job.before_takeover) {
+  if (!job.before_takeover || this->unrecovered.empty()) {
     return false;
   }
-  const ServiceId service = this->ServiceOf(job);
-  // Nothing tells where a queue that has moved went before.
-  return service == job.accepted.service ? this->unrecovered.contains(service)
-                                         : !this->unrecovered.empty();
+  if (this->moves.unknown || this->unrecovered.contains(job.accepted.service)) {
+    return true;
+  }
+  const auto found = this->moves.services.find(job.accepted.queue);
+  return found != this->moves.services.end() &&
+         std::any_of(found->second.begin(), found->second.end(),
+                     [this](const ServiceId& service) {
+                       return this->unrecovered.contains(service);
+                     });
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Queues that moved to another service
+//-----------------------------------------------------------------------------
+
+namespace {
+
+// Time between two removals of moves that no longer matter.
+constexpr Milliseconds kMovesCheckInterval{1000};
+
+bool Contains(const QueueMoves& moves,
+              const std::string& queue,
+              const ServiceId& service) {
+  const auto found = moves.services.find(queue);
+  return found != moves.services.end() && found->second.contains(service);
+}
+
+// Returns the moves that both records list.
+QueueMoves Common(const QueueMoves& one, const QueueMoves& other) {
+  QueueMoves common;
+  for (const auto& [queue, services] : one.services) {
+    for (const ServiceId& service : services) {
+      if (Contains(other, queue, service)) {
+        common.services[queue].insert(service);
+      }
+    }
+  }
+  return common;
+}
+
+}  // namespace
+
+void JobScheduler::OnPreviousQueueMoves(const QueueMoves& moves) {
+  this->state->moves = this->state->stored_moves = moves;
+}
+
+QueueMoves JobScheduler::TakeQueueMoves(Instant now) {
+  State& state = *this->state;
+  if (now >= state.next_moves_check) {
+    state.next_moves_check = now + kMovesCheckInterval;
+    state.RemoveSettledMoves(now);
+  }
+  state.taken_moves = state.moves;
+  // The write may take effect without an answer, so that the store holds
+  // either record from now on.
+  state.stored_moves = Common(state.stored_moves, state.taken_moves);
+  return state.taken_moves;
+}
+
+void JobScheduler::OnQueueMovesStored() {
+  this->state->stored_moves = this->state->taken_moves;
+}
+
+bool JobScheduler::HasUnstoredQueueMoves() const {
+  const State& state = *this->state;
+  return Common(state.moves, state.stored_moves).services !=
+         state.moves.services;
+}
+
+void JobScheduler::State::UpdateMoved(ScheduledJob* job) {
+  const ServiceId service = this->ServiceOf(*job);
+  job->moved = service != job->accepted.service;
+  if (job->moved &&
+      this->moves.services[job->accepted.queue].insert(service).second) {
+    this->LogDecision("decision=queue_moved queue=" + job->accepted.queue +
+                      " from=" + job->accepted.service.value +
+                      " to=" + service.value);
+  }
+}
+
+bool JobScheduler::State::IsMoveStored(const ScheduledJob& job) const {
+  return !job.moved ||
+         Contains(this->stored_moves, job.accepted.queue, this->ServiceOf(job));
+}
+
+void JobScheduler::State::RemoveSettledMoves(Instant now) {
+  this->FindUnrecovered(now);
+  this->moves.unknown = this->moves.unknown && !this->unrecovered.empty();
+  if (this->moves.services.empty()) {
+    return;
+  }
+  std::map<std::string, std::set<ServiceId>> needed;
+  for (const ScheduledJob* job : this->active) {
+    const auto found = this->moves.services.find(job->accepted.queue);
+    if (found == this->moves.services.end()) {
+      continue;
+    }
+    for (const ServiceId& service : found->second) {
+      const bool may_run_there =
+          job->placed > 0 ||
+          (job->before_takeover && this->unrecovered.contains(service)) ||
+          service == this->ServiceOf(*job);
+      if (service != job->accepted.service && may_run_there) {
+        needed[job->accepted.queue].insert(service);
+      }
+    }
+  }
+  this->moves.services = std::move(needed);
 }
 
 }  // namespace peridot
--- a/src/daemon/job_store.h
+++ b/src/daemon/job_store.h
@@ -46,6 +46,8 @@
 inline constexpr char kOwnerPart[] = "owner";
 inline constexpr char kOwnerKey[] = "lease";
 inline constexpr char kUsedTable[] = "used_endpoints";
+inline constexpr char kQueueMoveTable[] = "queue_moves";
+inline constexpr char kQueueMoveKey[] = "recent";
 
 // Returns the parts of the tables that all daemons write. The store executes
 // the transactions of one part sequentially.
--- a/src/daemon/owner_load.cc
+++ b/src/daemon/owner_load.cc
@@ -149,6 +149,32 @@
       }));
 }
 
+void OwnerTask::LoadQueueMoves() {
+  this->ports->read_one(
+      StoreKey{kQueueMoveTable, kOwnerPart, kQueueMoveKey},
+      this->IfOwner([this](const StoreReply& reply) {
+        this->RecordStoreReply(reply);
+        if (reply.outcome != StoreOutcome::kOk) {
+          this->loop->After(this->config.write_retry,
+                            this->IfOwner([this] { this->LoadQueueMoves(); }));
+          return;
+        }
+        // An owner of an older version leaves no record.
+        QueueMoves moves{.unknown = this->lease.Epoch() != OwnerEpoch(1)};
+        for (const StoreRow& row : reply.rows) {
+          const Result<QueueMoves> stored = DecodeQueueMoves(row.value);
+          if (stored) {
+            moves = stored.value();
+            this->owned->stored_moves = moves;
+          } else {
+            LogError(LogLevel::kError, "queue_moves_row", stored.error());
+          }
+        }
+        this->owned->scheduler.OnPreviousQueueMoves(moves);
+        this->OnLoaded();
+      }));
+}
+
 void OwnerTask::OnLoaded() {
   Ownership& owned = *this->owned;
   if (--owned.pending_loads > 0) {
--- a/src/daemon/owner_rounds.cc
+++ b/src/daemon/owner_rounds.cc
@@ -295,6 +295,7 @@
   if (batch.number == 0 && owned.waves_to_write.empty() &&
       owned.orders_to_record.empty() && !this->lease.RenewalDue(now) &&
       !(owned.loaded && (owned.scheduler.HasHeldJobs() ||
+                         owned.scheduler.HasUnstoredQueueMoves() ||
                          owned.scheduler.HasReturnedEndpoints()))) {
     return;
   }
@@ -323,6 +324,14 @@
       }
     }
     owned.used_rows.AddChanges(used, &transaction);
+    owned.moves_in_write = owned.scheduler.TakeQueueMoves(now);
+    if (owned.stored_moves != owned.moves_in_write) {
+      owned.stored_moves.reset();
+      transaction.puts.emplace_back(
+          StoreKey{kQueueMoveTable, kOwnerPart, kQueueMoveKey},
+          EncodeQueueMoves(owned.moves_in_write,
+                           this->settings.store.max_row_bytes));
+    }
   }
   owned.used_in_write = owned.loaded;
   this->RecordHostOrders(row, &transaction);
@@ -359,6 +368,8 @@
     if (owned.used_in_write) {
       owned.used_rows.OnStored();
       owned.scheduler.OnUsedEndpointsStored();
+      owned.stored_moves = owned.moves_in_write;
+      owned.scheduler.OnQueueMovesStored();
     }
     owned.scheduler.OnRecorded(batch, RecordResult::kStored, now);
     owned.max_rows = std::min(this->config.max_batch, 2 * owned.max_rows);
--- a/src/daemon/owner_task.cc
+++ b/src/daemon/owner_task.cc
@@ -298,6 +298,7 @@
   this->LoadWaves();
   this->LoadHostOrders();
   this->LoadUsedEndpoints();
+  this->LoadQueueMoves();
   this->FollowTables();
 }
 
--- a/src/daemon/owner_task.h
+++ b/src/daemon/owner_task.h
@@ -169,6 +169,7 @@
   void LoadWaves();
   void LoadHostOrders();
   void LoadUsedEndpoints();
+  void LoadQueueMoves();
   // Called after each of the reads that must precede the processing of jobs.
   void OnLoaded();
   void AddJob(const StoreRow& row);
--- a/src/daemon/owner_task_internal.h
+++ b/src/daemon/owner_task_internal.h
@@ -34,6 +34,9 @@
   std::map<EndpointId, std::optional<EndpointRow>> endpoint_changes;
   std::vector<StoreRow> deferred_jobs;  // jobs read before pending_loads is 0
   UsedEndpointRows used_rows;
+  // As stored; none: unknown. Unknown as well while a write of it is open.
+  std::optional<QueueMoves> stored_moves;
+  QueueMoves moves_in_write;
   std::map<std::string, WaveProgress> waves_to_write;
   // A host order is sent only after its record has been stored, so that the
   // next owner knows which hosts it must not order at once.
@@ -62,8 +65,9 @@
   Instant next_sweep{};
   Instant next_explanation{};
   Duration round_duration{};  // processing time of the last round
-  // Unanswered reads: progress, waves, host orders, used endpoints.
-  int pending_loads = 4;
+  // Unanswered reads: progress, waves, host orders, used endpoints, moved
+  // queues.
+  int pending_loads = 5;
   bool loaded = false;  // all jobs and endpoints have been read
   bool round_due = false;
   bool writing = false;
--- a/src/protocol/job_json.cc
+++ b/src/protocol/job_json.cc
@@ -309,6 +309,36 @@
       });
 }
 
+std::string EncodeQueueMoves(const QueueMoves& moves, std::size_t max_bytes) {
+  Json services = Json::object();
+  for (const auto& [queue, names] : moves.services) {
+    Json list = Json::array();
+    for (const ServiceId& name : names) {
+      list.push_back(name.value);
+    }
+    services[queue] = std::move(list);
+  }
+  Json out = Json::object();
+  PutIf(&out, "unknown", moves.unknown, false);
+  out["services"] = std::move(services);
+  std::string text = out.dump();
+  return text.size() <= max_bytes ? text : Json{{"unknown", true}}.dump();
+}
+
+Result<QueueMoves> DecodeQueueMoves(std::string_view text) {
+  return Decode<QueueMoves>("queue moves", text, [](const Json& in) {
+    QueueMoves moves;
+    moves.unknown = in.value("unknown", false);
+    const Json services = in.value("services", Json::object());
+    for (const auto& [queue, names] : services.items()) {
+      for (const Json& name : names) {
+        moves.services[queue].insert(ServiceId(name.get<std::string>()));
+      }
+    }
+    return moves;
+  });
+}
+
 std::string EncodeHostOrders(const std::map<HostId, std::int64_t>& latest_ms) {
   Json out = Json::object();
   for (const auto& [host, latest] : latest_ms) {
--- a/src/protocol/job_json.h
+++ b/src/protocol/job_json.h
@@ -55,6 +55,11 @@
 std::string EncodeUsedEndpoints(const std::vector<UsedEndpoint>& endpoints);
 Result<std::vector<UsedEndpoint>> DecodeUsedEndpoints(std::string_view text);
 
+// The services of each moved queue. A record that exceeds `max_bytes` is
+// encoded as unknown, which is valid for any moves.
+std::string EncodeQueueMoves(const QueueMoves& moves, std::size_t max_bytes);
+Result<QueueMoves> DecodeQueueMoves(std::string_view text);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Maintenance waves
 //-----------------------------------------------------------------------------
--- a/tests/job_scheduler_takeover_test.cc
+++ b/tests/job_scheduler_takeover_test.cc
@@ -2,8 +2,10 @@
 
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "tests/support/job_simulation.h"
 #include "tests/support/scheduler_fixture.h"
@@ -154,5 +156,94 @@
   }
 }
 
+// A queue of the previous owner that went from service "s" to "s2" and back,
+// with a job that may run on e2 of "s2", which does not answer.
+struct MovedQueueFixture {
+  explicit MovedQueueFixture(const QueueMoves& recorded) {
+    std::vector<EndpointRow> rows{Endpoint("e1"), Endpoint("e2")};
+    rows[1].service = ServiceId("s2");
+    this->fixture.emplace(rows, OwnerEpoch(2), /*answer_polls=*/false);
+    this->SendQueueTo("s");
+    this->fixture->scheduler.OnEndpoints(rows, this->fixture->now);
+    this->fixture->scheduler.OnPreviousQueueMoves(recorded);
+    this->fixture->AnswerPoll(EndpointId("e1"), {});
+    this->fixture->scheduler.OnJob(Job("old", 1), RowVersion(0), true,
+                                   milliseconds(0), this->fixture->now);
+  }
+
+  void SendQueueTo(const std::string& service) {
+    FleetConfig fleet = Fleet();
+    fleet.services[ServiceId("s2")] = ServiceConfig{};
+    fleet.queues["q"].service = ServiceId(service);
+    this->fixture->scheduler.OnFleetConfig(fleet);
+  }
+
+  std::optional<SchedulerFixture> fixture;
+};
+
+QueueMoves MovedTo(const std::string& service) {
+  return QueueMoves{.services = {{"q", {ServiceId(service)}}}};
+}
+
+TEST_CASE("a new owner waits for the services that a queue went to before",
+          "[job_scheduler]") {
+  // Guards against a second run of a task whose queue moved to another service
+  // and came back: only the record tells that it may run there (review/10).
+  SECTION("it moved") {
+    MovedQueueFixture moved(MovedTo("s2"));
+    CHECK(moved.fixture->Starts().empty());
+    moved.fixture->AnswerPoll(EndpointId("e2"), {});
+    CHECK(moved.fixture->Starts().size() == 1);
+  }
+  SECTION("the previous owner left no record") {
+    MovedQueueFixture moved(QueueMoves{.unknown = true});
+    CHECK(moved.fixture->Starts().empty());
+  }
+  SECTION("it did not move") {
+    MovedQueueFixture moved(QueueMoves{});
+    CHECK(moved.fixture->Starts().size() == 1);
+  }
+  SECTION("the record is kept until the service has answered") {
+    MovedQueueFixture moved(MovedTo("s2"));
+    JobScheduler& scheduler = moved.fixture->scheduler;
+    CHECK(scheduler.TakeQueueMoves(moved.fixture->now) == MovedTo("s2"));
+    moved.fixture->AnswerPoll(EndpointId("e2"), {});
+    moved.fixture->now += milliseconds(1500);
+    CHECK(scheduler.TakeQueueMoves(moved.fixture->now) == QueueMoves{});
+  }
+}
+
+TEST_CASE("a job starts in another service once its move is stored",
+          "[job_scheduler]") {
+  // Guards against a next owner that does not know where a task may run.
+  SchedulerFixture fixture({Endpoint("e1")});
+  fixture.store_moves = false;
+  AcceptedJob job = Job("j", 1);
+  job.service = ServiceId("s0");  // its queue goes to "s" now
+  fixture.scheduler.OnJob(job, RowVersion(0), false, milliseconds(0),
+                          fixture.now);
+  REQUIRE(fixture.Starts().empty());
+  REQUIRE(fixture.scheduler.HasUnstoredQueueMoves());
+  CHECK(fixture.scheduler.TakeQueueMoves(fixture.now) == MovedTo("s"));
+  CHECK(fixture.Starts().empty());
+  fixture.scheduler.OnQueueMovesStored();
+  CHECK_FALSE(fixture.scheduler.HasUnstoredQueueMoves());
+  CHECK(fixture.Starts().size() == 1);
+}
+
+TEST_CASE("seeded simulations with moved queues break no invariant",
+          "[job_scheduler]") {
+  // Guards against two runs of a task after takeovers while the configuration
+  // sends its queue from one service to another and back.
+  for (unsigned seed = 1; seed <= kMoveSeeds; ++seed) {
+    JobSimulation simulation(
+        JobSimulationOptions{.seed = seed, .move_queue = true});
+    simulation.RunFor(milliseconds(60000));
+    CAPTURE(seed, simulation.Violations());
+    CHECK(simulation.Violations().empty());
+    CHECK(simulation.FinalJobs() == simulation.Jobs());
+  }
+}
+
 }  // namespace
 }  // namespace peridot
--- a/tests/job_store_test.cc
+++ b/tests/job_store_test.cc
@@ -403,6 +403,11 @@
   const std::vector<UsedEndpoint> used = {
       {EndpointId("e"), ServiceId("s"), Resources{1, 2, 3}, 40}};
   CHECK(DecodeUsedEndpoints(EncodeUsedEndpoints(used)).value() == used);
+  const QueueMoves moves{.unknown = true,
+                         .services = {{"q", {ServiceId("s"), ServiceId("t")}}}};
+  CHECK(DecodeQueueMoves(EncodeQueueMoves(moves, 1000)).value() == moves);
+  CHECK(DecodeQueueMoves(EncodeQueueMoves(moves, 20)).value() ==
+        QueueMoves{.unknown = true});
   const WaveRow wave{.progress = {.name = "3", .begun = {HostId("h")}},
                      .first_seen_ms = 1234};
   const Result<WaveRow> read_wave = DecodeWave(EncodeWave(wave));
--- a/tests/owner_task_test.cc
+++ b/tests/owner_task_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -429,6 +430,34 @@
   CHECK(kept);
 }
 
+TEST_CASE("a job starts in another service only after the move is stored",
+          "[owner_task]") {
+  // Guards against a next owner that does not know which endpoints may run the
+  // job (review/10).
+  OwnerFixture fixture;
+  fixture.AddEndpointAndJob();
+  fixture.job.id = JobId("5c0e7a21d94b36f9");
+  fixture.job.service = ServiceId("other");  // its queue goes to "s" now
+  StoreTransaction row;
+  row.puts.emplace_back(
+      StoreKey{kJobTable, PartOf(fixture.job.id), fixture.job.id.value},
+      EncodeJob(fixture.job));
+  fixture.store.Transact(row);
+  std::optional<QueueMoves> stored;
+  fixture.ports.start = [&](const StartRun& order, OwnerEpoch, const auto&) {
+    if (order.task.job != fixture.job.id) {
+      return;
+    }
+    const StoreReply read = fixture.store.Read(
+        StoreKey{kQueueMoveTable, kOwnerPart, kQueueMoveKey}, "", 1);
+    REQUIRE(read.rows.size() == 1);
+    stored = DecodeQueueMoves(read.rows[0].value).value();
+  };
+  REQUIRE(fixture.loop->RunUntil([&] { return stored.has_value(); }, kLimit));
+  CHECK(stored->services ==
+        std::map<std::string, std::set<ServiceId>>{{"q", {ServiceId("s")}}});
+}
+
 TEST_CASE("a refused job does not run unless it is submitted again",
           "[owner_task]") {
   // Guards against a refusal that the owner takes for a job, and against a job
--- a/tests/support/job_simulation.cc
+++ b/tests/support/job_simulation.cc
@@ -52,6 +52,11 @@
   this->StartOwner();
   this->After(Milliseconds(0), [this] { this->Round(); });
   this->After(Milliseconds(500), [this] { this->InjectFault(); });
+  if (options.move_queue) {
+    this->fleet.services[ServiceId("s2")] = ServiceConfig{};
+    this->owner->OnFleetConfig(this->fleet);
+    this->After(Milliseconds(1500), [this] { this->MoveQueue(); });
+  }
   if (options.move_hosts) {
     this->After(Milliseconds(700), [this] { this->MoveHost(); });
     this->After(Milliseconds(0), [this] { this->ReadHosts(); });
@@ -64,7 +69,8 @@
   WorkerSettings settings;
   settings.row.id = EndpointId("w" + id);
   settings.row.start_time_ms = start_time_ms;
-  settings.row.service = ServiceId("s");
+  const bool second = this->options.move_queue && number % 2 == 1;
+  settings.row.service = ServiceId(second ? "s2" : "s");
   settings.row.zone = ZoneId("z" + std::to_string(number % 2));
   settings.row.address = "10.0.0." + std::to_string(number) + ":1";
   settings.row.ready = true;
@@ -100,6 +106,16 @@
   this->After(Milliseconds(700), [this] { this->MoveHost(); });
 }
 
+void JobSimulation::MoveQueue() {
+  if (this->now - this->start >= this->options.fault_period) {
+    return;
+  }
+  ServiceId& service = this->fleet.queues["q"].service;
+  service = ServiceId(service == ServiceId("s") ? "s2" : "s");
+  this->owner->OnFleetConfig(this->fleet);
+  this->After(this->RandomMs(300, 2500), [this] { this->MoveQueue(); });
+}
+
 void JobSimulation::ReadHosts() {
   // The list shows a worker up to two seconds after it has joined.
   const Duration delay = this->RandomMs(0, 2000);
@@ -153,7 +169,9 @@
       job.spec.steps.push_back(spec);
     }
     this->accepted.push_back(job);
-    this->After(this->RandomMs(0, 12000), [this, job] {
+    this->After(this->RandomMs(0, 12000), [this, i, job = job]() mutable {
+      job.service = this->fleet.queues["q"].service;
+      this->accepted[i].service = job.service;
       const RowVersion version(this->versions.size() + 1);
       this->versions[job.id] = version;
       this->owner->OnJob(job, version, false, Milliseconds(0), this->now);
@@ -190,6 +208,7 @@
   }
   this->owner->OnStartable(this->stored_newest_job);
   this->owner->OnPreviousOwnerEndpoints(this->stored_endpoints, this->now);
+  this->owner->OnPreviousQueueMoves(this->stored_moves);
   this->ListWorkers();
   for (const AcceptedJob& job : this->accepted) {
     if (this->versions.contains(job.id)) {
@@ -444,6 +463,7 @@
   const RecordBatch batch = this->owner->TakeBatch(this->options.batch);
   const std::vector<UsedEndpoint> used =
       this->owner->TakeUsedEndpoints(this->now);
+  const QueueMoves moves = this->owner->TakeQueueMoves(this->now);
   const std::uint64_t sender = this->owner_number;
   const bool refused = this->Uniform() < this->options.refused_write_share;
   const RowVersion newest = this->owner->NewestJob();
@@ -458,9 +478,11 @@
         this->stored_progress[{progress.id, progress.block}] = progress;
       }
       this->stored_endpoints = used;
+      this->stored_moves = moves;
       this->stored_newest_job = std::max(this->stored_newest_job, newest);
       this->owner->OnStartable(newest);
       this->owner->OnUsedEndpointsStored();
+      this->owner->OnQueueMovesStored();
       for (UsedEndpoint& endpoint : this->stored_endpoints) {
         endpoint.lapse_ms +=
             endpoint.lapse_ms > 0
--- a/tests/support/job_simulation.h
+++ b/tests/support/job_simulation.h
@@ -36,6 +36,9 @@
   // Hosts of workers are moved: the worker ends at once, its entry stays listed
   // for seconds, and another worker joins. The owner reads the list of hosts.
   bool move_hosts = false;
+  // Half of the workers belong to another service, and the configuration sends
+  // the queue from one service to the other and back.
+  bool move_queue = false;
   bool idle_lease_lapses = true;      // see WorkerSettings
   Milliseconds fault_period{20000};   // faults are injected during this time
   std::size_t max_ends_listed = 500;  // in one report of a worker
@@ -98,6 +101,7 @@
   void InjectFault();
   void AddWorker(const std::string& id, std::int64_t start_time_ms);
   void MoveHost();
+  void MoveQueue();
   void ReadHosts();
   void WriteBatch();
   void SendAdvice(const AdviceRequest& call);
@@ -118,6 +122,7 @@
   // Rows of progress in the store.
   std::map<std::pair<JobId, ProgressBlock>, JobProgress> stored_progress;
   std::vector<UsedEndpoint> stored_endpoints;
+  QueueMoves stored_moves;
   RowVersion
       stored_newest_job;  // newest job that may have been started, as stored
   std::map<JobId, RowVersion> versions;  // of the job rows
--- a/tests/support/scheduler_fixture.h
+++ b/tests/support/scheduler_fixture.h
@@ -75,6 +75,12 @@
   std::vector<StartRun> Starts() {
     SchedulerActions actions = this->scheduler.Advance(true, this->now);
     this->CollectActions(&actions);
+    if (this->store_moves && this->scheduler.HasUnstoredQueueMoves()) {
+      this->scheduler.TakeQueueMoves(this->now);
+      this->scheduler.OnQueueMovesStored();
+      actions = this->scheduler.Advance(true, this->now);
+      this->CollectActions(&actions);
+    }
     return std::exchange(this->starts, {});
   }
 
@@ -112,6 +118,7 @@
   std::vector<StartRun> starts;
   std::vector<StopRun> stops;
   std::vector<AdviceRequest> advice;
+  bool store_moves = true;  // moves of queues are stored at once
 };
 
 inline RunEnd End(EndNumber number, const StartRun& start, EndKind kind) {
