Ignore entries and answers of an endpoint's previous process

Cause: any start time that differed from the known one counted as a restart, also the earlier one of an outdated entry, and tasks that the last report lists were given up without a stop. A late answer of the previous process did the same and brought in its numbers of ends. Change: an entry that is older than the endpoint's own report says only that it is listed; an answer of an earlier process to a poll from before the restart was known is ignored. A later poll that shows an earlier start is still a restart.

--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -201,7 +201,10 @@
   bool lapse_stored = false;  // the store may hold a record that it lapses
   bool lapse_taken = false;   // as of the last TakeUsedEndpoints()
   Instant known_since{};      // when this owner learned of the endpoint
-  std::int64_t clock_ms = 0;  // the endpoint's clock, read at clock_read
+  // Start of the process that has sent the last report; 0: no report yet.
+  std::int64_t reported_start_ms = 0;
+  Instant start_known_since{};  // when row.start_time_ms became known
+  std::int64_t clock_ms = 0;    // the endpoint's clock, read at clock_read
   Instant clock_read{};
   Instant lapse_at{};  // by then no run of an earlier order is left
   Resources used;
@@ -450,7 +453,10 @@
                            const EndpointReportRows& report,
                            Instant sent,
                            Instant now);
-  void OnEndpointRestarted(EndpointState* endpoint, Instant now);
+  // The endpoint has started again under its id at this Unix time.
+  void OnEndpointRestarted(EndpointState* endpoint,
+                           std::int64_t start_time_ms,
+                           Instant now);
   void SetRow(EndpointState* endpoint, const EndpointRow& row);
   // An address belongs to one endpoint at a time: an unlisted endpoint whose
   // address another one uses has exited.
--- a/src/coordination/job_scheduler_runs.cc
+++ b/src/coordination/job_scheduler_runs.cc
@@ -56,17 +56,23 @@
     endpoint->incarnation = Incarnation(++state.last_incarnation.value);
     state.SetRow(endpoint.get(), row);
     endpoint->lapse_at = state.recovery_ends;
-    endpoint->known_since = now;
+    endpoint->known_since = endpoint->start_known_since = now;
   }
-  const bool restarted = endpoint->row.start_time_ms != 0 &&
-                         row.start_time_ms != 0 &&
-                         endpoint->row.start_time_ms != row.start_time_ms;
-  const bool changed = !endpoint->listed || endpoint->row != row;
-  if (!endpoint->listed) {
-    endpoint->listed = true;
+  const bool was_listed = std::exchange(endpoint->listed, true);
+  if (!was_listed) {
     endpoint->next_poll = now;
     endpoint->failed_polls = 0;
   }
+  // A process writes its entry some time after its start, and the list may be
+  // read anew meanwhile: the entry is that of a previous process.
+  if (row.start_time_ms != 0 &&
+      row.start_time_ms < endpoint->reported_start_ms) {
+    return;
+  }
+  const bool restarted = endpoint->row.start_time_ms != 0 &&
+                         row.start_time_ms != 0 &&
+                         endpoint->row.start_time_ms != row.start_time_ms;
+  const bool changed = !was_listed || endpoint->row != row;
   if (endpoint->row.ready && !row.ready) {
     state.LogDecision("decision=endpoint_draining endpoint=" + row.id.value);
   }
@@ -74,7 +80,7 @@
     state.SetRow(endpoint.get(), row);
   }
   if (restarted) {
-    state.OnEndpointRestarted(endpoint.get(), now);
+    state.OnEndpointRestarted(endpoint.get(), row.start_time_ms, now);
   }
   if (changed) {
     for (const auto& [id, job] : endpoint->service->unfit) {
@@ -140,7 +146,11 @@
 }
 
 void JobScheduler::State::OnEndpointRestarted(EndpointState* endpoint,
+                                              std::int64_t start_time_ms,
                                               Instant now) {
+  endpoint->row.start_time_ms = start_time_ms;
+  endpoint->start_known_since = now;
+  endpoint->reported_start_ms = 0;
   this->LogDecision(
       "decision=endpoint_restarted endpoint=" + endpoint->row.id.value +
       " runs=" + std::to_string(endpoint->tasks.size()));
@@ -445,13 +455,21 @@
     }
     return;
   }
-  if (report->start_time_ms != 0 && endpoint->row.start_time_ms != 0 &&
-      report->start_time_ms != endpoint->row.start_time_ms) {
-    endpoint->row.start_time_ms = report->start_time_ms;
-    state.OnEndpointRestarted(endpoint, now);
-  } else if (endpoint->row.start_time_ms == 0) {
+  const std::int64_t known_start_ms = endpoint->row.start_time_ms;
+  if (report->start_time_ms != 0 && report->start_time_ms < known_start_ms &&
+      sent < endpoint->start_known_since) {
+    // The previous process answered before it ended; the answer came late.
+    endpoint->next_poll = now;
+    return;
+  }
+  if (report->start_time_ms != 0 && known_start_ms != 0 &&
+      report->start_time_ms != known_start_ms) {
+    state.OnEndpointRestarted(endpoint, report->start_time_ms, now);
+  } else if (known_start_ms == 0) {
     endpoint->row.start_time_ms = report->start_time_ms;
+    endpoint->start_known_since = now;
   }
+  endpoint->reported_start_ms = endpoint->row.start_time_ms;
   endpoint->failed_polls = 0;
   endpoint->fenced = true;
   endpoint->process_ended = false;
--- a/tests/support/scheduler_fixture.h
+++ b/tests/support/scheduler_fixture.h
@@ -62,10 +62,13 @@
     }
   }
 
-  // Delivers the answer of an endpoint to a poll.
+  // Delivers the answer of an endpoint to a poll that was sent just now. A
+  // report without a start time is of the process that Endpoint() lists.
   void AnswerPoll(const EndpointId& id, EndpointReportRows report) {
     report.clock_ms = 1000;
-    report.start_time_ms = 7;
+    if (report.start_time_ms == 0) {
+      report.start_time_ms = 7;
+    }
     PollEndpoint poll;
     poll.target.endpoint = id;
     this->now += Milliseconds(1);
