Store the cancellation of an id that has no job

Its submission had reached a daemon that was frozen and was stored when the daemon woke. Cause: the cancellation of an id without a job was answered from a read and left no trace in the store. Change: the cancellation first stores a refusal of the id that no submission replaces and that is kept as long as a finished job. A refusal for lack of capacity would not do: a daemon that wakes may learn of newer versions before it reads the old request.

--- a/src/coordination/job.h
+++ b/src/coordination/job.h
@@ -105,6 +105,9 @@
   // The row holds no job but the refusal of its id: it keeps submissions that
   // arrived before the refusal from being stored. Such a row is also closed.
   bool refused = false;
+  // The refusal of an id that was cancelled before a job was stored under it:
+  // it keeps all later submissions from being stored.
+  bool cancelled = false;
 };
 
 struct TaskName {
--- a/src/daemon/job_api.cc
+++ b/src/daemon/job_api.cc
@@ -15,6 +15,9 @@
 
 constexpr std::size_t kJobIdLength = 16;
 
+// A job or refusal that another daemon stores in between fails an attempt.
+constexpr int kCancelAttempts = 3;
+
 bool IsJobId(std::string_view text) {
   return text.size() == kJobIdLength &&
          std::all_of(text.begin(), text.end(),
@@ -125,7 +128,7 @@
       return;
     case HttpMethod::kDelete:
       call.verb = "cancel";
-      this->Cancel(call, id);
+      this->Cancel(call, id, kCancelAttempts);
       return;
     case HttpMethod::kGet:
       this->ShowState(call, id);
@@ -218,6 +221,9 @@
                          R"({"error":"the job could not complete in time"})",
                          decision.retry_after);
             return;
+          case AcceptResult::kCancelled:
+            this->AnswerCancelled(call);
+            return;
           case AcceptResult::kNotRun:
           case AcceptResult::kUnknown:
           case AcceptResult::kTooLarge:
@@ -250,6 +256,9 @@
       case AcceptResult::kRefused:
         this->Answer(call, 429, "refused_meanwhile");
         return;
+      case AcceptResult::kCancelled:
+        this->AnswerCancelled(call);
+        return;
     }
   });
 }
@@ -320,10 +329,30 @@
                     });
 }
 
-void JobApi::Cancel(const Call& call, const JobId& id) {
-  StoreCancel(*this->ports, id, [this, call](LookUpResult result) {
-    this->AnswerFromStore(call, result, {});
-  });
+void JobApi::AnswerCancelled(const Call& call) const {
+  this->Answer(call, 410, "cancelled",
+               R"({"error":"the job was cancelled before it was stored"})");
+}
+
+void JobApi::Cancel(const Call& call, const JobId& id, int attempts) {
+  StoreCancel(
+      *this->ports, id, [this, call, id, attempts](LookUpResult result) {
+        if (result != LookUpResult::kUnknownJob) {
+          this->AnswerFromStore(call, result, {});
+          return;
+        }
+        this->writer.CancelUnstored(
+            id, [this, call, id, attempts](AcceptResult stored) {
+              if (stored == AcceptResult::kCancelled) {
+                this->AnswerFromStore(call, LookUpResult::kUnknownJob, {});
+              } else if (attempts > 1) {
+                // A submission or refusal of the id was written meanwhile.
+                this->Cancel(call, id, attempts - 1);
+              } else {
+                this->AnswerFromStore(call, LookUpResult::kUnavailable, {});
+              }
+            });
+      });
 }
 
 }  // namespace peridot
--- a/src/daemon/job_api.h
+++ b/src/daemon/job_api.h
@@ -96,7 +96,9 @@
                        LookUpResult result,
                        std::string body) const;
   void ShowWaiting(const Call& call, const std::string& queue);
-  void Cancel(const Call& call, const JobId& id);
+  // The id was cancelled before the submission could be stored.
+  void AnswerCancelled(const Call& call) const;
+  void Cancel(const Call& call, const JobId& id, int attempts);
   void Answer(const Call& call,
               int status,
               const char* reason,
--- a/src/daemon/job_store.cc
+++ b/src/daemon/job_store.cc
@@ -80,7 +80,19 @@
   // Daemons of versions before the refusals read the row as a closed job.
   const AcceptedJob refusal{
       .id = id, .closed_as = JobState::kCancelled, .refused = true};
-  this->Add(Entry{.id = id, .row = EncodeJob(refusal), .refusal = true},
+  this->Add(
+      Entry{.id = id, .row = EncodeJob(refusal), .kind = EntryKind::kRefusal},
+      std::move(done));
+}
+
+void JobWriter::CancelUnstored(const JobId& id, Callback done) {
+  const AcceptedJob cancellation{.id = id,
+                                 .closed_as = JobState::kCancelled,
+                                 .refused = true,
+                                 .cancelled = true};
+  this->Add(Entry{.id = id,
+                  .row = EncodeJob(cancellation),
+                  .kind = EntryKind::kCancellation},
             std::move(done));
 }
 
@@ -154,6 +166,18 @@
   }
 }
 
+AcceptResult JobWriter::StoredResult(EntryKind kind) {
+  switch (kind) {
+    case EntryKind::kJob:
+      return AcceptResult::kAccepted;
+    case EntryKind::kRefusal:
+      return AcceptResult::kRefused;
+    case EntryKind::kCancellation:
+      return AcceptResult::kCancelled;
+  }
+  return AcceptResult::kUnknown;
+}
+
 std::optional<AcceptResult> JobWriter::ResolveConflict(Entry* entry,
                                                        const StoreRow& row) {
   const bool exists = row.version != RowVersion{} && !row.removed;
@@ -165,9 +189,12 @@
   if (!stored || !stored.value().refused) {
     return AcceptResult::kAccepted;
   }
+  if (stored.value().cancelled) {
+    return AcceptResult::kCancelled;
+  }
   // A refusal replaces an earlier one, because submissions that came after that
   // one may be in progress.
-  if (entry->refusal || row.version <= entry->known) {
+  if (entry->kind != EntryKind::kJob || row.version <= entry->known) {
     entry->expected = row.version;
     return std::nullopt;
   }
@@ -204,8 +231,7 @@
     AcceptResult result = AcceptResult::kUnknown;
     switch (reply.outcome) {
       case StoreOutcome::kOk:
-        result =
-            entry.refusal ? AcceptResult::kRefused : AcceptResult::kAccepted;
+        result = StoredResult(entry.kind);
         break;
       case StoreOutcome::kConflict: {
         const auto row = found.find(entry.id.value);
--- a/src/daemon/job_store.h
+++ b/src/daemon/job_store.h
@@ -15,6 +15,10 @@
 // caller got no answer; that write then fails. A submission replaces the
 // refusal only if its daemon knew of a store version as new as the refusal when
 // the submission arrived, so that the submission came after the refusal.
+//
+// The cancellation of an id without a job is a refusal that no submission
+// replaces: a submission of the id may have reached a daemon that stands still,
+// or be on its way, for any time.
 
 #ifndef SRC_DAEMON_JOB_STORE_H_
 #define SRC_DAEMON_JOB_STORE_H_
@@ -73,11 +77,12 @@
 };
 
 enum class AcceptResult {
-  kAccepted,  // stored, by this call or earlier
-  kNotRun,    // not stored, and never will be
-  kUnknown,   // may be stored
-  kTooLarge,  // not stored: the job exceeds a row of the store
-  kRefused,   // a refusal is stored instead: not run, and never will be
+  kAccepted,   // stored, by this call or earlier
+  kNotRun,     // not stored, and never will be
+  kUnknown,    // may be stored
+  kTooLarge,   // not stored: the job exceeds a row of the store
+  kRefused,    // a refusal is stored instead: not run, and never will be
+  kCancelled,  // the id was cancelled before: not run, and never will be
 };
 
 // Not thread-safe: use it on the event loop's thread only.
@@ -106,12 +111,20 @@
   // once, from the loop.
   void Refuse(const JobId& id, Callback done);
 
+  // Stores that no submission of the id is accepted any more (kCancelled),
+  // unless a job is stored under it (kAccepted). Any other result is that of a
+  // submission or refusal of the id that is being written here, or says that
+  // the cancellation may be missing. Calls back once, from the loop.
+  void CancelUnstored(const JobId& id, Callback done);
+
  private:
+  enum class EntryKind { kJob, kRefusal, kCancellation };
+
   struct Entry {
     JobId id;
     std::string row;
     Instant arrived{};
-    bool refusal = false;        // the row is a refusal, not a job
+    EntryKind kind = EntryKind::kJob;
     RowVersion known;            // newest version when the call arrived
     RowVersion expected;         // of the refusal to replace; 0: no row
     bool maybe_written = false;  // an earlier write was not answered
@@ -135,6 +148,8 @@
   void Flush(const std::string& part);
   void OnReply(const std::string& part, const StoreReply& reply);
   void Answer(Entry* entry, AcceptResult result);
+  // Result of an entry whose row has been stored.
+  static AcceptResult StoredResult(EntryKind kind);
 
   EventLoop* loop;
   const FleetPorts* ports;
@@ -155,7 +170,8 @@
                  const JobId& id,
                  std::function<void(LookUpResult, JobState)> done);
 
-// Stores that a job is cancelled. kFound: it is stored.
+// Stores that a job is cancelled. kFound: it is stored. kUnknownJob: there is
+// no job; use JobWriter::CancelUnstored() before saying so to the caller.
 void StoreCancel(const FleetPorts& ports,
                  const JobId& id,
                  std::function<void(LookUpResult)> done);
--- a/src/daemon/owner_housekeeping.cc
+++ b/src/daemon/owner_housekeeping.cc
@@ -186,21 +186,21 @@
 
 void OwnerTask::RemoveOldRefusals() {
   Ownership& owned = *this->owned;
-  const Instant before = this->loop->Now() - this->config.refusal_retention;
+  const Instant now = this->loop->Now();
   StoreTransaction transaction;
   transaction.across_parts = true;
   std::vector<JobId> removed;
   for (const auto& [id, refusal] : owned.refusals) {
-    if (refusal.second >= before) {
+    if (refusal.remove_at > now) {
       continue;
     }
     if (removed.size() == kClosedBatch) {
-      owned.next_sweep = this->loop->Now() + kFullSweepInterval;
+      owned.next_sweep = now + kFullSweepInterval;
       break;
     }
     // A job may have replaced the refusal.
     const StoreKey key{kJobTable, PartOf(id), id.value};
-    transaction.conditions.emplace_back(key, refusal.first);
+    transaction.conditions.emplace_back(key, refusal.version);
     transaction.removals.push_back(key);
     removed.push_back(id);
   }
@@ -223,7 +223,7 @@
       const auto found = this->owned->refusals.find(JobId(row.key.key));
       if (reply.outcome == StoreOutcome::kConflict &&
           found != this->owned->refusals.end() &&
-          found->second.first != row.version) {
+          found->second.version != row.version) {
         this->owned->refusals.erase(found);
       }
     }
--- a/src/daemon/owner_load.cc
+++ b/src/daemon/owner_load.cc
@@ -258,7 +258,10 @@
   Ownership& owned = *this->owned;
   const Instant now = this->loop->Now();
   if (job.value().refused) {
-    owned.refusals[job.value().id] = {row.version, now};
+    const Milliseconds retention = job.value().cancelled
+                                       ? this->config.final_job_retention
+                                       : this->config.refusal_retention;
+    owned.refusals[job.value().id] = {row.version, now + retention};
     return;
   }
   owned.refusals.erase(job.value().id);
--- a/src/daemon/owner_task_internal.h
+++ b/src/daemon/owner_task_internal.h
@@ -43,8 +43,11 @@
   std::vector<HostOrder> orders_to_record;
   std::vector<HostOrder> orders_in_write;
   std::map<HostId, std::int64_t> recorded_orders;  // latest time, store's clock
-  // Refused ids, by the version of their rows and when they became known.
-  std::map<JobId, std::pair<RowVersion, Instant>> refusals;
+  struct Refusal {
+    RowVersion version;  // of its row
+    Instant remove_at{};
+  };
+  std::map<JobId, Refusal> refusals;
   std::map<ServiceId, double> host_cores;  // of all hosts that are not down
   double all_host_cores = 0;               // sum of host_cores
   Instant hosts_read{};                    // zero: not read yet
--- a/src/protocol/job_json.cc
+++ b/src/protocol/job_json.cc
@@ -147,6 +147,7 @@
   if (job.closed_as) {
     out["closed_as"] = JobStateName(*job.closed_as);
     PutIf(&out, "refused", job.refused, false);
+    PutIf(&out, "cancelled", job.cancelled, false);
     return out.dump();
   }
   out["queue"] = job.queue;
@@ -176,6 +177,7 @@
         throw std::runtime_error("a job is closed in a final state only");
       }
       job.refused = in.value("refused", false);
+      job.cancelled = in.value("cancelled", false);
       return job;
     }
     job.queue = in.at("queue").get<std::string>();
--- a/tests/job_api_test.cc
+++ b/tests/job_api_test.cc
@@ -71,11 +71,22 @@
     config.puts.emplace_back(StoreKey{"op", "", "config"}, "{}");
     this->store.Transact(config);
     this->view.Start([] {});
-    this->server->Route(
-        HttpMethod::kPost, "/",
-        [this](const HttpServerRequest& request, const HttpResponder& to) {
-          this->api.Handle(request, to);
-        });
+    for (const HttpMethod method :
+         {HttpMethod::kPost, HttpMethod::kDelete, HttpMethod::kGet}) {
+      this->server->Route(
+          method, "/",
+          [this](const HttpServerRequest& request, const HttpResponder& to) {
+            this->api.Handle(request, to);
+          });
+    }
+    this->ports.read_one = [this](const StoreKey& key, StoreCallback done) {
+      this->loop->Post(
+          [done = std::move(done),
+           reply = this->store.Read(key, key.key + "!", 1)] { done(reply); });
+    };
+    this->ports.encode_state = [](JobState state) {
+      return std::to_string(static_cast<int>(state));
+    };
     REQUIRE(
         this->loop->RunUntil([&] { return this->view.HasConfig(); }, kLimit));
   }
@@ -95,8 +106,12 @@
   }
 
   HttpOutcome Submit(const std::string& id) {
+    return this->Call(HttpMethod::kPost, id);
+  }
+
+  HttpOutcome Call(HttpMethod method, const std::string& id) {
     HttpRequest request;
-    request.method = HttpMethod::kPost;
+    request.method = method;
     request.path = "/q/" + id;
     request.timeout = milliseconds(10000);
     std::optional<HttpOutcome> outcome;
@@ -191,6 +206,35 @@
   }
 }
 
+TEST_CASE("a submission that arrives after its cancellation is not stored",
+          "[job_api]") {
+  // Guards against a job that runs although its cancellation was answered: its
+  // submission had reached a daemon that stood still (review/9).
+  ApiFixture fixture;
+  fixture.report = std::nullopt;  // no submission is refused for its load
+  REQUIRE(fixture.Call(HttpMethod::kDelete, kFirst).status == 410);
+  CHECK(fixture.Submit(kFirst).status == 410);
+  CHECK(fixture.IsRefusal(kFirst));
+  CHECK(fixture.Call(HttpMethod::kGet, kFirst).status == 410);
+  CHECK(fixture.Call(HttpMethod::kDelete, kFirst).status == 410);
+  SECTION("other jobs are stored") {
+    CHECK(fixture.Submit(kSecond).status == 200);
+  }
+  SECTION("the cancellation of a job is answered with success") {
+    REQUIRE(fixture.Submit(kSecond).status == 200);
+    CHECK(fixture.Call(HttpMethod::kDelete, kSecond).status == 200);
+    CHECK(fixture.Submit(kSecond).status == 200);  // the cancelled job
+  }
+}
+
+TEST_CASE("a cancellation that is not stored is not acknowledged",
+          "[job_api]") {
+  // Guards against an answer that an earlier submission refutes.
+  ApiFixture fixture;
+  fixture.outcomes.assign(50, StoreOutcome::kNotDone);
+  CHECK(fixture.Call(HttpMethod::kDelete, kFirst).status == 503);
+}
+
 TEST_CASE("a report that cannot be used is ignored", "[job_api]") {
   // Guards against refusals by figures that are wrong or out of date.
   ApiFixture fixture;
--- a/tests/job_store_test.cc
+++ b/tests/job_store_test.cc
@@ -214,6 +214,41 @@
   CHECK(writers.Stored("i0").queue == "q");
 }
 
+TEST_CASE("a cancelled id stays refused", "[job_store]") {
+  // Guards against a submission that is stored after its cancellation was
+  // acknowledged, whichever versions of the store its daemon knew (review/9).
+  TwoWriters writers;
+  const auto cancel = [&] {
+    std::optional<AcceptResult> result;
+    writers.first.CancelUnstored(JobId("a0"),
+                                 [&](AcceptResult is) { result = is; });
+    return writers.Deliver(result);
+  };
+  const auto accept = [&] {
+    std::optional<AcceptResult> result;
+    writers.second.Accept(Job("a0"), [&](AcceptResult is) { result = is; });
+    return writers.Deliver(result);
+  };
+  SECTION("without an earlier row") {
+    REQUIRE(cancel() == AcceptResult::kCancelled);
+  }
+  SECTION("after a refusal") {
+    REQUIRE(writers.Refuse("a0") == AcceptResult::kRefused);
+    REQUIRE(cancel() == AcceptResult::kCancelled);
+  }
+  SECTION("after a submission was stored") {
+    REQUIRE(accept() == AcceptResult::kAccepted);
+    CHECK(cancel() == AcceptResult::kAccepted);
+    CHECK_FALSE(writers.Stored("a0").refused);
+    return;
+  }
+  writers.second.OnStoreVersion(writers.store.Version());
+  CHECK(accept() == AcceptResult::kCancelled);
+  CHECK(writers.Refuse("a0") == AcceptResult::kCancelled);
+  CHECK(cancel() == AcceptResult::kCancelled);
+  CHECK(writers.Stored("a0").cancelled);
+}
+
 TEST_CASE("a refusal is no job to other calls", "[job_store]") {
   // Guards against a refused job that is reported as cancelled, or cancelled.
   FakeStore store;
--- a/tests/owner_task_test.cc
+++ b/tests/owner_task_test.cc
@@ -480,6 +480,22 @@
         [&] { return fixture.store.Read(key, "", 1).rows.empty(); }, kLimit));
     CHECK(fixture.run.task.job == fixture.job.id);
   }
+  SECTION("the row of a cancelled id is kept as long as that of a job") {
+    // Guards against a submission that arrives after a shorter time.
+    const JobId cancelled("5c0e7a21d94b36fa");
+    const StoreKey kept{kJobTable, PartOf(cancelled), cancelled.value};
+    StoreTransaction cancellation;
+    cancellation.puts.emplace_back(
+        kept, EncodeJob(AcceptedJob{.id = cancelled,
+                                    .closed_as = JobState::kCancelled,
+                                    .refused = true,
+                                    .cancelled = true}));
+    fixture.store.Transact(cancellation);
+    REQUIRE(fixture.loop->RunUntil(
+        [&] { return fixture.store.Read(key, key.key + "!", 1).rows.empty(); },
+        kLimit));
+    CHECK(fixture.store.Read(kept, kept.key + "!", 1).rows.size() == 1);
+  }
   SECTION("it is submitted again") {
     fixture.job.id = refused;
     StoreTransaction again;
