Acknowledge ends only over the connection that listed them

Cause: a poll carries the number up to which ends are recorded, and the first poll of a process that has started again under its endpoint's id carried the number of the previous one. The endpoint forgot its first ends as they came; the owner found the tasks in neither list and started them again. Change: a report names its connection, ends are acknowledged over that connection only, and the HTTP client keeps it for polls. A connection does not outlive the process at its other end. A poll over another connection acknowledges nothing.

--- a/src/coordination/job.h
+++ b/src/coordination/job.h
@@ -35,6 +35,9 @@
 using OwnerEpoch = StrongId<struct OwnerEpochTag, std::uint64_t>;
 using RunNumber = std::uint64_t;  // counts the starts of one task, from 1
 using EndNumber = std::uint64_t;  // counts an endpoint's ended runs, from 1
+// Number of a connection to an endpoint. A connection reaches one process of
+// the endpoint only, since it does not outlive it. 0: unknown.
+using EndpointSession = std::uint64_t;
 using Milliseconds = std::chrono::milliseconds;
 
 //-----------------------------------------------------------------------------
@@ -206,6 +209,7 @@
 struct EndpointReportRows {
   std::int64_t clock_ms = 0;       // reading of the endpoint's clock
   std::int64_t start_time_ms = 0;  // start of the endpoint process; 0: unknown
+  EndpointSession session = 0;     // on which the report was received
   std::vector<RunningTask> running;
   std::vector<RunEnd> ended;  // in order of number
   // False if the endpoint may have more ends than it listed. A run in neither
--- a/src/coordination/job_scheduler.h
+++ b/src/coordination/job_scheduler.h
@@ -214,7 +214,10 @@
 // acknowledges ends.
 struct PollEndpoint {
   OrderTarget target;
-  EndNumber acknowledged = 0;       // ends up to this number; 0: none
+  EndNumber acknowledged = 0;  // ends up to this number; 0: none
+  // Session on which these ends were listed. The numbers start anew with each
+  // process, so that a poll over any other session acknowledges nothing.
+  EndpointSession session = 0;
   std::int64_t lease_until_ms = 0;  // on the endpoint's clock; 0: no renewal
   Milliseconds wait{0};             // 0: answer at once
 };
--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -212,9 +212,10 @@
   int long_running = 0;            // of these, by kind of step and phase
   int best_effort = 0;
   int stopping = 0;
-  EndNumber processed = 0;  // ends up to here are processed in memory
-  EndNumber in_pass = 0;    // ends up to here are covered by the open pass
-  EndNumber recorded = 0;   // ends up to here may be acknowledged
+  EndNumber processed = 0;      // ends up to here are processed in memory
+  EndNumber in_pass = 0;        // ends up to here are covered by the open pass
+  EndNumber recorded = 0;       // ends up to here may be acknowledged
+  EndpointSession session = 0;  // of the last report
   bool poll_in_flight = false;
   Instant next_poll{};
   int failed_polls = 0;
--- a/src/coordination/job_scheduler_polls.cc
+++ b/src/coordination/job_scheduler_polls.cc
@@ -198,6 +198,7 @@
     PollEndpoint poll;
     poll.target = this->TargetOf(*endpoint);
     poll.acknowledged = endpoint->recorded;
+    poll.session = endpoint->session;
     // An endpoint that left the list or does not answer gets no renewal, so
     // that its work lapses and can restart elsewhere.
     poll.lease_until_ms = renew && endpoint->listed &&
--- a/src/coordination/job_scheduler_runs.cc
+++ b/src/coordination/job_scheduler_runs.cc
@@ -470,6 +470,7 @@
     endpoint->start_known_since = now;
   }
   endpoint->reported_start_ms = endpoint->row.start_time_ms;
+  endpoint->session = report->session;
   endpoint->failed_polls = 0;
   endpoint->fenced = true;
   endpoint->process_ended = false;
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -265,6 +265,7 @@
     bool request_written = false;   // bytes were written to a connected socket
     bool used = false;              // has received a response
     bool ended = false;             // closed by the peer or by evhttp
+    bool reserved = false;          // see HttpRequest::reserve_connection
     std::uint64_t idle_order = 0;   // key in Pools::idle; 0: in use
     std::optional<evhttp_request_error> error;
     std::optional<Instant> last_response_time;
@@ -311,6 +312,7 @@
                         RequestId id,
                         PendingRequest* pending_request);
   Connection* TakeIdle(PeerPool* pool);
+  Connection* TakeNamed(PeerPool* pool, const PendingRequest& pending_request);
   Connection* TakeLive(PeerPool* pool, Duration answered_within);
   Connection* Open(PeerPool* pool, const HttpPeer& peer);
   void Dispatch(Connection* connection,
@@ -529,7 +531,12 @@
   const auto& live = pending_request->request.live_connection;
   Connection* connection = nullptr;
   bool probing = false;
-  if (live) {
+  if (pending_request->request.connection != 0) {
+    connection = this->TakeNamed(pool, *pending_request);
+    if (connection == nullptr) {
+      return Placement::kNoLive;
+    }
+  } else if (live) {
     connection = this->TakeLive(pool, live->answered_within);
     probing = connection == nullptr;
     if (probing && live->probe_path.empty()) {
@@ -571,6 +578,24 @@
   return nullptr;
 }
 
+HttpClient::Pools::Connection* HttpClient::Pools::TakeNamed(
+    PeerPool* pool,
+    const PendingRequest& pending_request) {
+  const auto found = this->connections.find(pending_request.request.connection);
+  if (found == this->connections.end()) {
+    return nullptr;
+  }
+  Connection* connection = found->second.get();
+  const Instant oldest = this->loop->Now() - this->options.max_idle_time;
+  if (connection->ended || connection->idle_order == 0 ||
+      connection->peer != pending_request.peer ||
+      connection->last_response_time < oldest) {
+    return nullptr;
+  }
+  this->RemoveFromIdle(pool, connection);
+  return connection;
+}
+
 HttpClient::Pools::Connection* HttpClient::Pools::TakeLive(
     PeerPool* pool,
     Duration answered_within) {
@@ -627,6 +652,7 @@
                                  PendingRequest* pending_request) {
   connection->pending_request = id;
   connection->request_written = false;
+  connection->reserved = pending_request->request.reserve_connection;
   connection->error.reset();
   pending_request->connection = connection->id;
   pending_request->dispatched = this->loop->Now();
@@ -765,11 +791,13 @@
 
 void HttpClient::Pools::Release(Connection* connection) {
   PeerPool& pool = this->peers[connection->peer];
-  if (pool.idle.size() >= this->options.max_idle_per_peer) {
-    this->MarkEnded(connection);
-    return;
+  if (!connection->reserved) {
+    if (pool.idle.size() >= this->options.max_idle_per_peer) {
+      this->MarkEnded(connection);
+      return;
+    }
+    pool.idle.push_back(connection->id);
   }
-  pool.idle.push_back(connection->id);
   connection->idle_order = this->next_idle_order++;
   this->idle[connection->idle_order] = connection->id;
 }
@@ -848,10 +876,11 @@
   if (pool == this->peers.end()) {
     return;
   }
-  const std::vector<ConnectionId> idle = pool->second.idle;
-  for (const ConnectionId id : idle) {
-    const auto last = this->connections.at(id)->last_response_time;
-    if (!last || *last <= since) {
+  const std::vector<ConnectionId> open = pool->second.connections;
+  for (const ConnectionId id : open) {
+    const Connection& connection = *this->connections.at(id);
+    const auto last = connection.last_response_time;
+    if (connection.idle_order != 0 && (!last || *last <= since)) {
       this->FreeConnection(id);
     }
   }
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -54,6 +54,8 @@
   std::string probe_path;
 };
 
+using ConnectionId = std::uint64_t;  // 0: none
+
 struct HttpRequest {
   HttpMethod method = HttpMethod::kGet;
   std::string path{};  // starts with /
@@ -64,6 +66,11 @@
   std::size_t max_response_header_bytes = 16 << 10;
   bool close_after = false;  // false: keep alive
   std::optional<LiveConnectionRequirement> live_connection{};
+  // Sends the request over this connection only; if it is closed or in use, the
+  // request fails with kNoLiveConnection. 0: any connection.
+  ConnectionId connection = 0;
+  // Keeps the connection for requests that name it: others do not use it.
+  bool reserve_connection = false;
 };
 
 // Returns a request with the call's method, path, headers and body.
@@ -94,8 +101,6 @@
   kMaybeDelivered,  // the peer may have received and executed the request
 };
 
-using ConnectionId = std::uint64_t;  // 0: none
-
 struct HttpOutcome {
   HttpResult result = HttpResult::kInvalidRequest;
   Delivery delivery = Delivery::kNeverSent;
--- a/stand_ins/http_shell.cc
+++ b/stand_ins/http_shell.cc
@@ -240,16 +240,16 @@
   evhttp_set_flags(server->http, EVHTTP_SERVER_LINGERING_CLOSE);
   evhttp_set_gencb(server->http, &HttpServer::OnRequest, server.get());
 
-  evhttp_bound_socket* bound =
+  server->bound =
       evhttp_bind_socket_with_handle(server->http, "127.0.0.1", options.port);
-  if (bound == nullptr) {
+  if (server->bound == nullptr) {
     return MakeError(ErrorCode::kUnavailable, "listen",
                      "127.0.0.1:" + std::to_string(options.port),
                      "cannot bind the port");
   }
   sockaddr_in address{};
   socklen_t size = sizeof(address);
-  getsockname(evhttp_bound_socket_get_fd(bound),
+  getsockname(evhttp_bound_socket_get_fd(server->bound),
               reinterpret_cast<sockaddr*>(&address), &size);
   server->port = ntohs(address.sin_port);
   return server;
@@ -261,6 +261,13 @@
     evhttp_free(this->http);
 }
 
+void HttpServer::StopListening() {
+  if (this->bound != nullptr) {
+    evhttp_del_accept_socket(this->http, this->bound);
+    this->bound = nullptr;
+  }
+}
+
 ConnectionNumber HttpServer::NumberOf(evhttp_connection* handle) {
   const auto [entry, is_new] = this->numbers.try_emplace(handle, 0);
   if (is_new) {
--- a/stand_ins/http_shell.h
+++ b/stand_ins/http_shell.h
@@ -170,6 +170,9 @@
 
   void Close(ConnectionNumber connection);
 
+  // Accepts no more connections; those that are open stay open.
+  void StopListening();
+
   // Closes the connections with a pending request whose client has
   // disconnected. evhttp does not detect this while a request is being handled.
   void CloseAbandoned();
@@ -193,6 +196,7 @@
   Handler handler;
   CloseHandler close_handler;
   evhttp* http = nullptr;
+  evhttp_bound_socket* bound = nullptr;  // null: not listening
   std::uint16_t port = 0;
   RequestNumber last_request = 0;
   ConnectionNumber last_connection = 0;
--- a/stand_ins/platform_shell.cc
+++ b/stand_ins/platform_shell.cc
@@ -15,6 +15,8 @@
 // Interval at which due runs and long polls are processed.
 constexpr Milliseconds kTickInterval{3};
 
+constexpr Milliseconds kListenRetry{50};
+
 constexpr char kService[] = "work";
 constexpr char kHostName[] = "127.0.0.1";
 
@@ -148,16 +150,9 @@
                         }));
   this->store = std::move(store_server);
   for (int i = 0; i < this->settings.workers; ++i) {
-    const auto index = static_cast<std::size_t>(i);
-    BOOST_OUTCOME_TRY(
-        server, HttpServer::Listen(this->loop, {},
-                                   [this, index](HttpServer& from,
-                                                 const HttpRequest& request) {
-                                     this->HandleWorker(index, from, request);
-                                   }));
     Worker& worker = this->workers.emplace_back();
     worker.id = EndpointId("w" + std::to_string(i));
-    worker.server = std::move(server);
+    BOOST_OUTCOME_TRY(this->ListenWorker(static_cast<std::size_t>(i)));
     WorkerSettings model;
     model.row.id = worker.id;
     model.row.start_time_ms = 1000 + i;
@@ -177,22 +172,26 @@
   return boost::outcome_v2::success();
 }
 
+std::pair<StoreKey, std::string> PlatformShell::EntryOf(
+    std::size_t index) const {
+  const Worker& worker = this->workers[index];
+  const Json row{
+      {"Service", kService},
+      {"Address", "127.0.0.1:" + std::to_string(worker.port)},
+      {"Zone", index % 2 == 0 ? "z1" : "z2"},
+      {"Slots", 8},
+      {"State", "ready"},
+      {"born", worker.model->Row().start_time_ms},
+      {"Capacity",
+       {{"Cpu", this->settings.cores * 1000}, {"MemMb", 64000}, {"Gpu", 0}}},
+      {"Labels", Json::array({"a", "r" + std::to_string(index / 4)})}};
+  return {StoreKey{"servers", "", worker.id.value}, row.dump()};
+}
+
 void PlatformShell::Register() {
   StoreTransaction transaction;
   for (std::size_t i = 0; i < this->workers.size(); ++i) {
-    const Worker& worker = this->workers[i];
-    const Json row{
-        {"Service", kService},
-        {"Address", "127.0.0.1:" + std::to_string(worker.server->Port())},
-        {"Zone", i % 2 == 0 ? "z1" : "z2"},
-        {"Slots", 8},
-        {"State", "ready"},
-        {"born", worker.model->Row().start_time_ms},
-        {"Capacity",
-         {{"Cpu", this->settings.cores * 1000}, {"MemMb", 64000}, {"Gpu", 0}}},
-        {"Labels", Json::array({"a", "r" + std::to_string(i / 4)})}};
-    transaction.puts.emplace_back(StoreKey{"servers", "", worker.id.value},
-                                  row.dump());
+    transaction.puts.push_back(this->EntryOf(i));
   }
   Json route{{"Name", "queue"},        {"Host", kHostName},
              {"PathPrefix", "/jobs/"}, {"Service", kService},
@@ -214,6 +213,19 @@
   this->rows.Transact(transaction);
 }
 
+Result<void> PlatformShell::ListenWorker(std::size_t index) {
+  Worker& worker = this->workers[index];
+  BOOST_OUTCOME_TRY(
+      server, HttpServer::Listen(
+                  this->loop, {.port = worker.port},
+                  [this, index](HttpServer& from, const HttpRequest& request) {
+                    this->HandleWorker(index, from, request);
+                  }));
+  worker.port = server->Port();
+  worker.server = std::move(server);
+  return boost::outcome_v2::success();
+}
+
 bool PlatformShell::RandomEvent(double share) {
   return std::uniform_real_distribution<double>(0, 1)(this->random) < share;
 }
@@ -221,6 +233,7 @@
 void PlatformShell::AdvanceWorkers() {
   for (Worker& worker : this->workers) {
     worker.model->Advance(this->loop.Now());
+    this->CheckUnlistedEnds(&worker);
   }
   this->AnswerPolls();
   this->AnswerFeeds();
@@ -243,6 +256,9 @@
     server.Reply(request.id, JsonReply(200, {{"Machines", Json::array()}}));
   } else if (request.Is("POST", "/v1/advise")) {
     this->Advise(server, request);
+  } else if (request.Is("POST", "/control/restart")) {
+    this->Restart(request);
+    server.Reply(request.id, JsonReply(200, Json::object()));
   } else if (request.Is("POST", "/control/silence")) {
     this->Silence(request);
     server.Reply(request.id, JsonReply(200, Json::object()));
@@ -384,6 +400,16 @@
   }
 }
 
+void PlatformShell::CheckUnlistedEnds(Worker* worker) const {
+  const std::vector<RunEnd>& ends = worker->model->AcknowledgedUnlisted();
+  for (; worker->checked_unlisted < ends.size(); ++worker->checked_unlisted) {
+    const RunEnd& end = ends[worker->checked_unlisted];
+    std::cout << "violation=unlisted_end_acknowledged worker="
+              << worker->id.value << " task=" << TextOf(end.task)
+              << " run=" << end.run << " number=" << end.number << std::endl;
+  }
+}
+
 void PlatformShell::Silence(const HttpRequest& request) {
   const std::size_t index =
       std::stoul(request.Parameter("worker").value_or("0"));
@@ -394,6 +420,49 @@
   worker.executes_orders = request.Parameter("obeys").has_value();
 }
 
+void PlatformShell::Restart(const HttpRequest& request) {
+  const auto parameter = [&request](const char* name) {
+    return std::stoul(request.Parameter(name).value_or("0"));
+  };
+  const std::size_t index = parameter("worker") % this->workers.size();
+  Worker& worker = this->workers[index];
+  if (worker.server == nullptr) {
+    return;  // is down
+  }
+  std::erase_if(this->polls, [index](const PendingPoll& poll) {
+    return poll.worker == index;
+  });
+  if (request.Parameter("silent")) {
+    worker.server->StopListening();
+    this->silent_servers.push_back(std::move(worker.server));
+  }
+  worker.server.reset();
+  worker.model->Restart(this->loop.Now());
+  std::cout << "restarted worker=" << worker.id.value << std::endl;
+  this->loop.After(
+      Milliseconds(parameter("ms")),
+      [this, index, entry_delay = Milliseconds(parameter("entry_ms"))] {
+        this->ListenAgain(index, entry_delay);
+      });
+}
+
+void PlatformShell::ListenAgain(std::size_t index, Milliseconds entry_delay) {
+  if (const Result<void> listening = this->ListenWorker(index); !listening) {
+    // Another process may have used the port for a moment.
+    std::cerr << "event=listen_again_failed " << listening.error() << '\n';
+    this->loop.After(kListenRetry, [this, index, entry_delay] {
+      this->ListenAgain(index, entry_delay);
+    });
+    return;
+  }
+  this->loop.After(entry_delay, [this, index] {
+    StoreTransaction transaction;
+    transaction.puts.push_back(this->EntryOf(index));
+    this->rows.Transact(transaction);
+    this->AnswerFeeds();
+  });
+}
+
 OrderReply PlatformShell::Start(std::size_t index,
                                 const StartRun& order,
                                 OwnerEpoch epoch,
@@ -433,6 +502,9 @@
     return;
   }
   Worker& worker = this->workers[index];
+  if (&server != worker.server.get()) {
+    return;  // a connection to a process that has ended
+  }
   const Instant now = this->loop.Now();
   const bool silent = now < worker.silent_until;
   if (silent && !worker.executes_orders) {
@@ -489,6 +561,9 @@
     if (report && report->ended.empty() && now < waiting.until) {
       return false;
     }
+    if (report) {
+      worker.model->OnListed(*report);
+    }
     worker.server->Reply(waiting.request,
                          report ? JsonReply(200, ReportJson(*report))
                                 : OrderAnswer(OrderReply::kFenced, 0));
--- a/stand_ins/platform_shell.h
+++ b/stand_ins/platform_shell.h
@@ -17,6 +17,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "stand_ins/advice_model.h"
@@ -61,10 +62,12 @@
   struct Worker {
     EndpointId id;
     std::unique_ptr<WorkerModel> model;
-    std::unique_ptr<HttpServer> server;
-    Instant silent_until{};        // sends no responses before
-    bool executes_orders = false;  // but executes orders
-    std::size_t checked_ends = 0;  // acknowledged ends that were checked
+    std::unique_ptr<HttpServer> server;  // null: down
+    std::uint16_t port = 0;              // 0: not listening yet
+    Instant silent_until{};              // sends no responses before
+    bool executes_orders = false;        // but executes orders
+    std::size_t checked_ends = 0;        // acknowledged ends that were checked
+    std::size_t checked_unlisted = 0;
   };
   struct PendingFeed {
     RequestNumber request = 0;
@@ -94,6 +97,14 @@
                    const std::string& payload);
   // Request of a test: isolates a worker, or loses only its responses.
   void Silence(const HttpRequest& request);
+  // Request of a test: a worker crashes and starts again under its id after
+  // `ms`. Its entry shows this `entry_ms` later. With `silent` its old
+  // connections stay open without an answer, as after a loss of power.
+  void Restart(const HttpRequest& request);
+  void ListenAgain(std::size_t index, Milliseconds entry_delay);
+  Result<void> ListenWorker(std::size_t index);
+  // Returns the row of the worker in the list of endpoints.
+  std::pair<StoreKey, std::string> EntryOf(std::size_t index) const;
   void AnswerPolls();
   void AnswerFeeds();
   void AdvanceWorkers();
@@ -103,6 +114,9 @@
   // Prints a violation if a run of a task started after the end of another one
   // that is acknowledged only now.
   void CheckAcknowledgedEnds(Worker* worker) const;
+  // Prints a violation for each end that was acknowledged before a report
+  // listed it: the daemon cannot know it.
+  void CheckUnlistedEnds(Worker* worker) const;
   bool RandomEvent(double share);
   void Register();
 
@@ -111,6 +125,8 @@
   RowStore rows;
   std::unique_ptr<HttpServer> store;
   std::vector<Worker> workers;
+  // Of workers that have lost power, with open connections.
+  std::vector<std::unique_ptr<HttpServer>> silent_servers;
   std::vector<PendingFeed> feeds;
   std::vector<PendingPoll> polls;
   std::unique_ptr<AdviceModel> advice;  // null: tasks need no ticket
--- a/stand_ins/worker_model.cc
+++ b/stand_ins/worker_model.cc
@@ -88,13 +88,9 @@
   if (poll.lease_until_ms > 0) {
     this->Extend(poll.lease_until_ms, now);
   }
-  while (!this->ended.empty() &&
-         this->ended.front().number <= poll.acknowledged) {
-    if (this->ended.front().number > this->lapsed_up_to) {
-      this->acknowledged.push_back(this->ended.front());
-    }
-    this->ended.pop_front();
-  }
+  this->acknowledged_up_to =
+      std::max(this->acknowledged_up_to, poll.acknowledged);
+  this->ForgetAcknowledged();
   EndpointReportRows report;
   report.clock_ms = this->ClockMs(now);
   report.start_time_ms = this->settings.row.start_time_ms;
@@ -121,6 +117,27 @@
   this->running.erase(found);
 }
 
+void WorkerModel::ForgetAcknowledged() {
+  while (!this->ended.empty() &&
+         this->ended.front().number <= this->acknowledged_up_to) {
+    const RunEnd& end = this->ended.front();
+    if (end.number > this->lapsed_up_to) {
+      this->acknowledged.push_back(end);
+    }
+    if (end.number > this->listed_up_to) {
+      this->acknowledged_unlisted.push_back(end);
+    }
+    this->ended.pop_front();
+  }
+}
+
+void WorkerModel::OnListed(const EndpointReportRows& report) {
+  if (!report.ended.empty()) {
+    this->listed_up_to =
+        std::max(this->listed_up_to, report.ended.back().number);
+  }
+}
+
 void WorkerModel::Advance(Instant now) {
   std::vector<TaskName> due;
   const bool lapsed = this->ClockMs(now) >= this->lease_until;
@@ -141,6 +158,7 @@
   if (lapsed && (this->settings.idle_lease_lapses || !due.empty())) {
     this->lapsed_up_to = this->last_end;
   }
+  this->ForgetAcknowledged();
 }
 
 void WorkerModel::Restart(Instant now) {
@@ -151,6 +169,8 @@
   this->fence = OwnerEpoch{};
   this->lease_until = 0;
   this->lapsed_up_to = 0;
+  this->acknowledged_up_to = 0;
+  this->listed_up_to = 0;
   this->started_at = now;
   ++this->settings.row.start_time_ms;
 }
--- a/stand_ins/worker_model.h
+++ b/stand_ins/worker_model.h
@@ -66,6 +66,9 @@
                                          OwnerEpoch epoch,
                                          Instant now);
 
+  // The caller has sent this report of Poll().
+  void OnListed(const EndpointReportRows& report);
+
   // Ends the runs that are due by their duration or a stop order, and all runs
   // if the lease has expired.
   void Advance(Instant now);
@@ -79,6 +82,10 @@
   // Acknowledged ends, except those whose lease had expired between the end and
   // the acknowledgement.
   const std::vector<RunEnd>& Acknowledged() const { return this->acknowledged; }
+  // Acknowledged ends that no report had listed.
+  const std::vector<RunEnd>& AcknowledgedUnlisted() const {
+    return this->acknowledged_unlisted;
+  }
   // When a run ended, over all restarts; none if it has not.
   std::optional<Instant> EndTime(const TaskName& task, RunNumber run) const;
   // All ends, including those before restarts.
@@ -95,6 +102,7 @@
   std::int64_t ClockMs(Instant now) const;
   void Extend(std::int64_t lease_until_ms, Instant now);
   void End(const TaskName& task, EndKind kind, Instant now);
+  void ForgetAcknowledged();
 
   WorkerSettings settings;
   Instant started_at{};
@@ -104,8 +112,12 @@
   std::deque<RunEnd> ended;    // ends without an acknowledgement
   EndNumber lapsed_up_to = 0;  // ends before the latest lease expiry
   EndNumber last_end = 0;
+  // Ends up to here are forgotten, also those that come after the poll.
+  EndNumber acknowledged_up_to = 0;
   std::int64_t lease_until = 0;  // ms on this worker's clock
+  EndNumber listed_up_to = 0;
   std::vector<RunEnd> acknowledged;
+  std::vector<RunEnd> acknowledged_unlisted;
   std::vector<RunEnd> all_ends;
   std::map<std::pair<TaskName, RunNumber>, Instant> end_times;
 };
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -315,6 +315,53 @@
   REQUIRE(f.server->Accepted() == 1);
 }
 
+TEST_CASE("a reserved connection is used only by requests that name it",
+          "[http_client]") {
+  // Guards against a request that reaches another process than the one that
+  // answered on the connection.
+  Fixture f;
+  HttpRequest request;
+  request.path = "/1";
+  request.timeout = kAwaitTimeout;
+  request.reserve_connection = true;
+  f.Send(request);
+  f.WriteResponse(0, kOk);
+  const ConnectionId reserved = f.AwaitOutcome(0).connection;
+  f.Get("/2");
+  f.WriteResponse(1, kOk);
+  REQUIRE(f.AwaitOutcome(1).connection != reserved);
+  request.connection = reserved;
+  f.Send(request);
+  f.WriteResponse(0, kOk);
+  REQUIRE(f.AwaitOutcome(2).connection == reserved);
+  SECTION("it is in use") {
+    f.Send(request);
+    REQUIRE(f.server->AwaitHeader(0));
+    f.Send(request);
+    REQUIRE(f.AwaitOutcome(3).result == HttpResult::kNoLiveConnection);
+    REQUIRE(f.outcomes[3].delivery == Delivery::kNeverSent);
+  }
+  SECTION("the peer has closed it") {
+    f.server->Close(0);
+    REQUIRE(f.loop->RunUntil(
+        [&] { return f.client->OpenConnections(f.Peer()) == 1; },
+        kAwaitTimeout));
+    f.Send(request);
+    REQUIRE(f.AwaitOutcome(3).result == HttpResult::kNoLiveConnection);
+    REQUIRE(f.server->Accepted() == 2);
+  }
+  SECTION("another request of the peer times out") {
+    // All connections may be silent.
+    HttpRequest other;
+    other.path = "/3";
+    other.timeout = milliseconds(50);
+    f.Send(other);
+    REQUIRE(f.AwaitOutcome(3).result == HttpResult::kTimeout);
+    f.Send(request);
+    REQUIRE(f.AwaitOutcome(4).result == HttpResult::kNoLiveConnection);
+  }
+}
+
 TEST_CASE("bytes after a response close the connection", "[http_client]") {
   // Guards against reading the remaining bytes as the response to the next
   // request, which would return the result of one task for another.
--- a/tests/job_scheduler_restart_test.cc
+++ b/tests/job_scheduler_restart_test.cc
@@ -5,11 +5,18 @@
 #include <string>
 #include <vector>
 
+#include "tests/support/job_simulation.h"
 #include "tests/support/scheduler_fixture.h"
 
 namespace peridot {
 namespace {
 
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+constexpr unsigned kSeeds = 20;
+#else
+constexpr unsigned kSeeds = 100;
+#endif
+
 constexpr std::int64_t kSecondStartMs = 9;  // Endpoint() started at 7
 
 RunningTask Running(const StartRun& start) {
@@ -75,5 +82,37 @@
   CHECK(actions.polls[0].acknowledged == 0);
 }
 
+TEST_CASE("ends are acknowledged in the session that listed them",
+          "[job_scheduler]") {
+  // Guards against a poll that acknowledges ends of a process which has ended
+  // meanwhile (review/6).
+  SchedulerFixture fixture({Endpoint("e1")});
+  const StartRun start = fixture.StartJob("j");
+  fixture.Confirm(start);
+  fixture.AnswerPoll(EndpointId("e1"),
+                     {.session = 31, .ended = {End(1, start, EndKind::kDone)}});
+  const RecordBatch batch = fixture.scheduler.TakeBatch({.rows = 10});
+  fixture.scheduler.OnRecorded(batch.number, RecordResult::kStored,
+                               fixture.now);
+  const SchedulerActions actions = fixture.scheduler.Advance(true, fixture.now);
+  REQUIRE(actions.polls.size() == 1);
+  CHECK(actions.polls[0].acknowledged == 1);
+  CHECK(actions.polls[0].session == 31);
+}
+
+TEST_CASE("seeded simulations with late entries break no invariant",
+          "[job_scheduler]") {
+  // Guards against second runs when workers restart and their entries show it
+  // seconds later (review/6, review/8).
+  for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+    JobSimulation simulation(JobSimulationOptions{
+        .seed = seed, .faults_per_second = 1.2, .late_entries = true});
+    simulation.RunFor(Milliseconds(60000));
+    CAPTURE(seed, simulation.Violations());
+    CHECK(simulation.Violations().empty());
+    CHECK(simulation.FinalJobs() == simulation.Jobs());
+  }
+}
+
 }  // namespace
 }  // namespace peridot
--- a/tests/soak/platform_soak_main.cc
+++ b/tests/soak/platform_soak_main.cc
@@ -3,7 +3,8 @@
 // daemon while they run.
 //
 // platform_soak [--seed N] [--seeds COUNT] [--seconds S] [--daemons N]
-//               [--changes] [--advice] [--ends-outlast-leases] [--keep DIR]
+//               [--changes] [--advice] [--restarts] [--ends-outlast-leases]
+//               [--keep DIR]
 //
 // The daemons (four by default) in two zones connect to the platform's
 // stand-in, each through its own proxy. Callers submit jobs, repeat submissions
@@ -14,9 +15,10 @@
 // changes as well, and another writer leaves odd entries among those of the
 // endpoints. With --advice there are more workers, and each task needs a ticket
 // of the advice service for one of the few workers that may run it; the tickets
-// of a seed have a random validity. Callers keep using open connections to a
-// daemon until its process is gone. Then all faults end, and every accepted job
-// has to reach a final state.
+// of a seed have a random validity. With --restarts workers also crash and
+// start again under their ids, often before their entries show it. Callers keep
+// using open connections to a daemon until its process is gone. Then all faults
+// end, and every accepted job has to reach a final state.
 //
 // Checked: no task runs twice or starts after it was done (detected by the
 // stand-in), the newest configuration is in force, no refused job ever starts,
@@ -126,6 +128,7 @@
   int daemons = 4;
   bool changes = false;              // changes of configuration, odd entries
   bool advice = false;               // tasks need tickets of the advice service
+  bool restarts = false;             // workers start again under their ids
   bool ends_outlast_leases = false;  // see stand_in_platform
   std::filesystem::path folder;      // of the settings files
 };
@@ -166,6 +169,9 @@
   void OnState(const std::string& id, const HttpOutcome& outcome);
   void InjectFault();
   void MakeWorkerUnresponsive();
+  void RestartWorker();
+  // Sends a request of a test to the stand-in of the platform.
+  void SendControl(const std::string& path);
   // Writes the configuration anew, with a higher version and one more route.
   void ChangeConfiguration();
   void WriteOddEntry();
@@ -384,8 +390,12 @@
   }
   this->loop->After(milliseconds(Between(100, 900)),
                     [this] { this->InjectFault(); });
-  Daemon* const daemon = &this->RandomDaemon();
   ++this->faults;
+  if (this->options.restarts && Between(0, 2) == 0) {
+    this->RestartWorker();
+    return;
+  }
+  Daemon* const daemon = &this->RandomDaemon();
   const milliseconds fault_duration(Between(200, 3500));
   const auto set_proxy_mode = [&](ProxyMode mode) {
     daemon->store->SetMode(mode);
@@ -445,11 +455,27 @@
 void Soak::MakeWorkerUnresponsive() {
   // The longest outages outlast the lease of the worker's tasks. With `obeys`
   // the worker still executes orders but does not respond.
+  const std::string path =
+      "/control/silence?worker=" + std::to_string(Between(0, 99)) +
+      "&ms=" + std::to_string(Between(300, 7000)) +
+      (Between(0, 1) == 0 ? "&obeys=1" : "");
+  this->SendControl(path);
+}
+
+void Soak::RestartWorker() {
+  // An endpoint writes its entry every 1.5 s; a cut from the store delays it.
+  const std::string path =
+      "/control/restart?worker=" + std::to_string(Between(0, 99)) +
+      "&ms=" + std::to_string(Between(20, 1500)) +
+      "&entry_ms=" + std::to_string(Between(0, 4500)) +
+      (Between(0, 1) == 0 ? "&silent=1" : "");
+  this->SendControl(path);
+}
+
+void Soak::SendControl(const std::string& path) {
   HttpRequest request;
   request.method = HttpMethod::kPost;
-  request.path = "/control/silence?worker=" + std::to_string(Between(0, 99)) +
-                 "&ms=" + std::to_string(Between(300, 7000)) +
-                 (Between(0, 1) == 0 ? "&obeys=1" : "");
+  request.path = path;
   request.timeout = kCallTimeout;
   this->client.Send(HttpPeer{"127.0.0.1", this->store}, std::move(request),
                     [this](const HttpOutcome& outcome) {
@@ -653,6 +679,8 @@
                            "entries among those of the endpoints")(
       "advice", po::bool_switch(&soak_options.advice),
       "tasks need tickets of the advice service")(
+      "restarts", po::bool_switch(&soak_options.restarts),
+      "workers crash and start again under their ids")(
       "ends-outlast-leases", po::bool_switch(&soak_options.ends_outlast_leases),
       "an end stays valid when its worker's lease expires")(
       "keep", po::value(&logs_folder),
--- a/tests/support/job_simulation.cc
+++ b/tests/support/job_simulation.cc
@@ -232,7 +232,8 @@
         rows.push_back(*worker.last_row);
       }
     } else if (worker.unlisted_until <= this->now) {
-      rows.push_back(worker.model->Row());
+      const bool late = worker.old_row && this->now < worker.old_row_until;
+      rows.push_back(late ? *worker.old_row : worker.model->Row());
     }
   }
   this->owner->OnEndpoints(rows, this->now);
@@ -407,7 +408,8 @@
         poll.target.endpoint,
         [=, this](WorkerModel& worker,
                   bool reached) -> std::optional<EndpointReportRows> {
-          return reached ? worker.Poll(poll, sender, this->now) : std::nullopt;
+          return reached ? this->DeliverPoll(poll, sender, &worker)
+                         : std::nullopt;
         },
         [=, this](const std::optional<EndpointReportRows>& report) {
           this->owner->OnPollResult(poll, report, sent, this->now);
@@ -429,6 +431,25 @@
   this->After(kRoundInterval, [this] { this->Round(); });
 }
 
+std::optional<EndpointReportRows> JobSimulation::DeliverPoll(
+    PollEndpoint poll,
+    OwnerEpoch sender,
+    WorkerModel* worker) {
+  // A connection reaches one process of the worker; a poll whose connection is
+  // gone is sent over another one and acknowledges nothing.
+  const auto session =
+      static_cast<EndpointSession>(worker->Row().start_time_ms);
+  if (poll.session != session) {
+    poll.acknowledged = 0;
+  }
+  std::optional<EndpointReportRows> report =
+      worker->Poll(poll, sender, this->now);
+  if (report) {
+    report->session = session;
+  }
+  return report;
+}
+
 void JobSimulation::SendAdvice(const AdviceRequest& call) {
   const std::uint64_t sender = this->owner_number;
   const auto answer =
@@ -525,6 +546,11 @@
   const bool ended = target->second.last_row.has_value();
   switch (ended ? 4 : prolongs && !this->options.prolong_cuts ? 0 : kind) {
     case 0:
+      if (this->options.late_entries &&
+          this->now >= target->second.old_row_until) {
+        target->second.old_row = target->second.model->Row();
+        target->second.old_row_until = this->now + this->RandomMs(0, 4500);
+      }
       target->second.model->Restart(this->now);
       break;
     case 1:
--- a/tests/support/job_simulation.h
+++ b/tests/support/job_simulation.h
@@ -36,6 +36,8 @@
   // Hosts of workers are moved: the worker ends at once, its entry stays listed
   // for seconds, and another worker joins. The owner reads the list of hosts.
   bool move_hosts = false;
+  // A worker that has restarted replaces its entry up to 4.5 s later.
+  bool late_entries = false;
   // Half of the workers belong to another service, and the configuration sends
   // the queue from one service to the other and back.
   bool move_queue = false;
@@ -78,6 +80,8 @@
     Instant disconnected_until{};
     Instant unlisted_until{};
     Instant joined{};
+    std::optional<EndpointRow> old_row{};  // listed after a restart until then
+    Instant old_row_until{};
     std::optional<EndpointRow> last_row{};  // set once its host has moved
     Instant listed_until{};                 // after that
   };
@@ -108,6 +112,9 @@
   void ReadHosts();
   void WriteBatch();
   void SendAdvice(const AdviceRequest& call);
+  std::optional<EndpointReportRows> DeliverPoll(PollEndpoint poll,
+                                                OwnerEpoch sender,
+                                                WorkerModel* worker);
   void CheckStart(const StartRun& order, const WorkerModel& worker);
   void CheckOccurrenceDone(const AcceptedJob& job, int number);
   // Checks that no run started after an end that was acknowledged later.
