--- a/src/coordination/job_scheduler.cc
+++ b/src/coordination/job_scheduler.cc
@@ -335,8 +335,8 @@
     return job.arrived;
   }
   // Later times exceed the range of Instant, which counts nanoseconds.
-  constexpr std::int64_t kMaxUnixMs = std::int64_t{9'000'000'000'000};
-  const std::int64_t first = std::max(spec.first_due_ms, -kMaxUnixMs / 4);
+  constexpr std::int64_t kMaxUnixMs = 9'000'000'000'000;
+  const std::int64_t first = std::max<std::int64_t>(spec.first_due_ms, 0);
   if (first > kMaxUnixMs ||
       (occurrence > 0 &&
        spec.interval_ms > (kMaxUnixMs - first) / occurrence)) {
