Reuse the reserved connection of a peer after a change of owner

Cause: read in the change: a request that reserves a connection without naming one opened another, so that each ownership of a daemon would have left one more open connection at each endpoint. Change: such a request takes an idle reserved connection of the peer first; a named one is used whatever its age.

--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -313,6 +313,7 @@
                         PendingRequest* pending_request);
   Connection* TakeIdle(PeerPool* pool);
   Connection* TakeNamed(PeerPool* pool, const PendingRequest& pending_request);
+  Connection* TakeReserved(PeerPool* pool);
   Connection* TakeLive(PeerPool* pool, Duration answered_within);
   Connection* Open(PeerPool* pool, const HttpPeer& peer);
   void Dispatch(Connection* connection,
@@ -543,6 +544,9 @@
       return Placement::kNoLive;
     }
   }
+  if (connection == nullptr && pending_request->request.reserve_connection) {
+    connection = this->TakeReserved(pool);
+  }
   if (connection == nullptr && !probing) {
     connection = this->TakeIdle(pool);
   }
@@ -586,16 +590,25 @@
     return nullptr;
   }
   Connection* connection = found->second.get();
-  const Instant oldest = this->loop->Now() - this->options.max_idle_time;
   if (connection->ended || connection->idle_order == 0 ||
-      connection->peer != pending_request.peer ||
-      connection->last_response_time < oldest) {
+      connection->peer != pending_request.peer) {
     return nullptr;
   }
   this->RemoveFromIdle(pool, connection);
   return connection;
 }
 
+HttpClient::Pools::Connection* HttpClient::Pools::TakeReserved(PeerPool* pool) {
+  for (const ConnectionId id : pool->connections) {
+    Connection* connection = this->connections.at(id).get();
+    if (connection->reserved && connection->idle_order != 0) {
+      this->RemoveFromIdle(pool, connection);
+      return connection;
+    }
+  }
+  return nullptr;
+}
+
 HttpClient::Pools::Connection* HttpClient::Pools::TakeLive(
     PeerPool* pool,
     Duration answered_within) {
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -69,7 +69,8 @@
   // Sends the request over this connection only; if it is closed or in use, the
   // request fails with kNoLiveConnection. 0: any connection.
   ConnectionId connection = 0;
-  // Keeps the connection for requests that name it: others do not use it.
+  // Keeps the connection for requests that name it or also set this: others do
+  // not use it.
   bool reserve_connection = false;
 };
 
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -334,6 +334,13 @@
   f.Send(request);
   f.WriteResponse(0, kOk);
   REQUIRE(f.AwaitOutcome(2).connection == reserved);
+  SECTION("a request that reserves any connection") {
+    // Guards against one more open connection after each change of owner.
+    request.connection = 0;
+    f.Send(request);
+    f.WriteResponse(0, kOk);
+    REQUIRE(f.AwaitOutcome(3).connection == reserved);
+  }
   SECTION("it is in use") {
     f.Send(request);
     REQUIRE(f.server->AwaitHeader(0));
