Log on which process and lease a decision to give up runs rests

The log named the reason only. It did not tell whether a lease had been set by an order on the clock of an earlier process, by a late order, or whether the list of hosts had ended the endpoint: the three hypotheses of docs/incidents/2026-12-07-lease-of-a-restarted-endpoint.md.

Runs given up and restarts of endpoints are now logged with the start time of the process, its last clock reading, the last deadline sent and their ages, and counted by reason (metrics owner_given_up_*_count and owner_endpoint_restarts_count). No decision changes.

--- a/src/coordination/job_scheduler.h
+++ b/src/coordination/job_scheduler.h
@@ -517,6 +517,9 @@
     std::map<std::string, std::uint64_t> ends_by_kind;
     std::map<std::string, std::uint64_t> stops_by_reason;
     std::map<std::string, std::uint64_t> advice_by_answer;  // of endpoints
+    // Runs that were given up without an end or a stop, by reason.
+    std::map<std::string, std::uint64_t> given_up_by_reason;
+    std::uint64_t endpoint_restarts = 0;
     std::uint64_t polls = 0;
     std::uint64_t polls_failed = 0;
     // Tasks that waited for room at their preferred place while there was room
--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -206,6 +206,10 @@
   Instant start_known_since{};  // when row.start_time_ms became known
   std::int64_t clock_ms = 0;    // the endpoint's clock, read at clock_read
   Instant clock_read{};
+  // When the last order with a lease was sent, and its deadline on the clock
+  // of the process that was known then.
+  Instant lease_sent{};
+  std::int64_t lease_until_ms = 0;
   Instant lapse_at{};  // by then no run of an earlier order is left
   Resources used;
   std::set<ScheduledTask*> tasks;  // runs that may exist
@@ -463,6 +467,9 @@
   // address another one uses has exited.
   void ReleaseIfAddressReused(EndpointState* endpoint, Instant now);
   void UpdateExcluded(EndpointState* endpoint) const;
+  // What the owner knows of the endpoint's process and its lease, as key=value
+  // text for the log.
+  std::string DescribeLease(const EndpointState& endpoint, Instant now) const;
   // Gives up the runs of an endpoint on which nothing can be running any more.
   // Short tasks are kept if it may still know how they ended.
   void ReleaseLapsed(EndpointState* endpoint,
--- a/src/coordination/job_scheduler_runs.cc
+++ b/src/coordination/job_scheduler_runs.cc
@@ -148,12 +148,15 @@
 void JobScheduler::State::OnEndpointRestarted(EndpointState* endpoint,
                                               std::int64_t start_time_ms,
                                               Instant now) {
+  this->LogDecision(
+      "decision=endpoint_restarted endpoint=" + endpoint->row.id.value +
+      " runs=" + std::to_string(endpoint->tasks.size()) +
+      " next_start_time_ms=" + std::to_string(start_time_ms) + " " +
+      this->DescribeLease(*endpoint, now));
   endpoint->row.start_time_ms = start_time_ms;
   endpoint->start_known_since = now;
   endpoint->reported_start_ms = 0;
-  this->LogDecision(
-      "decision=endpoint_restarted endpoint=" + endpoint->row.id.value +
-      " runs=" + std::to_string(endpoint->tasks.size()));
+  ++this->counters.endpoint_restarts;
   endpoint->incarnation = Incarnation(++this->last_incarnation.value);
   endpoint->fenced = false;
   endpoint->recovered = false;
@@ -183,12 +186,41 @@
                                         bool may_know_ends,
                                         Instant now) {
   const std::set<ScheduledTask*> tasks = endpoint->tasks;
+  std::uint64_t given_up = 0;
   for (ScheduledTask* task : tasks) {
     // Long-running work starts again however its run has ended.
     if (task->step->spec->long_running || !may_know_ends) {
       this->ReturnToWaiting(task, reason, now);
+      ++given_up;
     }
   }
+  if (given_up > 0) {
+    this->counters.given_up_by_reason[reason] += given_up;
+    this->LogDecision("decision=runs_given_up endpoint=" +
+                      endpoint->row.id.value + " reason=" + reason +
+                      " runs=" + std::to_string(given_up) + " " +
+                      this->DescribeLease(*endpoint, now));
+  }
+}
+
+std::string JobScheduler::State::DescribeLease(const EndpointState& endpoint,
+                                               Instant now) const {
+  const auto ms_ago = [now](Instant instant) {
+    return instant == Instant{}
+               ? std::string("never")
+               : std::to_string(
+                     std::chrono::duration_cast<Milliseconds>(now - instant)
+                         .count());
+  };
+  return "start_time_ms=" + std::to_string(endpoint.row.start_time_ms) +
+         " start_known_ms_ago=" + ms_ago(endpoint.start_known_since) +
+         " report_ms_ago=" + ms_ago(endpoint.clock_read) +
+         " clock_ms=" + std::to_string(endpoint.clock_ms) +
+         " lease_sent_ms_ago=" + ms_ago(endpoint.lease_sent) +
+         " lease_until_ms=" + std::to_string(endpoint.lease_until_ms) +
+         " lapsed_ms_ago=" + ms_ago(endpoint.lapse_at) +
+         " failed_polls=" + std::to_string(endpoint.failed_polls) +
+         " listed=" + (endpoint.listed ? "yes" : "no");
 }
 
 OrderTarget JobScheduler::State::TargetOf(const EndpointState& endpoint) const {
@@ -210,7 +242,9 @@
                         offered * this->config.clock_drift_percent / 100 +
                         this->config.lapse_margin;
   endpoint->lapse_at = std::max(endpoint->lapse_at, lapse);
-  return endpoint->clock_ms + offered.count();
+  endpoint->lease_sent = now;
+  endpoint->lease_until_ms = endpoint->clock_ms + offered.count();
+  return endpoint->lease_until_ms;
 }
 
 //-----------------------------------------------------------------------------
--- a/src/daemon/owner_housekeeping.cc
+++ b/src/daemon/owner_housekeeping.cc
@@ -353,6 +353,9 @@
   publish("owner_ends", counts.ends_by_kind);
   publish("owner_stops", counts.stops_by_reason);
   publish("owner_advice", counts.advice_by_answer);
+  publish("owner_given_up", counts.given_up_by_reason);
+  this->metrics->SetGauge("owner_endpoint_restarts_count",
+                          static_cast<double>(counts.endpoint_restarts));
   this->metrics->SetGauge("owner_looks_count",
                           static_cast<double>(counts.polls));
   this->metrics->SetGauge("owner_looks_failed_count",
