Reproduce second runs on restarted workers that are cut off

The seeded simulation could not show it: its tasks lasted 0.9 s at most, less than any lease, and its cuts did not follow restarts. It now plays both.

--- a/tests/job_scheduler_restart_test.cc
+++ b/tests/job_scheduler_restart_test.cc
@@ -114,5 +114,36 @@
   }
 }
 
+// Plays workers that restart and are cut off soon after, while tasks run that
+// outlive every lease.
+void CheckRestartsAndCuts(bool change_owners) {
+  for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+    JobSimulation simulation(
+        JobSimulationOptions{.seed = seed,
+                             .change_owners = change_owners,
+                             .prolong_cuts = false,
+                             .late_entries = true,
+                             .cut_after_restart = true,
+                             .long_task_share = 0.35});
+    simulation.RunFor(Milliseconds(180000));
+    CAPTURE(seed, simulation.Violations());
+    CHECK(simulation.Violations().empty());
+    CHECK(simulation.FinalJobs() == simulation.Jobs());
+  }
+}
+
+TEST_CASE("no second run while a restarted worker is cut off",
+          "[job_scheduler]") {
+  // Guards against runs that are given up before the lease of the new process
+  // has lapsed (incident of 2026-12-07).
+  CheckRestartsAndCuts(/*change_owners=*/false);
+}
+
+TEST_CASE("no second run while a restarted worker is cut off during takeovers",
+          "[job_scheduler]") {
+  // As above for the lease that a previous owner's order has set.
+  CheckRestartsAndCuts(/*change_owners=*/true);
+}
+
 }  // namespace
 }  // namespace peridot
--- a/tests/support/job_simulation.cc
+++ b/tests/support/job_simulation.cc
@@ -187,7 +187,10 @@
       task.needs = job.spec.steps[name.step].per_task;
     }
   }
-  task.duration = this->RandomMs(100, 900);
+  const bool is_long = this->options.long_task_share > 0 &&
+                       this->Uniform() < this->options.long_task_share;
+  task.duration =
+      is_long ? this->RandomMs(5000, 16000) : this->RandomMs(100, 900);
   const bool fails_now = this->Uniform() < 0.05;
   task.ends =
       AlwaysFails(name) || fails_now ? EndKind::kFailed : EndKind::kDone;
@@ -552,6 +555,9 @@
         target->second.old_row_until = this->now + this->RandomMs(0, 4500);
       }
       target->second.model->Restart(this->now);
+      if (this->options.cut_after_restart) {
+        this->CutOffRestarted(target->first);
+      }
       break;
     case 1:
       target->second.disconnected_until = this->now + this->RandomMs(500, 7000);
@@ -578,6 +584,16 @@
               [this] { this->InjectFault(); });
 }
 
+void JobSimulation::CutOffRestarted(const EndpointId& id) {
+  const Milliseconds delay = this->RandomMs(20, 2600);
+  const Instant end = this->now + delay + this->RandomMs(6500, 9500);
+  this->After(delay, [this, id, end] {
+    this->workers[id].disconnected_until = end;
+  });
+  this->After(delay + this->RandomMs(500, 4500),
+              [this, id, end] { this->workers[id].unlisted_until = end; });
+}
+
 int JobSimulation::FinalJobs() const {
   int final_jobs = 0;
   for (const AcceptedJob& job : this->accepted) {
--- a/tests/support/job_simulation.h
+++ b/tests/support/job_simulation.h
@@ -38,6 +38,10 @@
   bool move_hosts = false;
   // A worker that has restarted replaces its entry up to 4.5 s later.
   bool late_entries = false;
+  // A worker that has restarted is cut off 20 ms to 2.6 s later for 6.5 to
+  // 9.5 s, and leaves the list 0.5 to 4.5 s after that.
+  bool cut_after_restart = false;
+  double long_task_share = 0;  // share of tasks that last 5 to 16 s
   // Half of the workers belong to another service, and the configuration sends
   // the queue from one service to the other and back.
   bool move_queue = false;
@@ -106,6 +110,7 @@
   void StartOwner();
   void Round();
   void InjectFault();
+  void CutOffRestarted(const EndpointId& id);
   void AddWorker(const std::string& id, std::int64_t start_time_ms);
   void MoveHost();
   void MoveQueue();
