--- a/src/coordination/job_scheduler.h
+++ b/src/coordination/job_scheduler.h
@@ -58,7 +58,7 @@
   Milliseconds listed_grace{10000};
   // As above for a new owner, which does not know what runs on an endpoint that
   // it has not reached yet, and holds back all earlier jobs of the service.
-  Milliseconds listed_recovery_grace{2000};
+  Milliseconds listed_recovery_grace{3000};
 
   // The list of hosts may not show an endpoint yet that is younger than this.
   Milliseconds host_list_delay{3000};
