--- a/src/coordination/job.h
+++ b/src/coordination/job.h
@@ -33,6 +33,9 @@
 using JobId = StrongId<struct JobTag, std::string>;
 using ServiceId = StrongId<struct ServiceTag, std::string>;
 using OwnerEpoch = StrongId<struct OwnerEpochTag, std::uint64_t>;
+// Sent with each order to an endpoint, which executes none with a lower token
+// than the highest that it has received.
+using FencingToken = StrongId<struct FencingTokenTag, std::uint64_t>;
 using RunNumber = std::uint64_t;  // counts the starts of one task, from 1
 using EndNumber = std::uint64_t;  // counts an endpoint's ended runs, from 1
 // Number of a connection to an endpoint. A connection reaches one process of
--- a/src/coordination/job_scheduler.cc
+++ b/src/coordination/job_scheduler.cc
@@ -75,10 +75,8 @@
     : state(std::make_unique<State>()) {
   this->state->config = config;
   this->state->started = now;
-  const auto lease = std::min(config.endpoint_lease, config.endpoint_lease_max);
-  this->state->recovery_ends = now + lease +
-                               lease * config.clock_drift_percent / 100 +
-                               config.lapse_margin;
+  this->state->recovery_ends =
+      now + this->state->LapseBound(this->state->OrdinaryLease());
 }
 
 JobScheduler::~JobScheduler() = default;
--- a/src/coordination/job_scheduler.h
+++ b/src/coordination/job_scheduler.h
@@ -38,7 +38,7 @@
 //-----------------------------------------------------------------------------
 
 struct JobSchedulerConfig {
-  OwnerEpoch epoch;  // fencing token in every order
+  OwnerEpoch epoch;  // leading part of the fencing token in every order
 
   // Lease of the work on an endpoint, renewed by each poll. Long enough to
   // bridge an outage of the store together with the owner's lease, short
@@ -185,6 +185,7 @@
 struct OrderTarget {
   EndpointId endpoint;
   std::string address;  // "ip:port"
+  FencingToken fence;
 };
 
 struct StartRun {
@@ -195,6 +196,7 @@
   std::string checkpoint;           // empty: start from the beginning
   std::string ticket;               // empty: no advice needed
   std::int64_t lease_until_ms = 0;  // on the endpoint's clock
+  std::int64_t clock_ms = 0;        // last reading of that clock
 };
 
 struct StopRun {
@@ -215,8 +217,9 @@
 struct PollEndpoint {
   OrderTarget target;
   EndNumber acknowledged = 0;  // ends up to this number; 0: none
-  // Session on which these ends were listed. The numbers start anew with each
-  // process, so that a poll over any other session acknowledges nothing.
+  // Session on which these ends were listed and the clock was read. Numbers and
+  // clock start anew with each process, so that a poll over any other session
+  // neither acknowledges ends nor renews the lease.
   EndpointSession session = 0;
   std::int64_t lease_until_ms = 0;  // on the endpoint's clock; 0: no renewal
   Milliseconds wait{0};             // 0: answer at once
@@ -255,6 +258,12 @@
   kUnknown,           // no answer: the order may take effect, now or later
 };
 
+struct OrderAnswer {
+  OrderReply reply = OrderReply::kUnknown;
+  std::optional<std::int64_t>
+      clock_ms{};  // the endpoint's clock; none: unknown
+};
+
 // Returns a stable lower-case name, such as "no_room".
 const char* OrderReplyName(OrderReply reply);
 
@@ -315,6 +324,9 @@
   // Time until the lease of its work has lapsed, for an endpoint that does not
   // answer and whose lease is no longer renewed; 0: the lease may be renewed.
   std::int64_t lapse_ms = 0;
+  // Time until a lease has lapsed that may last longer than that of a renewal;
+  // 0: there is none.
+  std::int64_t long_lease_ms = 0;
 
   friend bool operator==(const UsedEndpoint&, const UsedEndpoint&) = default;
 };
@@ -419,7 +431,9 @@
 
   // Inputs from endpoints. --------------------------------------------------
 
-  void OnStartReply(const StartRun& order, OrderReply reply, Instant now);
+  void OnStartReply(const StartRun& order,
+                    const OrderAnswer& answer,
+                    Instant now);
   void OnStopReply(const StopRun& order, OrderReply reply, Instant now);
   // `sent` is the instant at which the poll was sent. No report: the poll
   // failed.
@@ -427,6 +441,9 @@
                     const std::optional<EndpointReportRows>& report,
                     Instant sent,
                     Instant now);
+  // The endpoint has received a higher fencing token than that of the poll: a
+  // later one of this owner, or that of a newer owner, see Fenced().
+  void OnPollFenced(const PollEndpoint& poll, Instant now);
   // The answer to a call of SchedulerActions::advice; no tickets: it failed. An
   // endpoint of the call without a ticket may not run the step. `valid` is the
   // validity of the tickets; 0: as configured for the queue.
@@ -451,7 +468,9 @@
 
   // Returns all endpoints that may hold work, by id, to be stored for the next
   // owner. The lease of an endpoint is not renewed while the stored record may
-  // say that it lapses, because the next owner relies on that.
+  // say that it lapses, because the next owner relies on that. For the same
+  // reason an endpoint with a longer lease than that of a renewal gets no work
+  // before the record says so.
   std::vector<UsedEndpoint> TakeUsedEndpoints(Instant now);
   // The endpoints of the last TakeUsedEndpoints() have been stored.
   void OnUsedEndpointsStored();
@@ -480,14 +499,18 @@
   RowVersion NewestJob() const;
   // True if a job waits for OnStartable().
   bool HasHeldJobs() const;
-  // True once an endpoint has reported an epoch higher than this owner's.
+  // True once an endpoint has received the fencing token of a newer owner.
   bool Fenced() const;
+  // Destination of the next order to the endpoint; only its id if it is not
+  // known.
+  OrderTarget TargetOf(const EndpointId& endpoint) const;
   // Instant by which Advance() must be called even without any input.
   Instant NextWake(Instant now) const;
   std::vector<EndpointSummary> Endpoints(Instant now) const;
-  // True if an endpoint answers again whose lease lapses by the stored record.
-  // It gets no work before OnUsedEndpointsStored().
-  bool HasReturnedEndpoints() const;
+  // True if an endpoint answers that gets no work before
+  // OnUsedEndpointsStored(): its lease lapses by the stored record, or lasts
+  // longer than the next owner would assume.
+  bool HasUnstoredLeases(Instant now) const;
   std::map<ServiceId, ServiceDemand> Demand(Instant now);
   // The backlog of each service by client account and order of service, for the
   // admission of jobs. Services that may still run work of a previous owner
--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -29,6 +29,10 @@
 
 inline constexpr Instant kNever = Instant::max();
 
+// Fencing tokens of an owner. They stay exact as doubles, as which some JSON
+// libraries read numbers, up to epoch 2^29.
+inline constexpr std::uint64_t kFencesPerEpoch = 1ULL << 24;
+
 //-----------------------------------------------------------------------------
 // [SECTION] Tasks, steps and jobs
 //-----------------------------------------------------------------------------
@@ -190,7 +194,10 @@
   ServiceState* service = nullptr;  // of row.service; set by SetRow()
   bool excluded = false;  // in an evacuated zone, or its host is about to leave
   bool listed = false;    // present in the newest list of endpoints
-  bool fenced = false;    // has answered a poll of this epoch
+  bool fenced = false;    // has answered a poll with the current token
+  // A process that has answered none yet replaces the one that had.
+  bool replaced = false;
+  std::uint64_t fence = 0;  // State::last_fence when the token was last raised
   // Has listed all of its ends in a report of this epoch. Before that, a task
   // of a previous owner may have completed here.
   bool recovered = false;
@@ -198,9 +205,11 @@
   // none of its runs is left. Cleared when it answers or starts again.
   bool process_ended = false;
   bool has_clock = false;
-  bool lapse_stored = false;  // the store may hold a record that it lapses
-  bool lapse_taken = false;   // as of the last TakeUsedEndpoints()
-  Instant known_since{};      // when this owner learned of the endpoint
+  bool lapse_stored = false;       // the store may hold a record that it lapses
+  bool lapse_taken = false;        // as of the last TakeUsedEndpoints()
+  bool long_lease_stored = false;  // the store holds long_lease_until
+  bool long_lease_taken = false;   // as of the last TakeUsedEndpoints()
+  Instant known_since{};           // when this owner learned of the endpoint
   // Start of the process that has sent the last report; 0: no report yet.
   std::int64_t reported_start_ms = 0;
   Instant start_known_since{};  // when row.start_time_ms became known
@@ -211,6 +220,11 @@
   Instant lease_sent{};
   std::int64_t lease_until_ms = 0;
   Instant lapse_at{};  // by then no run of an earlier order is left
+  // By then a lease has lapsed that an order for an earlier process may have
+  // set in the current one.
+  Instant long_lease_until{};
+  // By then no run of a previous owner is left.
+  Instant recovery_ends{};
   Resources used;
   std::set<ScheduledTask*> tasks;  // runs that may exist
   int long_running = 0;            // of these, by kind of step and phase
@@ -219,6 +233,7 @@
   EndNumber processed = 0;      // ends up to here are processed in memory
   EndNumber in_pass = 0;        // ends up to here are covered by the open pass
   EndNumber recorded = 0;       // ends up to here may be acknowledged
+  EndNumber acknowledged = 0;   // ends up to here were, by an answered poll
   EndpointSession session = 0;  // of the last report
   bool poll_in_flight = false;
   Instant next_poll{};
@@ -345,8 +360,9 @@
   RowVersion newest_job;            // newest version of a job's row received
   RowVersion startable;             // jobs up to this version may start
   bool fenced = false;
-  bool may_start = false;                          // as of the last Advance()
-  Incarnation last_incarnation;                    // of an endpoint
+  std::uint64_t last_fence = 0;  // trailing part of the newest fencing token
+  bool may_start = false;        // as of the last Advance()
+  Incarnation last_incarnation;  // of an endpoint
   std::vector<AdviceCandidate> advice_candidates;  // in the current round
   std::size_t advice_position = 0;  // candidates of the current service
   std::map<TaskName, OpenAdviceCall> open_advice;  // by step
@@ -462,6 +478,24 @@
   void OnEndpointRestarted(EndpointState* endpoint,
                            std::int64_t start_time_ms,
                            Instant now);
+  // Fences the orders that were sent to the endpoint so far.
+  void RaiseFence(EndpointState* endpoint);
+  FencingToken TokenOf(const EndpointState& endpoint) const;
+  // Returns whether no order with a higher token was sent to this endpoint.
+  bool HasCurrentToken(const OrderTarget& target) const;
+  // An answer shows that another process has taken an order.
+  void OnClockOfOtherProcess(EndpointState* endpoint,
+                             std::int64_t clock_ms,
+                             Instant now);
+  // Until now an order may have set the longest lease: its deadline was on the
+  // clock of an earlier process, so that the current one only shortened it to
+  // its maximum.
+  void AssumeLongestLease(EndpointState* endpoint, Instant now);
+  // Time after which a lease of this length has certainly lapsed.
+  Duration LapseBound(Milliseconds lease) const;
+  Milliseconds OrdinaryLease() const;
+  // Returns whether the lease may last longer than one that is renewed now.
+  bool HasLongLease(const EndpointState& endpoint, Instant now) const;
   void SetRow(EndpointState* endpoint, const EndpointRow& row);
   // An address belongs to one endpoint at a time: an unlisted endpoint whose
   // address another one uses has exited.
--- a/src/coordination/job_scheduler_place.cc
+++ b/src/coordination/job_scheduler_place.cc
@@ -42,6 +42,7 @@
                                  Instant now) const {
   return endpoint.listed && endpoint.row.ready && endpoint.fenced &&
          endpoint.has_clock && !endpoint.lapse_stored &&
+         (endpoint.long_lease_stored || !this->HasLongLease(endpoint, now)) &&
          !endpoint.process_ended &&
          endpoint.failed_polls < this->config.failed_polls_to_unreachable &&
          endpoint.unhealthy_until <= now && endpoint.full_until <= now &&
@@ -524,6 +525,7 @@
   order.payload = task->step->job->accepted.spec.payload;
   order.checkpoint = task->checkpoint;
   order.lease_until_ms = this->LeaseUntil(endpoint, now);
+  order.clock_ms = endpoint->clock_ms;
   if (const StepTicket* ticket = this->TicketOf(*task->step, *endpoint, now)) {
     order.ticket = ticket->ticket;
   }
--- a/src/coordination/job_scheduler_polls.cc
+++ b/src/coordination/job_scheduler_polls.cc
@@ -197,7 +197,10 @@
     }
     PollEndpoint poll;
     poll.target = this->TargetOf(*endpoint);
-    poll.acknowledged = endpoint->recorded;
+    // Sent until a poll with it was answered only: a call without an answer may
+    // reach the endpoint's next process, in which the number means other ends.
+    poll.acknowledged =
+        endpoint->recorded > endpoint->acknowledged ? endpoint->recorded : 0;
     poll.session = endpoint->session;
     // An endpoint that left the list or does not answer gets no renewal, so
     // that its work lapses and can restart elsewhere.
--- a/src/coordination/job_scheduler_runs.cc
+++ b/src/coordination/job_scheduler_runs.cc
@@ -55,7 +55,8 @@
     endpoint = std::make_unique<EndpointState>();
     endpoint->incarnation = Incarnation(++state.last_incarnation.value);
     state.SetRow(endpoint.get(), row);
-    endpoint->lapse_at = state.recovery_ends;
+    endpoint->lapse_at = endpoint->recovery_ends = state.recovery_ends;
+    endpoint->fence = state.last_fence;
     endpoint->known_since = endpoint->start_known_since = now;
   }
   const bool was_listed = std::exchange(endpoint->listed, true);
@@ -158,11 +159,15 @@
   endpoint->reported_start_ms = 0;
   ++this->counters.endpoint_restarts;
   endpoint->incarnation = Incarnation(++this->last_incarnation.value);
+  this->RaiseFence(endpoint);
+  this->AssumeLongestLease(endpoint, now);
   endpoint->fenced = false;
+  endpoint->replaced = true;
   endpoint->recovered = false;
   endpoint->process_ended = false;
   endpoint->has_clock = false;
   endpoint->processed = endpoint->in_pass = endpoint->recorded = 0;
+  endpoint->acknowledged = 0;
   endpoint->next_poll = now;
   const std::set<ScheduledTask*> tasks = endpoint->tasks;
   for (ScheduledTask* task : tasks) {
@@ -196,10 +201,10 @@
   }
   if (given_up > 0) {
     this->counters.given_up_by_reason[reason] += given_up;
-    this->LogDecision("decision=runs_given_up endpoint=" +
-                      endpoint->row.id.value + " reason=" + reason +
-                      " runs=" + std::to_string(given_up) + " " +
-                      this->DescribeLease(*endpoint, now));
+    this->LogDecision(
+        "decision=runs_given_up endpoint=" + endpoint->row.id.value +
+        " reason=" + reason + " runs=" + std::to_string(given_up) + " " +
+        this->DescribeLease(*endpoint, now));
   }
 }
 
@@ -223,8 +228,75 @@
          " listed=" + (endpoint.listed ? "yes" : "no");
 }
 
+OrderTarget JobScheduler::TargetOf(const EndpointId& endpoint) const {
+  const auto found = this->state->endpoints.find(endpoint);
+  return found == this->state->endpoints.end()
+             ? OrderTarget{.endpoint = endpoint}
+             : this->state->TargetOf(*found->second);
+}
+
 OrderTarget JobScheduler::State::TargetOf(const EndpointState& endpoint) const {
-  return OrderTarget{endpoint.row.id, endpoint.row.address};
+  return OrderTarget{endpoint.row.id, endpoint.row.address,
+                     this->TokenOf(endpoint)};
+}
+
+void JobScheduler::State::RaiseFence(EndpointState* endpoint) {
+  // The number is never used again for an endpoint that was forgotten and is
+  // listed anew.
+  this->last_fence = std::min(this->last_fence + 1, kFencesPerEpoch - 1);
+  endpoint->fence = this->last_fence;
+}
+
+FencingToken JobScheduler::State::TokenOf(const EndpointState& endpoint) const {
+  return FencingToken(this->config.epoch.value * kFencesPerEpoch +
+                      endpoint.fence);
+}
+
+bool JobScheduler::State::HasCurrentToken(const OrderTarget& target) const {
+  const auto found = this->endpoints.find(target.endpoint);
+  return found != this->endpoints.end() &&
+         target.fence == this->TokenOf(*found->second);
+}
+
+void JobScheduler::State::OnClockOfOtherProcess(EndpointState* endpoint,
+                                                std::int64_t clock_ms,
+                                                Instant now) {
+  this->LogDecision(
+      "decision=clock_went_back endpoint=" + endpoint->row.id.value +
+      " answered_clock_ms=" + std::to_string(clock_ms) + " " +
+      this->DescribeLease(*endpoint, now));
+  this->RaiseFence(endpoint);
+  this->AssumeLongestLease(endpoint, now);
+  endpoint->fenced = false;
+  endpoint->replaced = true;
+  endpoint->has_clock = false;
+  endpoint->next_poll = now;
+}
+
+Milliseconds JobScheduler::State::OrdinaryLease() const {
+  return std::min(this->config.endpoint_lease, this->config.endpoint_lease_max);
+}
+
+Duration JobScheduler::State::LapseBound(Milliseconds lease) const {
+  // A slow clock reaches the deadline at the latest after this longer time.
+  return lease + lease * this->config.clock_drift_percent / 100 +
+         this->config.lapse_margin;
+}
+
+bool JobScheduler::State::HasLongLease(const EndpointState& endpoint,
+                                       Instant now) const {
+  return endpoint.long_lease_until >
+         now + this->LapseBound(this->OrdinaryLease());
+}
+
+void JobScheduler::State::AssumeLongestLease(EndpointState* endpoint,
+                                             Instant now) {
+  const Instant lapse = now + this->LapseBound(this->config.endpoint_lease_max);
+  endpoint->lapse_at = std::max(endpoint->lapse_at, lapse);
+  if (this->config.endpoint_lease_max > this->OrdinaryLease()) {
+    endpoint->long_lease_until = lapse;
+    endpoint->long_lease_stored = false;
+  }
 }
 
 std::int64_t JobScheduler::State::LeaseUntil(EndpointState* endpoint,
@@ -232,16 +304,11 @@
   if (!endpoint->has_clock) {
     return 0;
   }
-  const auto lease =
-      std::min(this->config.endpoint_lease, this->config.endpoint_lease_max);
   const auto since_read =
       std::chrono::duration_cast<Milliseconds>(now - endpoint->clock_read);
-  const auto offered = since_read + lease;
-  // A slow clock reaches the deadline at the latest after this longer time.
-  const Instant lapse = endpoint->clock_read + offered +
-                        offered * this->config.clock_drift_percent / 100 +
-                        this->config.lapse_margin;
-  endpoint->lapse_at = std::max(endpoint->lapse_at, lapse);
+  const Milliseconds offered = since_read + this->OrdinaryLease();
+  endpoint->lapse_at = std::max(
+      endpoint->lapse_at, endpoint->clock_read + this->LapseBound(offered));
   endpoint->lease_sent = now;
   endpoint->lease_until_ms = endpoint->clock_ms + offered.count();
   return endpoint->lease_until_ms;
@@ -398,11 +465,21 @@
 //-----------------------------------------------------------------------------
 
 void JobScheduler::OnStartReply(const StartRun& order,
-                                OrderReply reply,
+                                const OrderAnswer& answer,
                                 Instant now) {
   State& state = *this->state;
+  OrderReply reply = answer.reply;
   ++state.counters.starts_by_reply[OrderReplyName(reply)];
-  state.fenced = state.fenced || reply == OrderReply::kFenced;
+  if (state.HasCurrentToken(order.target)) {
+    state.fenced = state.fenced || reply == OrderReply::kFenced;
+    if (answer.clock_ms && *answer.clock_ms < order.clock_ms) {
+      state.OnClockOfOtherProcess(
+          state.endpoints.at(order.target.endpoint).get(), *answer.clock_ms,
+          now);
+      // Whether the run exists is up to the report of the new process.
+      reply = reply == OrderReply::kDone ? OrderReply::kUnknown : reply;
+    }
+  }
   ScheduledTask* task = state.FindTask(order.task);
   if (task == nullptr || !MayBeRunning(*task) || task->run != order.run ||
       task->endpoint->row.id != order.target.endpoint) {
@@ -451,7 +528,8 @@
                                OrderReply reply,
                                Instant now) {
   State& state = *this->state;
-  state.fenced = state.fenced || reply == OrderReply::kFenced;
+  state.fenced = state.fenced || (reply == OrderReply::kFenced &&
+                                  state.HasCurrentToken(order.target));
   ScheduledTask* task = state.FindTask(order.task);
   if (task == nullptr || !MayBeRunning(*task) || task->run != order.run ||
       task->endpoint->row.id != order.target.endpoint) {
@@ -481,7 +559,10 @@
   endpoint->poll_in_flight = false;
   if (!report) {
     ++state.counters.polls_failed;
-    ++endpoint->failed_polls;
+    if (++endpoint->failed_polls == 1) {
+      // The next answer may be that of a new process.
+      state.RaiseFence(endpoint);
+    }
     endpoint->next_poll = now + state.config.poll_retry;
     if (endpoint->failed_polls == state.config.failed_polls_to_unreachable) {
       state.LogDecision("decision=endpoint_unreachable endpoint=" +
@@ -504,9 +585,18 @@
     endpoint->start_known_since = now;
   }
   endpoint->reported_start_ms = endpoint->row.start_time_ms;
+  if (report->session == poll.session) {
+    endpoint->acknowledged =
+        std::max(endpoint->acknowledged, poll.acknowledged);
+  }
   endpoint->session = report->session;
   endpoint->failed_polls = 0;
-  endpoint->fenced = true;
+  if (state.HasCurrentToken(poll.target)) {
+    endpoint->fenced = true;
+    if (std::exchange(endpoint->replaced, false)) {
+      state.AssumeLongestLease(endpoint, now);
+    }
+  }
   endpoint->process_ended = false;
   endpoint->has_clock = true;
   endpoint->clock_ms = report->clock_ms;
@@ -535,6 +625,16 @@
                             : now;
 }
 
+void JobScheduler::OnPollFenced(const PollEndpoint& poll, Instant now) {
+  State& state = *this->state;
+  state.fenced = state.fenced || state.HasCurrentToken(poll.target);
+  if (const auto found = state.endpoints.find(poll.target.endpoint);
+      found != state.endpoints.end()) {
+    found->second->poll_in_flight = false;
+    found->second->next_poll = now;
+  }
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Endpoint reports
 //-----------------------------------------------------------------------------
--- a/src/coordination/job_scheduler_takeover.cc
+++ b/src/coordination/job_scheduler_takeover.cc
@@ -28,7 +28,8 @@
       row.service = used.service;
       row.capacity = used.capacity;
       this->state->SetRow(endpoint.get(), row);
-      endpoint->lapse_at = this->state->recovery_ends;
+      endpoint->lapse_at = endpoint->recovery_ends = this->state->recovery_ends;
+      endpoint->fence = this->state->last_fence;
       endpoint->known_since = now;
       if (used.lapse_ms > 0) {
         endpoint->lapse_at =
@@ -38,6 +39,13 @@
     if (used.lapse_ms > 0) {
       endpoint->lapse_stored = endpoint->lapse_taken = true;
     }
+    if (used.long_lease_ms > 0) {
+      const Instant lapse = now + Milliseconds(used.long_lease_ms);
+      endpoint->long_lease_until = lapse;
+      endpoint->long_lease_stored = endpoint->long_lease_taken = true;
+      endpoint->lapse_at = std::max(endpoint->lapse_at, lapse);
+      endpoint->recovery_ends = std::max(endpoint->recovery_ends, lapse);
+    }
   }
 }
 
@@ -54,6 +62,12 @@
     }
     endpoint->lapse_taken = entry.lapse_ms > 0;
     endpoint->lapse_stored = endpoint->lapse_stored || endpoint->lapse_taken;
+    if (this->state->HasLongLease(*endpoint, now)) {
+      entry.long_lease_ms = std::chrono::duration_cast<Milliseconds>(
+                                endpoint->long_lease_until - now)
+                                .count();
+    }
+    endpoint->long_lease_taken = entry.long_lease_ms > 0;
   }
   return used;
 }
@@ -61,16 +75,21 @@
 void JobScheduler::OnUsedEndpointsStored() {
   for (const auto& [id, endpoint] : this->state->endpoints) {
     endpoint->lapse_stored = endpoint->lapse_taken;
+    endpoint->long_lease_stored = endpoint->long_lease_taken;
   }
 }
 
-bool JobScheduler::HasReturnedEndpoints() const {
-  return std::any_of(this->state->endpoints.begin(),
-                     this->state->endpoints.end(), [](const auto& entry) {
-                       const EndpointState& endpoint = *entry.second;
-                       return endpoint.lapse_stored && endpoint.listed &&
-                              endpoint.fenced && endpoint.failed_polls == 0;
-                     });
+bool JobScheduler::HasUnstoredLeases(Instant now) const {
+  return std::any_of(
+      this->state->endpoints.begin(), this->state->endpoints.end(),
+      [this, now](const auto& entry) {
+        const EndpointState& endpoint = *entry.second;
+        const bool long_lease_unstored =
+            !endpoint.long_lease_stored &&
+            this->state->HasLongLease(endpoint, now);
+        return (endpoint.lapse_stored || long_lease_unstored) &&
+               endpoint.listed && endpoint.fenced && endpoint.failed_polls == 0;
+      });
 }
 
 //-----------------------------------------------------------------------------
@@ -157,7 +176,7 @@
     // last longer than the leases of previous owners.
     if (endpoint->fenced) {
       this->unrecovered.insert(endpoint->row.service);
-    } else if (now < this->recovery_ends + grace) {
+    } else if (now < endpoint->recovery_ends + grace) {
       this->unrecovered.insert(endpoint->row.service);
       if (endpoint->lapse_at > now) {
         this->unpolled_capacity += endpoint->row.capacity;
--- a/src/daemon/fleet_ports.h
+++ b/src/daemon/fleet_ports.h
@@ -105,14 +105,12 @@
   std::function<void(std::string table, RowVersion after, StoreCallback)> feed;
 
   // Endpoints. --------------------------------------------------------------
-  std::function<void(StartRun, OwnerEpoch, std::function<void(OrderReply)>)>
-      start;
-  std::function<void(StopRun, OwnerEpoch, std::function<void(OrderReply)>)>
-      stop;
-  std::function<void(PaceRun, OwnerEpoch)> pace;
+  std::function<void(StartRun, std::function<void(OrderAnswer)>)> start;
+  std::function<void(StopRun, std::function<void(OrderReply)>)> stop;
+  std::function<void(PaceRun)> pace;
   using PollCallback =
       std::function<void(std::optional<EndpointReportRows>, OrderReply)>;
-  std::function<void(PollEndpoint, OwnerEpoch, PollCallback)> poll;
+  std::function<void(PollEndpoint, PollCallback)> poll;
   using AdviceCallback =
       std::function<void(std::optional<std::vector<AdviceTicket>>,
                          Milliseconds valid)>;
--- a/src/daemon/owner_load.cc
+++ b/src/daemon/owner_load.cc
@@ -134,10 +134,9 @@
           auto used = DecodeUsedEndpoints(row.value);
           if (used) {
             for (UsedEndpoint& endpoint : used.value()) {
-              if (endpoint.lapse_ms > 0) {
-                endpoint.lapse_ms = std::max<std::int64_t>(
-                    1, endpoint.lapse_ms - this->StoreMs());
-              }
+              endpoint.lapse_ms = this->RemainingLapse(endpoint.lapse_ms);
+              endpoint.long_lease_ms =
+                  this->RemainingLapse(endpoint.long_lease_ms);
             }
             this->owned->scheduler.OnPreviousOwnerEndpoints(used.value(),
                                                             this->loop->Now());
--- a/src/daemon/owner_rounds.cc
+++ b/src/daemon/owner_rounds.cc
@@ -109,43 +109,45 @@
 }
 
 void OwnerTask::ExecuteActions(const SchedulerActions& actions) {
-  const OwnerEpoch epoch = this->lease.Epoch();
   const Instant sent = this->loop->Now();
   for (const StopRun& order : actions.stops) {
-    this->ports->stop(
-        order, epoch, this->IfOwner([this, order](OrderReply reply) {
-          this->owned->scheduler.OnStopReply(order, reply, this->loop->Now());
-          this->ScheduleRound();
-        }));
+    this->ports->stop(order, this->IfOwner([this, order](OrderReply reply) {
+      this->owned->scheduler.OnStopReply(order, reply, this->loop->Now());
+      this->ScheduleRound();
+    }));
   }
   for (const StartRun& order : actions.starts) {
     this->ports->start(
-        order, epoch, this->IfOwner([this, order, sent](OrderReply reply) {
+        order, this->IfOwner([this, order, sent](const OrderAnswer& answer) {
           const Instant now = this->loop->Now();
           this->metrics->ObserveLatency("start_order", now - sent);
-          if (reply != OrderReply::kDone) {
-            this->metrics->CountRetry(OrderReplyName(reply));
+          if (answer.reply != OrderReply::kDone) {
+            this->metrics->CountRetry(OrderReplyName(answer.reply));
           }
-          this->owned->scheduler.OnStartReply(order, reply, now);
+          this->owned->scheduler.OnStartReply(order, answer, now);
           this->ScheduleRound();
         }));
   }
   for (const PaceRun& order : actions.paces) {
-    this->ports->pace(order, epoch);
+    this->ports->pace(order);
   }
   for (const PollEndpoint& poll : actions.polls) {
     std::function<void(std::optional<EndpointReportRows>, OrderReply)> done =
         [this, poll, sent](const std::optional<EndpointReportRows>& report,
                            OrderReply reply) {
+          JobScheduler& scheduler = this->owned->scheduler;
           if (reply == OrderReply::kFenced) {
+            scheduler.OnPollFenced(poll, this->loop->Now());
+          } else {
+            scheduler.OnPollResult(poll, report, sent, this->loop->Now());
+          }
+          if (scheduler.Fenced()) {
             this->EndOwnership("fenced");
             return;
           }
-          this->owned->scheduler.OnPollResult(poll, report, sent,
-                                              this->loop->Now());
           this->ScheduleRound();
         };
-    this->ports->poll(poll, epoch, this->IfOwner(std::move(done)));
+    this->ports->poll(poll, this->IfOwner(std::move(done)));
   }
   for (const AdviceRequest& call : actions.advice) {
     std::function<void(std::optional<std::vector<AdviceTicket>>, Milliseconds)>
@@ -282,6 +284,20 @@
   return row;
 }
 
+std::int64_t OwnerTask::StoredLapse(std::int64_t remaining_ms) const {
+  // Rounded up, so that the row does not change with every write.
+  return remaining_ms == 0
+             ? 0
+             : (remaining_ms + this->StoreMs()) / kLapseUnitMs * kLapseUnitMs +
+                   kLapseUnitMs;
+}
+
+std::int64_t OwnerTask::RemainingLapse(std::int64_t stored_ms) const {
+  return stored_ms == 0
+             ? 0
+             : std::max<std::int64_t>(1, stored_ms - this->StoreMs());
+}
+
 void OwnerTask::Write() {
   Ownership& owned = *this->owned;
   const Instant now = this->loop->Now();
@@ -297,7 +313,7 @@
       owned.orders_to_record.empty() && !this->lease.RenewalDue(now) &&
       !(owned.loaded && (owned.scheduler.HasHeldJobs() ||
                          owned.scheduler.HasUnstoredQueueMoves() ||
-                         owned.scheduler.HasReturnedEndpoints()))) {
+                         owned.scheduler.HasUnstoredLeases(now)))) {
     return;
   }
   // Each write renews the lease and fails if another daemon holds it.
@@ -317,12 +333,8 @@
   if (owned.loaded) {
     std::vector<UsedEndpoint> used = owned.scheduler.TakeUsedEndpoints(now);
     for (UsedEndpoint& endpoint : used) {
-      if (endpoint.lapse_ms > 0) {
-        // Rounded up, so that the row does not change with every write.
-        endpoint.lapse_ms = (endpoint.lapse_ms + this->StoreMs()) /
-                                kLapseUnitMs * kLapseUnitMs +
-                            kLapseUnitMs;
-      }
+      endpoint.lapse_ms = this->StoredLapse(endpoint.lapse_ms);
+      endpoint.long_lease_ms = this->StoredLapse(endpoint.long_lease_ms);
     }
     owned.used_rows.AddChanges(used, &transaction);
     owned.moves_in_write = owned.scheduler.TakeQueueMoves(now);
--- a/src/daemon/owner_task.h
+++ b/src/daemon/owner_task.h
@@ -190,6 +190,10 @@
   void RecordHostOrdersAgain();
   void SendHostOrders();
   void Write();
+  // Converts the remaining time of a lease to the instant that is stored, on
+  // the store's clock, and back. 0: there is none.
+  std::int64_t StoredLapse(std::int64_t remaining_ms) const;
+  std::int64_t RemainingLapse(std::int64_t stored_ms) const;
   // Returns the row's value, without checkpoints if it would be too large.
   std::string EncodeProgressRow(const JobProgress& progress) const;
   void OnWritten(const StoreReply& reply,
--- a/src/protocol/job_json.cc
+++ b/src/protocol/job_json.cc
@@ -288,10 +288,14 @@
 std::string EncodeUsedEndpoints(const std::vector<UsedEndpoint>& endpoints) {
   Json out = Json::array();
   for (const UsedEndpoint& endpoint : endpoints) {
-    out.push_back(Json::array({endpoint.id.value, endpoint.service.value,
-                               endpoint.lapse_ms, endpoint.capacity.milli_cores,
-                               endpoint.capacity.memory_mb,
-                               endpoint.capacity.accelerators}));
+    Json entry = Json::array({endpoint.id.value, endpoint.service.value,
+                              endpoint.lapse_ms, endpoint.capacity.milli_cores,
+                              endpoint.capacity.memory_mb,
+                              endpoint.capacity.accelerators});
+    if (endpoint.long_lease_ms > 0) {
+      entry.push_back(endpoint.long_lease_ms);
+    }
+    out.push_back(std::move(entry));
   }
   return out.dump();
 }
@@ -301,13 +305,14 @@
       "endpoints", text, [](const Json& in) {
         std::vector<UsedEndpoint> endpoints;
         for (const Json& entry : in) {
-          endpoints.push_back(
-              UsedEndpoint{EndpointId(entry.at(0).get<std::string>()),
-                           ServiceId(entry.at(1).get<std::string>()),
-                           Resources{entry.at(3).get<std::int64_t>(),
-                                     entry.at(4).get<std::int64_t>(),
-                                     entry.at(5).get<std::int64_t>()},
-                           entry.at(2).get<std::int64_t>()});
+          endpoints.push_back(UsedEndpoint{
+              EndpointId(entry.at(0).get<std::string>()),
+              ServiceId(entry.at(1).get<std::string>()),
+              Resources{entry.at(3).get<std::int64_t>(),
+                        entry.at(4).get<std::int64_t>(),
+                        entry.at(5).get<std::int64_t>()},
+              entry.at(2).get<std::int64_t>(),
+              entry.size() > 6 ? entry.at(6).get<std::int64_t>() : 0});
         }
         return endpoints;
       });
--- a/stand_ins/platform_shell.cc
+++ b/stand_ins/platform_shell.cc
@@ -91,7 +91,7 @@
 }
 
 // Returns the response to an order, with status and reason.
-HttpReply OrderAnswer(OrderReply reply, std::int64_t clock_ms) {
+HttpReply OrderResponse(OrderReply reply, std::int64_t clock_ms) {
   Json body{{"ClockMs", clock_ms}};
   switch (reply) {
     case OrderReply::kDone:
@@ -465,7 +465,6 @@
 
 OrderReply PlatformShell::Start(std::size_t index,
                                 const StartRun& order,
-                                OwnerEpoch epoch,
                                 const std::string& payload) {
   // The payload defines the run, as in {"ms":300,"cpu":1000,"fails":0.1}:
   // duration, milli-cores and probability of failure.
@@ -484,7 +483,7 @@
       !this->advice->IsValid(order, model.Row(), this->loop.Now())) {
     return OrderReply::kNoTicket;
   }
-  const OrderReply reply = model.Start(order, epoch, task, this->loop.Now());
+  const OrderReply reply = model.Start(order, task, this->loop.Now());
   if (reply == OrderReply::kDone && !before) {
     this->ReportViolations(order.task, index);
     this->last_starts[order.task] = this->loop.Now();
@@ -514,14 +513,16 @@
     server.Reply(request.id, JsonReply(421, Json::object()));
     return;
   }
-  const OwnerEpoch epoch(body.value("FenceToken", std::uint64_t{0}));
+  OrderTarget target;
+  target.fence = FencingToken(body.value("FenceToken", std::uint64_t{0}));
   if (request.Is("POST", "/v1/hold")) {
-    PendingPoll waiting{request.id, index, {}, epoch, now};
+    PendingPoll waiting{request.id, index, {}, now};
+    waiting.poll.target = target;
     waiting.poll.acknowledged = body.value("AckCursor", EndNumber{0});
     waiting.poll.lease_until_ms = body.value("DeadlineMs", std::int64_t{0});
     waiting.until += Milliseconds(body.value("WaitMs", 0));
     // The lease is renewed when the poll arrives, not when it is answered.
-    worker.model->Poll(waiting.poll, epoch, now);
+    worker.model->Poll(waiting.poll, now);
     this->CheckAcknowledgedEnds(&worker);
     this->polls.push_back(waiting);
     this->AnswerPolls();
@@ -530,22 +531,23 @@
   OrderReply reply = OrderReply::kBadRequest;
   if (request.Is("POST", "/v1/run-start")) {
     StartRun order;
+    order.target = target;
     order.task = TaskOf(body.at("Task"));
     order.run = body.at("Run");
     order.lease_until_ms = body.at("DeadlineMs");
     order.ticket = body.value("Ticket", "");
-    reply = this->Start(index, order, epoch, body.value("Spec", ""));
+    reply = this->Start(index, order, body.value("Spec", ""));
   } else if (request.Is("POST", "/v1/run-stop")) {
     StopRun order;
+    order.target = target;
     order.task = TaskOf(body.at("Task"));
     order.run = body.at("Run");
-    reply = worker.model->Stop(order, epoch, now);
+    reply = worker.model->Stop(order, now);
   }
   if (silent || this->RandomEvent(this->settings.lost_order_share)) {
     return;  // no response; the connection stays open
   }
-  const auto report = worker.model->Poll(PollEndpoint{}, epoch, now);
-  server.Reply(request.id, OrderAnswer(reply, report ? report->clock_ms : 0));
+  server.Reply(request.id, OrderResponse(reply, worker.model->ClockMs(now)));
 }
 
 void PlatformShell::AnswerPolls() {
@@ -557,7 +559,7 @@
     }
     PollEndpoint poll = waiting.poll;
     poll.lease_until_ms = 0;
-    const auto report = worker.model->Poll(poll, waiting.epoch, now);
+    const auto report = worker.model->Poll(poll, now);
     if (report && report->ended.empty() && now < waiting.until) {
       return false;
     }
@@ -566,7 +568,8 @@
     }
     worker.server->Reply(waiting.request,
                          report ? JsonReply(200, ReportJson(*report))
-                                : OrderAnswer(OrderReply::kFenced, 0));
+                                : OrderResponse(OrderReply::kFenced,
+                                                worker.model->ClockMs(now)));
     return true;
   });
 }
--- a/stand_ins/platform_shell.h
+++ b/stand_ins/platform_shell.h
@@ -79,7 +79,6 @@
     RequestNumber request = 0;
     std::size_t worker = 0;
     PollEndpoint poll;
-    OwnerEpoch epoch;
     Instant until{};
   };
 
@@ -93,7 +92,6 @@
   void Advise(HttpServer& server, const HttpRequest& request);
   OrderReply Start(std::size_t index,
                    const StartRun& order,
-                   OwnerEpoch epoch,
                    const std::string& payload);
   // Request of a test: isolates a worker, or loses only its responses.
   void Silence(const HttpRequest& request);
--- a/stand_ins/worker_model.cc
+++ b/stand_ins/worker_model.cc
@@ -23,14 +23,13 @@
 }
 
 OrderReply WorkerModel::Start(const StartRun& order,
-                              OwnerEpoch epoch,
                               const WorkerTask& task,
                               Instant now) {
   this->Advance(now);
-  if (epoch < this->fence) {
+  if (order.target.fence < this->fence) {
     return OrderReply::kFenced;
   }
-  this->fence = epoch;
+  this->fence = order.target.fence;
   if (order.lease_until_ms <= this->ClockMs(now)) {
     return OrderReply::kLate;
   }
@@ -56,14 +55,12 @@
   return OrderReply::kDone;
 }
 
-OrderReply WorkerModel::Stop(const StopRun& order,
-                             OwnerEpoch epoch,
-                             Instant now) {
+OrderReply WorkerModel::Stop(const StopRun& order, Instant now) {
   this->Advance(now);
-  if (epoch < this->fence) {
+  if (order.target.fence < this->fence) {
     return OrderReply::kFenced;
   }
-  this->fence = epoch;
+  this->fence = order.target.fence;
   const auto found = this->running.find(order.task);
   if (found == this->running.end()) {
     // The start order has not arrived yet: it will be refused.
@@ -78,13 +75,12 @@
 }
 
 std::optional<EndpointReportRows> WorkerModel::Poll(const PollEndpoint& poll,
-                                                    OwnerEpoch epoch,
                                                     Instant now) {
   this->Advance(now);
-  if (epoch < this->fence) {
+  if (poll.target.fence < this->fence) {
     return std::nullopt;
   }
-  this->fence = epoch;
+  this->fence = poll.target.fence;
   if (poll.lease_until_ms > 0) {
     this->Extend(poll.lease_until_ms, now);
   }
@@ -166,7 +162,7 @@
   this->highest_ended.clear();
   this->ended.clear();
   this->last_end = 0;
-  this->fence = OwnerEpoch{};
+  this->fence = FencingToken{};
   this->lease_until = 0;
   this->lapsed_up_to = 0;
   this->acknowledged_up_to = 0;
--- a/stand_ins/worker_model.h
+++ b/stand_ins/worker_model.h
@@ -54,17 +54,12 @@
   WorkerModel(WorkerSettings settings, Instant now);
 
   // Orders. -----------------------------------------------------------------
-  OrderReply Start(const StartRun& order,
-                   OwnerEpoch epoch,
-                   const WorkerTask& task,
-                   Instant now);
-  OrderReply Stop(const StopRun& order, OwnerEpoch epoch, Instant now);
+  OrderReply Start(const StartRun& order, const WorkerTask& task, Instant now);
+  OrderReply Stop(const StopRun& order, Instant now);
   // Responds to a poll at once: renews the lease, drops the acknowledged ends
-  // and returns what runs and what has ended. Returns nothing if the epoch is
+  // and returns what runs and what has ended. Returns nothing if the token is
   // fenced.
-  std::optional<EndpointReportRows> Poll(const PollEndpoint& poll,
-                                         OwnerEpoch epoch,
-                                         Instant now);
+  std::optional<EndpointReportRows> Poll(const PollEndpoint& poll, Instant now);
 
   // The caller has sent this report of Poll().
   void OnListed(const EndpointReportRows& report);
@@ -75,6 +70,8 @@
   // Loses all state and starts again with the same id.
   void Restart(Instant now);
 
+  // Reading of this worker's clock; it starts anew with each restart.
+  std::int64_t ClockMs(Instant now) const;
   bool Runs(const TaskName& task) const;
   std::vector<TaskName> Running() const;
   Resources Used() const;
@@ -99,14 +96,13 @@
     bool stopping = false;
   };
 
-  std::int64_t ClockMs(Instant now) const;
   void Extend(std::int64_t lease_until_ms, Instant now);
   void End(const TaskName& task, EndKind kind, Instant now);
   void ForgetAcknowledged();
 
   WorkerSettings settings;
   Instant started_at{};
-  OwnerEpoch fence;
+  FencingToken fence;
   std::map<TaskName, Run> running;
   std::map<TaskName, RunNumber> highest_ended;  // highest run stopped or ended
   std::deque<RunEnd> ended;    // ends without an acknowledgement
--- a/tests/job_scheduler_advice_test.cc
+++ b/tests/job_scheduler_advice_test.cc
@@ -158,7 +158,6 @@
   fixture.rows[0].start_time_ms = 8;
   fixture.scheduler.OnEndpoints(fixture.rows, fixture.now);
   PollEndpoint poll;
-  poll.target.endpoint = EndpointId("s1000");
   const EndpointReportRows report{.clock_ms = 1, .start_time_ms = 8};
   for (int i = 0; i < 3; ++i) {
     // The run of the earlier process is stopped first.
@@ -166,7 +165,9 @@
       fixture.scheduler.OnStopReply(stop, OrderReply::kDone, fixture.now);
     }
     fixture.now += milliseconds(1);
+    poll.target = fixture.scheduler.TargetOf(EndpointId("s1000"));
     fixture.scheduler.OnPollResult(poll, report, fixture.now, fixture.now);
+    fixture.StoreUsedEndpoints();
   }
   CHECK(fixture.starts.empty());
   const std::vector<AdviceRequest> calls = fixture.Calls();
@@ -184,7 +185,7 @@
   fixture.AddJob("j");
   fixture.AnswerUntilStart({"s1000"});
   REQUIRE(fixture.starts.size() == 1);
-  fixture.scheduler.OnStartReply(fixture.starts[0], OrderReply::kNoTicket,
+  fixture.scheduler.OnStartReply(fixture.starts[0], {OrderReply::kNoTicket},
                                  fixture.now);
   fixture.starts.clear();
   fixture.now += std::chrono::seconds(2);
--- a/tests/job_scheduler_restart_test.cc
+++ b/tests/job_scheduler_restart_test.cc
@@ -33,6 +33,7 @@
   // (review/8).
   SchedulerFixture fixture({Endpoint("e1")});
   fixture.AnswerPoll(EndpointId("e1"), {.start_time_ms = kSecondStartMs});
+  fixture.StoreUsedEndpoints();
   const StartRun start = fixture.StartJob("j");
   fixture.Confirm(start);
   fixture.AnswerPoll(EndpointId("e1"), {.start_time_ms = kSecondStartMs,
@@ -98,6 +99,123 @@
   REQUIRE(actions.polls.size() == 1);
   CHECK(actions.polls[0].acknowledged == 1);
   CHECK(actions.polls[0].session == 31);
+  SECTION("and not again, in case a later process receives it") {
+    fixture.now += Milliseconds(1);
+    fixture.scheduler.OnPollResult(
+        actions.polls[0],
+        EndpointReportRows{.clock_ms = 1000, .start_time_ms = 7, .session = 31},
+        fixture.now, fixture.now);
+    const SchedulerActions next = fixture.scheduler.Advance(true, fixture.now);
+    REQUIRE(next.polls.size() == 1);
+    CHECK(next.polls[0].acknowledged == 0);
+  }
+}
+
+TEST_CASE("orders for an earlier process are fenced", "[job_scheduler]") {
+  // Guards against orders that the next process carries out seconds later, and
+  // against an owner that takes their refusal for that of a newer owner.
+  SchedulerFixture fixture({Endpoint("e1")});
+  const StartRun start = fixture.StartJob("j");
+  fixture.AnswerPoll(EndpointId("e1"), {.start_time_ms = kSecondStartMs});
+  CHECK(fixture.scheduler.TargetOf(EndpointId("e1")).fence >
+        start.target.fence);
+  fixture.scheduler.OnStartReply(start, {OrderReply::kFenced}, fixture.now);
+  CHECK_FALSE(fixture.scheduler.Fenced());
+  PollEndpoint poll;
+  poll.target = start.target;
+  fixture.scheduler.OnPollFenced(poll, fixture.now);
+  CHECK_FALSE(fixture.scheduler.Fenced());
+  fixture.StoreUsedEndpoints();
+  CHECK(fixture.Starts().size() == 1);
+  poll.target = fixture.scheduler.TargetOf(EndpointId("e1"));
+  fixture.scheduler.OnPollFenced(poll, fixture.now);
+  CHECK(fixture.scheduler.Fenced());
+}
+
+TEST_CASE("the fence rises with the first failed poll", "[job_scheduler]") {
+  // Guards against a late order for the previous process that reaches the new
+  // one before its first answer.
+  SchedulerFixture fixture({Endpoint("e1")});
+  const EndpointId id("e1");
+  const FencingToken before = fixture.scheduler.TargetOf(id).fence;
+  fixture.FailPoll(id);
+  const FencingToken raised = fixture.scheduler.TargetOf(id).fence;
+  CHECK(raised > before);
+  fixture.FailPoll(id);
+  CHECK(fixture.scheduler.TargetOf(id).fence == raised);
+  SECTION("and is not used again after the endpoint was forgotten") {
+    fixture.scheduler.OnEndpointUnlisted(id, fixture.now);
+    fixture.scheduler.Advance(true, fixture.now);
+    fixture.scheduler.Advance(true, fixture.now + std::chrono::minutes(1));
+    fixture.scheduler.OnEndpoints(fixture.rows, fixture.now);
+    CHECK(fixture.scheduler.TargetOf(id).fence >= raised);
+  }
+}
+
+// An endpoint whose new process has carried out a start order: it answered
+// with a clock that started anew.
+struct RestartedFixture : SchedulerFixture {
+  RestartedFixture() : SchedulerFixture({Endpoint("e1"), Endpoint("e2")}) {
+    AcceptedJob job = Job("j", 1);
+    job.spec.steps[0].long_running = true;
+    this->scheduler.OnJob(job, RowVersion(0), false, Milliseconds(0),
+                          this->now);
+    this->start = this->Starts().at(0);
+    this->scheduler.OnStartReply(
+        this->start, OrderAnswer{OrderReply::kDone, /*clock_ms=*/20},
+        this->now);
+  }
+
+  StartRun start;
+};
+
+TEST_CASE("a run on a new process is kept for the longest lease",
+          "[job_scheduler]") {
+  // Guards against two runs: the new process takes a deadline on the clock of
+  // the previous one for its longest lease, not for the one that the owner
+  // renews (incident of 2026-12-07).
+  RestartedFixture fixture;
+  const JobSchedulerConfig config;
+  const EndpointId cut_off = fixture.start.target.endpoint;
+  fixture.FailPoll(cut_off);
+  fixture.FailPoll(cut_off);
+  fixture.scheduler.OnEndpointUnlisted(cut_off, fixture.now);
+  fixture.now += config.endpoint_lease_max;
+  CHECK(fixture.Starts().empty());
+  fixture.now += config.endpoint_lease_max * config.clock_drift_percent / 100 +
+                 config.lapse_margin;
+  CHECK(fixture.Starts().size() == 1);
+}
+
+TEST_CASE("a process that may hold the longest lease gets no work unrecorded",
+          "[job_scheduler]") {
+  // Guards against a next owner that gives up runs at the end of an ordinary
+  // lease.
+  RestartedFixture fixture;
+  const EndpointId id = fixture.start.target.endpoint;
+  const EndpointId other(id == EndpointId("e1") ? "e2" : "e1");
+  fixture.AnswerPoll(id, {.start_time_ms = kSecondStartMs,
+                          .running = {Running(fixture.start)}});
+  fixture.scheduler.OnEndpointUnlisted(other, fixture.now);
+  fixture.scheduler.OnJob(Job("k", 1), RowVersion(0), false, Milliseconds(0),
+                          fixture.now);
+  CHECK(fixture.Starts().empty());
+  CHECK(fixture.scheduler.HasUnstoredLeases(fixture.now));
+  std::vector<UsedEndpoint> used = fixture.StoreUsedEndpoints();
+  std::erase_if(used, [&](const auto& entry) { return entry.id != id; });
+  REQUIRE(used.size() == 1);
+  CHECK(used[0].long_lease_ms > 9000);
+  CHECK_FALSE(fixture.scheduler.HasUnstoredLeases(fixture.now));
+  CHECK(fixture.Starts().size() == 1);
+
+  SchedulerFixture next({Endpoint("e3")}, OwnerEpoch(2));
+  next.scheduler.OnPreviousOwnerEndpoints(used, next.now);
+  next.scheduler.OnJob(Job("k", 1), RowVersion(0), /*before_takeover=*/true,
+                       Milliseconds(0), next.now);
+  next.now += Milliseconds(used[0].long_lease_ms - 10);
+  CHECK(next.Starts().empty());
+  next.now += Milliseconds(20);
+  CHECK(next.Starts().size() == 1);
 }
 
 TEST_CASE("seeded simulations with late entries break no invariant",
@@ -116,10 +234,11 @@
 
 // Plays workers that restart and are cut off soon after, while tasks run that
 // outlive every lease.
-void CheckRestartsAndCuts(bool change_owners) {
+void CheckRestartsAndCuts(bool change_owners, bool late_calls) {
   for (unsigned seed = 1; seed <= kSeeds; ++seed) {
     JobSimulation simulation(
         JobSimulationOptions{.seed = seed,
+                             .late_calls_outlast_restarts = late_calls,
                              .change_owners = change_owners,
                              .prolong_cuts = false,
                              .late_entries = true,
@@ -136,13 +255,20 @@
           "[job_scheduler]") {
   // Guards against runs that are given up before the lease of the new process
   // has lapsed (incident of 2026-12-07).
-  CheckRestartsAndCuts(/*change_owners=*/false);
+  CheckRestartsAndCuts(/*change_owners=*/false, /*late_calls=*/false);
 }
 
 TEST_CASE("no second run while a restarted worker is cut off during takeovers",
           "[job_scheduler]") {
   // As above for the lease that a previous owner's order has set.
-  CheckRestartsAndCuts(/*change_owners=*/true);
+  CheckRestartsAndCuts(/*change_owners=*/true, /*late_calls=*/false);
+}
+
+TEST_CASE("no second run when late calls reach the next process of a worker",
+          "[job_scheduler]") {
+  // Guards against late start orders and acknowledgements that a new process
+  // takes before it has received a higher fencing token.
+  CheckRestartsAndCuts(/*change_owners=*/false, /*late_calls=*/true);
 }
 
 }  // namespace
--- a/tests/job_scheduler_test.cc
+++ b/tests/job_scheduler_test.cc
@@ -110,7 +110,7 @@
   // order arrived.
   SchedulerFixture fixture({Endpoint("e1")});
   const StartRun start = fixture.StartJob("j");
-  fixture.scheduler.OnStartReply(start, OrderReply::kUnknown, fixture.now);
+  fixture.scheduler.OnStartReply(start, {OrderReply::kUnknown}, fixture.now);
   fixture.AnswerPoll(EndpointId("e1"), {});
   const std::vector<StopRun> stops = fixture.Stops();
   REQUIRE(stops.size() == 1);
@@ -259,7 +259,7 @@
   for (int i = 0; i < 4; ++i) {
     fixture.now += milliseconds(250);
     for (const StartRun& start : fixture.Starts()) {
-      fixture.scheduler.OnStartReply(start, OrderReply::kNoRoom, fixture.now);
+      fixture.scheduler.OnStartReply(start, {OrderReply::kNoRoom}, fixture.now);
     }
   }
   CHECK(fixture.scheduler.Demand(fixture.now)[ServiceId("s")].starved_jobs ==
@@ -401,10 +401,10 @@
                           fixture.now);
   CHECK_FALSE(renews());
   CHECK(fixture.Starts().empty());  // a start would renew the lease as well
-  CHECK(fixture.scheduler.HasReturnedEndpoints());
+  CHECK(fixture.scheduler.HasUnstoredLeases(fixture.now));
   CHECK_FALSE(lapsing());
   fixture.scheduler.OnUsedEndpointsStored();
-  CHECK_FALSE(fixture.scheduler.HasReturnedEndpoints());
+  CHECK_FALSE(fixture.scheduler.HasUnstoredLeases(fixture.now));
   CHECK(renews());
 }
 
@@ -805,7 +805,8 @@
                           fixture.now);
   const std::vector<StartRun> starts = fixture.Starts();
   REQUIRE(starts.size() == 1);
-  fixture.scheduler.OnStartReply(starts[0], OrderReply::kUnknown, fixture.now);
+  fixture.scheduler.OnStartReply(starts[0], {OrderReply::kUnknown},
+                                 fixture.now);
   CHECK(fixture.scheduler.WaitingIn("q") == 1);
   fixture.AnswerPoll(EndpointId("e1"),
                      {.running = {RunningTask{starts[0].task, 1, "", 10, 0}}});
--- a/tests/owner_task_test.cc
+++ b/tests/owner_task_test.cc
@@ -103,16 +103,14 @@
                          .ready = true,
                          .capacity = Resources{4000, 8000, 0}};
     };
-    this->ports.start = [this](const StartRun& order, OwnerEpoch,
-                               std::function<void(OrderReply)> done) {
+    this->ports.start = [this](const StartRun& order,
+                               std::function<void(OrderAnswer)> done) {
       this->run = order;
       this->started = true;
-      this->loop->Post([done = std::move(done)] { done(OrderReply::kDone); });
+      this->loop->Post([done = std::move(done)] { done({OrderReply::kDone}); });
     };
-    this->ports.stop = [](const StopRun&, OwnerEpoch, const auto& done) {
-      (void)done;
-    };
-    this->ports.poll = [this](const PollEndpoint& poll, OwnerEpoch,
+    this->ports.stop = [](const StopRun&, const auto& done) { (void)done; };
+    this->ports.poll = [this](const PollEndpoint& poll,
                               FleetPorts::PollCallback done) {
       this->acknowledged = std::max(this->acknowledged, poll.acknowledged);
       this->loop->After(milliseconds(5), [this, done = std::move(done)] {
@@ -300,7 +298,7 @@
   fixture.job.spec.steps = {
       StepSpec{.task_count = kTasks, .per_task = Resources{1000, 1, 0}}};
   fixture.AddEndpointAndJob();
-  fixture.ports.poll = [&](const PollEndpoint& poll, OwnerEpoch,
+  fixture.ports.poll = [&](const PollEndpoint& poll,
                            FleetPorts::PollCallback done) {
     fixture.acknowledged = std::max(fixture.acknowledged, poll.acknowledged);
     EndpointReportRows report{.clock_ms = 1000, .start_time_ms = 7};
@@ -342,8 +340,7 @@
   row.puts.emplace_back(StoreKey{kJobTable, PartOf(other.id), other.id.value},
                         EncodeJob(other));
   fixture.store.Transact(row);
-  fixture.ports.poll = [&](const PollEndpoint&, OwnerEpoch,
-                           FleetPorts::PollCallback done) {
+  fixture.ports.poll = [&](const PollEndpoint&, FleetPorts::PollCallback done) {
     EndpointReportRows report{.clock_ms = 1000, .start_time_ms = 7};
     report.ended = {RunEnd{1, TaskName{fixture.job.id}, 1, EndKind::kDone, ""},
                     RunEnd{2, TaskName{other.id}, 1, EndKind::kDone, ""}};
@@ -444,7 +441,7 @@
       EncodeJob(fixture.job));
   fixture.store.Transact(row);
   std::optional<QueueMoves> stored;
-  fixture.ports.start = [&](const StartRun& order, OwnerEpoch, const auto&) {
+  fixture.ports.start = [&](const StartRun& order, const auto&) {
     if (order.task.job != fixture.job.id) {
       return;
     }
--- a/tests/platform_client_test.cc
+++ b/tests/platform_client_test.cc
@@ -20,20 +20,22 @@
 
 // An endpoint that answers polls, and a client of it.
 struct PollFixture {
-  // Sends a poll and returns the AckCursor that the endpoint received on
-  // connection `i`; the report is of the process that started at this time.
-  EndNumber Poll(EndNumber acknowledged,
-                 EndpointSession session,
-                 std::size_t i) {
+  // Sends a poll that renews the lease and returns the body that the endpoint
+  // received on connection `i`; the report is of the process that started at
+  // this time.
+  nlohmann::json Poll(EndNumber acknowledged,
+                      EndpointSession session,
+                      std::size_t i) {
     PollEndpoint poll;
     poll.target = OrderTarget{
         EndpointId("e1"), "127.0.0.1:" + std::to_string(this->server.Port())};
+    poll.target.fence = FencingToken(33);
+    poll.lease_until_ms = 6000;
     poll.acknowledged = acknowledged;
     poll.session = session;
     this->report.reset();
     this->ports.poll(
-        poll, OwnerEpoch(1),
-        [this](std::optional<EndpointReportRows> rows, OrderReply reply) {
+        poll, [this](std::optional<EndpointReportRows> rows, OrderReply reply) {
           REQUIRE(reply == OrderReply::kDone);
           this->report = std::move(rows);
         });
@@ -52,7 +54,7 @@
                               answer);
     REQUIRE(this->loop->RunUntil([&] { return this->report.has_value(); },
                                  kAwaitTimeout));
-    return body.value("AckCursor", EndNumber{0});
+    return body;
   }
 
   SystemClock clock;
@@ -71,17 +73,23 @@
   // forgets before it has listed them: their numbers start anew, and a poll
   // acknowledged those of the previous process (review/6).
   PollFixture fixture;
-  CHECK(fixture.Poll(0, 0, 0) == 0);
+  CHECK(fixture.Poll(0, 0, 0)["AckCursor"] == 0);
   const EndpointSession first = fixture.report->session;
   REQUIRE(first != 0);
-  CHECK(fixture.Poll(57, first, 0) == 57);
+  const nlohmann::json same = fixture.Poll(57, first, 0);
+  CHECK(same["AckCursor"] == 57);
+  CHECK(same["DeadlineMs"] == 6000);
+  CHECK(same["FenceToken"] == 33);
   CHECK(fixture.report->session == first);
 
   fixture.server.Close(0);  // the process has ended
   bool noticed = false;
   fixture.loop->After(std::chrono::milliseconds(50), [&] { noticed = true; });
   REQUIRE(fixture.loop->RunUntil([&] { return noticed; }, kAwaitTimeout));
-  CHECK(fixture.Poll(57, first, 1) == 0);
+  const nlohmann::json other = fixture.Poll(57, first, 1);
+  CHECK(other["AckCursor"] == 0);
+  // Nor does it renew the lease: the clock of another process differs.
+  CHECK_FALSE(other.contains("DeadlineMs"));
   CHECK(fixture.report->session != first);
 }
 
--- a/tests/platform_wire_test.cc
+++ b/tests/platform_wire_test.cc
@@ -191,6 +191,18 @@
   CHECK(DecodeOrderReply(500, "") == OrderReply::kUnknown);
 }
 
+TEST_CASE("an order answer carries the endpoint's clock", "[platform_wire]") {
+  // Guards against an answer of a restarted endpoint that passes for one of its
+  // previous process.
+  const OrderAnswer answer =
+      DecodeOrderAnswer(409, R"({"ClockMs":412,"Reason":"room"})");
+  CHECK(answer.reply == OrderReply::kNoRoom);
+  CHECK(answer.clock_ms == 412);
+  CHECK_FALSE(DecodeOrderAnswer(200, "{}").clock_ms);
+  CHECK_FALSE(DecodeOrderAnswer(200, R"({"ClockMs":"x"})").clock_ms);
+  CHECK_FALSE(DecodeOrderAnswer(500, "broken").clock_ms);
+}
+
 TEST_CASE("values of store rows are encoded in base64", "[platform_wire]") {
   StoreTransaction transaction;
   transaction.puts.emplace_back(StoreKey{"t", "p", "k"}, "node-1");
--- a/tests/support/job_simulation.cc
+++ b/tests/support/job_simulation.cc
@@ -18,6 +18,14 @@
   return (std::hash<std::string>{}(name.job.value) + name.index) % 97 == 0;
 }
 
+// Whether and how an order reaches a worker.
+enum class Delivery {
+  kNone,
+  kPrompt,
+  kLate,              // seconds later, to the same process
+  kLateAfterRestart,  // seconds later, to a later process
+};
+
 std::string Text(const TaskName& name) {
   return name.job.value + "." + std::to_string(name.occurrence) + "." +
          std::to_string(name.step) + "." + std::to_string(name.index);
@@ -261,7 +269,7 @@
   };
   if (!lost) {
     this->After(this->RandomMs(1, 8), [this, endpoint, deliver, answer] {
-      auto value = deliver(*this->workers[endpoint].model, true);
+      auto value = deliver(*this->workers[endpoint].model, Delivery::kPrompt);
       this->After(this->RandomMs(1, 8), [answer, value] { answer(value); });
     });
     return;
@@ -270,22 +278,22 @@
   // much later.
   const double random_outcome = this->Uniform();
   if (!disconnected && random_outcome < this->options.late_order_share) {
-    // An order names the process start that it is meant for; a worker that has
-    // restarted meanwhile does not execute it.
-    const std::int64_t target_start_ms =
+    const std::int64_t start_ms =
         this->workers[endpoint].model->Row().start_time_ms;
-    this->After(this->RandomMs(2000, 12000), [this, endpoint, deliver,
-                                              target_start_ms] {
-      WorkerModel& worker = *this->workers[endpoint].model;
-      deliver(worker, worker.Row().start_time_ms == target_start_ms);
-    });
+    this->After(this->RandomMs(2000, 12000),
+                [this, endpoint, deliver, start_ms] {
+                  WorkerModel& worker = *this->workers[endpoint].model;
+                  deliver(worker, worker.Row().start_time_ms == start_ms
+                                      ? Delivery::kLate
+                                      : Delivery::kLateAfterRestart);
+                });
   } else if (!disconnected && random_outcome < 0.7) {
     this->After(this->RandomMs(1, 8), [this, endpoint, deliver] {
-      deliver(*this->workers[endpoint].model, true);
+      deliver(*this->workers[endpoint].model, Delivery::kPrompt);
     });
   }
   this->After(Milliseconds(700), [this, endpoint, deliver, answer] {
-    answer(deliver(*this->workers[endpoint].model, false));
+    answer(deliver(*this->workers[endpoint].model, Delivery::kNone));
   });
 }
 
@@ -369,14 +377,13 @@
     }
   }
   this->ListWorkers();
-  const OwnerEpoch sender = this->epoch;
   SchedulerActions actions = this->owner->Advance(true, this->now);
   for (const StopRun& order : actions.stops) {
     this->Send(
         order.target.endpoint,
-        [=, this](WorkerModel& worker, bool reached) {
-          return reached ? worker.Stop(order, sender, this->now)
-                         : OrderReply::kUnknown;
+        [=, this](WorkerModel& worker, Delivery delivery) {
+          return delivery == Delivery::kNone ? OrderReply::kUnknown
+                                             : worker.Stop(order, this->now);
         },
         [=, this](OrderReply reply) {
           this->owner->OnStopReply(order, reply, this->now);
@@ -386,37 +393,29 @@
     const WorkerTask task = this->TaskOf(order.task);
     this->Send(
         order.target.endpoint,
-        [=, this](WorkerModel& worker, bool reached) {
-          if (!reached) {
-            return OrderReply::kUnknown;
+        [=, this](WorkerModel& worker, Delivery delivery) {
+          if (delivery == Delivery::kNone ||
+              (delivery == Delivery::kLateAfterRestart &&
+               !this->options.late_calls_outlast_restarts)) {
+            return OrderAnswer{};
           }
           const bool before = worker.Runs(order.task);
           if (!before && this->advice != nullptr &&
               !this->advice->IsValid(order, worker.Row(), this->now)) {
-            return OrderReply::kNoTicket;
+            return OrderAnswer{OrderReply::kNoTicket};
           }
-          const OrderReply reply = worker.Start(order, sender, task, this->now);
+          const OrderReply reply = worker.Start(order, task, this->now);
           if (!before && worker.Runs(order.task)) {
             this->CheckStart(order, worker);
           }
-          return reply;
+          return OrderAnswer{reply, worker.ClockMs(this->now)};
         },
-        [=, this](OrderReply reply) {
-          this->owner->OnStartReply(order, reply, this->now);
+        [=, this](const OrderAnswer& answer) {
+          this->owner->OnStartReply(order, answer, this->now);
         });
   }
   for (const PollEndpoint& poll : actions.polls) {
-    const Instant sent = this->now;
-    this->Send(
-        poll.target.endpoint,
-        [=, this](WorkerModel& worker,
-                  bool reached) -> std::optional<EndpointReportRows> {
-          return reached ? this->DeliverPoll(poll, sender, &worker)
-                         : std::nullopt;
-        },
-        [=, this](const std::optional<EndpointReportRows>& report) {
-          this->owner->OnPollResult(poll, report, sent, this->now);
-        });
+    this->SendPoll(poll);
   }
   for (const AdviceRequest& call : actions.advice) {
     this->SendAdvice(call);
@@ -434,23 +433,44 @@
   this->After(kRoundInterval, [this] { this->Round(); });
 }
 
-std::optional<EndpointReportRows> JobSimulation::DeliverPoll(
-    PollEndpoint poll,
-    OwnerEpoch sender,
-    WorkerModel* worker) {
-  // A connection reaches one process of the worker; a poll whose connection is
-  // gone is sent over another one and acknowledges nothing.
-  const auto session =
-      static_cast<EndpointSession>(worker->Row().start_time_ms);
-  if (poll.session != session) {
+void JobSimulation::SendPoll(PollEndpoint poll) {
+  // A connection reaches one process of the worker. If it is gone, the poll is
+  // sent over another one, acknowledges nothing and renews no lease.
+  const auto session = [](const WorkerModel& worker) {
+    return static_cast<EndpointSession>(worker.Row().start_time_ms);
+  };
+  const EndpointSession open =
+      session(*this->workers[poll.target.endpoint].model);
+  if (poll.session != open) {
+    poll.session = 0;
     poll.acknowledged = 0;
+    poll.lease_until_ms = 0;
   }
-  std::optional<EndpointReportRows> report =
-      worker->Poll(poll, sender, this->now);
-  if (report) {
-    report->session = session;
-  }
-  return report;
+  const Instant sent = this->now;
+  this->Send(
+      poll.target.endpoint,
+      [=, this](WorkerModel& worker,
+                Delivery delivery) -> std::optional<EndpointReportRows> {
+        const bool closed =
+            delivery == Delivery::kPrompt && session(worker) != open;
+        if (delivery == Delivery::kNone || closed) {
+          return std::nullopt;
+        }
+        PollEndpoint received = poll;
+        if (delivery == Delivery::kLateAfterRestart &&
+            !this->options.late_calls_outlast_restarts) {
+          received.acknowledged = 0;
+        }
+        std::optional<EndpointReportRows> report =
+            worker.Poll(received, this->now);
+        if (report) {
+          report->session = session(worker);
+        }
+        return report;
+      },
+      [=, this](const std::optional<EndpointReportRows>& report) {
+        this->owner->OnPollResult(poll, report, sent, this->now);
+      });
 }
 
 void JobSimulation::SendAdvice(const AdviceRequest& call) {
@@ -587,9 +607,8 @@
 void JobSimulation::CutOffRestarted(const EndpointId& id) {
   const Milliseconds delay = this->RandomMs(20, 2600);
   const Instant end = this->now + delay + this->RandomMs(6500, 9500);
-  this->After(delay, [this, id, end] {
-    this->workers[id].disconnected_until = end;
-  });
+  this->After(delay,
+              [this, id, end] { this->workers[id].disconnected_until = end; });
   this->After(delay + this->RandomMs(500, 4500),
               [this, id, end] { this->workers[id].unlisted_until = end; });
 }
--- a/tests/support/job_simulation.h
+++ b/tests/support/job_simulation.h
@@ -29,6 +29,10 @@
   int jobs = 30;
   double lost_order_share = 0.03;  // share of orders without a reply
   double late_order_share = 0.3;   // share of these that arrive 2 to 12 s later
+  // A worker that has restarted since they were sent executes late start orders
+  // and late acknowledgements as well. It always executes late stop orders and
+  // renewals of its lease.
+  bool late_calls_outlast_restarts = false;
   double faults_per_second = 0.7;
   bool change_owners = true;
   bool prolong_cuts = true;    // a worker that is cut off may be cut off again
@@ -117,9 +121,7 @@
   void ReadHosts();
   void WriteBatch();
   void SendAdvice(const AdviceRequest& call);
-  std::optional<EndpointReportRows> DeliverPoll(PollEndpoint poll,
-                                                OwnerEpoch sender,
-                                                WorkerModel* worker);
+  void SendPoll(PollEndpoint poll);
   void CheckStart(const StartRun& order, const WorkerModel& worker);
   void CheckOccurrenceDone(const AcceptedJob& job, int number);
   // Checks that no run started after an end that was acknowledged later.
--- a/tests/support/scheduler_fixture.h
+++ b/tests/support/scheduler_fixture.h
@@ -69,10 +69,27 @@
     if (report.start_time_ms == 0) {
       report.start_time_ms = 7;
     }
+    // The answer of a new process is followed by a poll with a higher token.
     PollEndpoint poll;
-    poll.target.endpoint = id;
-    this->now += Milliseconds(1);
-    this->scheduler.OnPollResult(poll, report, this->now, this->now);
+    do {
+      poll.target = this->scheduler.TargetOf(id);
+      this->now += Milliseconds(1);
+      this->scheduler.OnPollResult(poll, report, this->now, this->now);
+    } while (poll.target.fence != this->scheduler.TargetOf(id).fence);
+  }
+
+  std::vector<UsedEndpoint> StoreUsedEndpoints() {
+    const std::vector<UsedEndpoint> used =
+        this->scheduler.TakeUsedEndpoints(this->now);
+    this->scheduler.OnUsedEndpointsStored();
+    return used;
+  }
+
+  // Reports that a poll of the endpoint got no answer.
+  void FailPoll(const EndpointId& id) {
+    PollEndpoint poll;
+    poll.target = this->scheduler.TargetOf(id);
+    this->scheduler.OnPollResult(poll, std::nullopt, this->now, this->now);
   }
 
   std::vector<StartRun> Starts() {
@@ -112,7 +129,7 @@
   }
 
   void Confirm(const StartRun& start) {
-    this->scheduler.OnStartReply(start, OrderReply::kDone, this->now);
+    this->scheduler.OnStartReply(start, {OrderReply::kDone}, this->now);
   }
 
   Instant now = kStart;
