--- a/tests/support/job_simulation.h
+++ b/tests/support/job_simulation.h
@@ -29,6 +29,10 @@
   int jobs = 30;
   double lost_order_share = 0.03;  // share of orders without a reply
   double late_order_share = 0.3;   // share of these that arrive 2 to 12 s later
+  // A worker that has restarted since they were sent executes late start orders
+  // and late acknowledgements as well. It always executes late stop orders and
+  // renewals of its lease.
+  bool late_calls_outlast_restarts = false;
   double faults_per_second = 0.7;
   bool change_owners = true;
   bool prolong_cuts = true;    // a worker that is cut off may be cut off again
@@ -38,6 +42,10 @@
   bool move_hosts = false;
   // A worker that has restarted replaces its entry up to 4.5 s later.
   bool late_entries = false;
+  // A worker that has restarted is cut off 20 ms to 2.6 s later for 6.5 to
+  // 9.5 s, and leaves the list 0.5 to 4.5 s after that.
+  bool cut_after_restart = false;
+  double long_task_share = 0;  // share of tasks that last 5 to 16 s
   // Half of the workers belong to another service, and the configuration sends
   // the queue from one service to the other and back.
   bool move_queue = false;
@@ -106,15 +114,14 @@
   void StartOwner();
   void Round();
   void InjectFault();
+  void CutOffRestarted(const EndpointId& id);
   void AddWorker(const std::string& id, std::int64_t start_time_ms);
   void MoveHost();
   void MoveQueue();
   void ReadHosts();
   void WriteBatch();
   void SendAdvice(const AdviceRequest& call);
-  std::optional<EndpointReportRows> DeliverPoll(PollEndpoint poll,
-                                                OwnerEpoch sender,
-                                                WorkerModel* worker);
+  void SendPoll(PollEndpoint poll);
   void CheckStart(const StartRun& order, const WorkerModel& worker);
   void CheckOccurrenceDone(const AcceptedJob& job, int number);
   // Checks that no run started after an end that was acknowledged later.
