Soak: cut restarted workers off while long tasks run

A third of the tasks last 5 to 12 s. The worker model reports progress, so that long runs do not count as stalled.

Whether the code before the fix fails it was not run.

--- a/stand_ins/platform_shell.cc
+++ b/stand_ins/platform_shell.cc
@@ -177,7 +177,9 @@
   const Worker& worker = this->workers[index];
   const Json row{
       {"Service", kService},
-      {"Address", "127.0.0.1:" + std::to_string(worker.port)},
+      {"Address", "127.0.0.1:" + std::to_string(worker.listed_port != 0
+                                                    ? worker.listed_port
+                                                    : worker.port)},
       {"Zone", index % 2 == 0 ? "z1" : "z2"},
       {"Slots", 8},
       {"State", "ready"},
@@ -259,6 +261,11 @@
   } else if (request.Is("POST", "/control/restart")) {
     this->Restart(request);
     server.Reply(request.id, JsonReply(200, Json::object()));
+  } else if (request.Is("POST", "/control/list_port")) {
+    server.Reply(request.id, this->ListPort(request));
+  } else if (request.Is("POST", "/control/unlist")) {
+    this->Unlist(request);
+    server.Reply(request.id, JsonReply(200, Json::object()));
   } else if (request.Is("POST", "/control/silence")) {
     this->Silence(request);
     server.Reply(request.id, JsonReply(200, Json::object()));
@@ -411,9 +418,7 @@
 }
 
 void PlatformShell::Silence(const HttpRequest& request) {
-  const std::size_t index =
-      std::stoul(request.Parameter("worker").value_or("0"));
-  Worker& worker = this->workers.at(index % this->workers.size());
+  Worker& worker = this->workers[this->WorkerOf(request)];
   worker.silent_until =
       this->loop.Now() +
       Milliseconds(std::stol(request.Parameter("ms").value_or("0")));
@@ -424,7 +429,7 @@
   const auto parameter = [&request](const char* name) {
     return std::stoul(request.Parameter(name).value_or("0"));
   };
-  const std::size_t index = parameter("worker") % this->workers.size();
+  const std::size_t index = this->WorkerOf(request);
   Worker& worker = this->workers[index];
   if (worker.server == nullptr) {
     return;  // is down
@@ -455,12 +460,43 @@
     });
     return;
   }
-  this->loop.After(entry_delay, [this, index] {
-    StoreTransaction transaction;
-    transaction.puts.push_back(this->EntryOf(index));
-    this->rows.Transact(transaction);
-    this->AnswerFeeds();
-  });
+  this->loop.After(entry_delay, [this, index] { this->WriteEntry(index); });
+}
+
+std::size_t PlatformShell::WorkerOf(const HttpRequest& request) const {
+  return std::stoul(request.Parameter("worker").value_or("0")) %
+         this->workers.size();
+}
+
+void PlatformShell::WriteEntry(std::size_t index) {
+  if (this->loop.Now() < this->workers[index].unlisted_until) {
+    return;
+  }
+  StoreTransaction transaction;
+  transaction.puts.push_back(this->EntryOf(index));
+  this->rows.Transact(transaction);
+  this->AnswerFeeds();
+}
+
+HttpReply PlatformShell::ListPort(const HttpRequest& request) {
+  const std::size_t index = this->WorkerOf(request);
+  Worker& worker = this->workers[index];
+  worker.listed_port = static_cast<std::uint16_t>(
+      std::stoul(request.Parameter("port").value_or("0")));
+  this->WriteEntry(index);
+  return JsonReply(200, {{"Port", worker.port}});
+}
+
+void PlatformShell::Unlist(const HttpRequest& request) {
+  const std::size_t index = this->WorkerOf(request);
+  Worker& worker = this->workers[index];
+  const Milliseconds length(std::stol(request.Parameter("ms").value_or("0")));
+  worker.unlisted_until = this->loop.Now() + length;
+  StoreTransaction transaction;
+  transaction.removals.push_back(StoreKey{"servers", "", worker.id.value});
+  this->rows.Transact(transaction);
+  this->AnswerFeeds();
+  this->loop.After(length, [this, index] { this->WriteEntry(index); });
 }
 
 OrderReply PlatformShell::Start(std::size_t index,
--- a/stand_ins/platform_shell.h
+++ b/stand_ins/platform_shell.h
@@ -64,6 +64,8 @@
     std::unique_ptr<WorkerModel> model;
     std::unique_ptr<HttpServer> server;  // null: down
     std::uint16_t port = 0;              // 0: not listening yet
+    std::uint16_t listed_port = 0;       // in its entry; 0: `port`
+    Instant unlisted_until{};            // has no entry before
     Instant silent_until{};              // sends no responses before
     bool executes_orders = false;        // but executes orders
     std::size_t checked_ends = 0;        // acknowledged ends that were checked
@@ -99,6 +101,14 @@
   // `ms`. Its entry shows this `entry_ms` later. With `silent` its old
   // connections stay open without an answer, as after a loss of power.
   void Restart(const HttpRequest& request);
+  // Request of a test: a worker's entry names `port`, that of a proxy. Answers
+  // with the worker's own Port.
+  HttpReply ListPort(const HttpRequest& request);
+  // Request of a test: a worker has no entry for `ms`.
+  void Unlist(const HttpRequest& request);
+  // Writes the entry of a worker, unless it is unlisted.
+  void WriteEntry(std::size_t index);
+  std::size_t WorkerOf(const HttpRequest& request) const;
   void ListenAgain(std::size_t index, Milliseconds entry_delay);
   Result<void> ListenWorker(std::size_t index);
   // Returns the row of the worker in the list of endpoints.
--- a/stand_ins/worker_model.cc
+++ b/stand_ins/worker_model.cc
@@ -50,7 +50,7 @@
     return OrderReply::kNoRoom;
   }
   this->running[order.task] =
-      Run{order.run, task,
+      Run{order.run, task, now,
           task.long_running ? Instant::max() : now + task.duration, false};
   return OrderReply::kDone;
 }
@@ -91,7 +91,13 @@
   report.clock_ms = this->ClockMs(now);
   report.start_time_ms = this->settings.row.start_time_ms;
   for (const auto& [name, run] : this->running) {
-    report.running.push_back(RunningTask{name, run.number, "", 100, 0});
+    const int percent =
+        run.task.long_running || run.task.duration.count() == 0
+            ? 100
+            : static_cast<int>(
+                  std::min<Duration>(now - run.started_at, run.task.duration) *
+                  100 / run.task.duration);
+    report.running.push_back(RunningTask{name, run.number, "", percent, 0});
   }
   const std::size_t listed =
       std::min(this->ended.size(), this->settings.max_ends_listed);
--- a/stand_ins/worker_model.h
+++ b/stand_ins/worker_model.h
@@ -92,6 +92,7 @@
   struct Run {
     RunNumber number = 0;
     WorkerTask task;
+    Instant started_at{};
     Instant ends_at{};
     bool stopping = false;
   };
--- a/tests/soak/platform_soak_main.cc
+++ b/tests/soak/platform_soak_main.cc
@@ -3,8 +3,8 @@
 // daemon while they run.
 //
 // platform_soak [--seed N] [--seeds COUNT] [--seconds S] [--daemons N]
-//               [--changes] [--advice] [--restarts] [--ends-outlast-leases]
-//               [--keep DIR]
+//               [--changes] [--advice] [--restarts] [--recuts]
+//               [--ends-outlast-leases] [--keep DIR]
 //
 // The daemons (four by default) in two zones connect to the platform's
 // stand-in, each through its own proxy. Callers submit jobs, repeat submissions
@@ -16,7 +16,10 @@
 // endpoints. With --advice there are more workers, and each task needs a ticket
 // of the advice service for one of the few workers that may run it; the tickets
 // of a seed have a random validity. With --restarts workers also crash and
-// start again under their ids, often before their entries show it. Callers keep
+// start again under their ids, often before their entries show it. With
+// --recuts the workers are behind proxies too: one that has restarted is cut
+// off soon after for longer than a lease and leaves the list, while a third of
+// the tasks outlast every lease. Callers keep
 // using open connections to a daemon until its process is gone. Then all faults
 // end, and every accepted job has to reach a final state.
 //
@@ -58,6 +61,9 @@
 using testing::ProgramPath;
 
 constexpr milliseconds kSubmitInterval{25};
+// The workers have 48 cores together, which the long tasks occupy for seconds.
+constexpr milliseconds kSlowSubmitInterval{250};
+constexpr int kWorkers = 6;
 constexpr milliseconds kReadInterval{15};
 // Time after which an accepted job must be visible at every daemon; a bound set
 // by the platform.
@@ -126,9 +132,10 @@
   unsigned seed = 1;
   milliseconds length{10000};  // of the faults
   int daemons = 4;
-  bool changes = false;              // changes of configuration, odd entries
-  bool advice = false;               // tasks need tickets of the advice service
-  bool restarts = false;             // workers start again under their ids
+  bool changes = false;   // changes of configuration, odd entries
+  bool advice = false;    // tasks need tickets of the advice service
+  bool restarts = false;  // workers start again under their ids
+  bool recuts = false;    // restarted workers are cut off, tasks last long
   bool ends_outlast_leases = false;  // see stand_in_platform
   std::filesystem::path folder;      // of the settings files
 };
@@ -170,6 +177,10 @@
   void InjectFault();
   void MakeWorkerUnresponsive();
   void RestartWorker();
+  // Places a proxy in front of each worker.
+  void AddWorkerProxies();
+  // Restarts a worker, then cuts it off for longer than a lease.
+  void RestartAndCutWorker();
   // Sends a request of a test to the stand-in of the platform.
   void SendControl(const std::string& path);
   // Writes the configuration anew, with a higher version and one more route.
@@ -190,6 +201,7 @@
   std::unique_ptr<Process> platform;
   std::uint16_t store = 0;
   std::vector<Daemon> daemons;
+  std::vector<std::unique_ptr<Proxy>> workers;  // none without --recuts
   std::map<std::string, Job> jobs;
   bool submitting = true;
   bool injecting_faults = true;
@@ -221,6 +233,9 @@
   this->platform =
       Process::Start(ProgramPath("stand_in_platform"), arguments).value();
   this->store = this->platform->ReadPort().value();
+  if (this->options.recuts) {
+    this->AddWorkerProxies();
+  }
   for (int i = 0; i < this->options.daemons; ++i) {
     Daemon& daemon = this->daemons.emplace_back();
     daemon.name = "d" + std::to_string(i);
@@ -283,11 +298,15 @@
       steps.back()["After"] = {step - 1};
     }
   }
-  const nlohmann::json spec{{"ms", Between(30, 400)}, {"cpu", 1000}};
+  const bool is_long = this->options.recuts && Between(0, 2) == 0;
+  const int duration_ms = is_long ? Between(5000, 12000) : Between(30, 400);
+  const nlohmann::json spec{{"ms", duration_ms}, {"cpu", 1000}};
   const nlohmann::json body{{"Spec", spec.dump()}, {"Steps", steps}};
   this->jobs[id];
   this->Submit(id, body.dump());
-  this->loop->After(kSubmitInterval, [this] { this->SubmitNextJob(); });
+  this->loop->After(
+      this->options.recuts ? kSlowSubmitInterval : kSubmitInterval,
+      [this] { this->SubmitNextJob(); });
 }
 
 void Soak::Submit(const std::string& id, const std::string& body) {
@@ -391,6 +410,10 @@
   this->loop->After(milliseconds(Between(100, 900)),
                     [this] { this->InjectFault(); });
   ++this->faults;
+  if (this->options.recuts && Between(0, 2) == 0) {
+    this->RestartAndCutWorker();
+    return;
+  }
   if (this->options.restarts && Between(0, 2) == 0) {
     this->RestartWorker();
     return;
@@ -472,6 +495,55 @@
   this->SendControl(path);
 }
 
+void Soak::AddWorkerProxies() {
+  int open = kWorkers;
+  for (int i = 0; i < kWorkers; ++i) {
+    auto proxy = std::make_unique<Proxy>(this->loop.get(), 0);
+    HttpRequest request;
+    request.method = HttpMethod::kPost;
+    request.path = "/control/list_port?worker=" + std::to_string(i) +
+                   "&port=" + std::to_string(proxy->Port());
+    request.timeout = kCallTimeout;
+    this->client.Send(
+        HttpPeer{"127.0.0.1", this->store}, std::move(request),
+        [&open, proxy = proxy.get()](const HttpOutcome& outcome) {
+          const auto body = nlohmann::json::parse(outcome.body, nullptr, false);
+          if (body.is_object()) {
+            proxy->SetTarget(body.value("Port", std::uint16_t{0}));
+            --open;
+          }
+        });
+    this->workers.push_back(std::move(proxy));
+  }
+  if (!this->loop->RunUntil([&open] { return open == 0; }, kCallTimeout)) {
+    this->ReportViolation("stand_in_silent");
+  }
+}
+
+void Soak::RestartAndCutWorker() {
+  const int index = Between(0, kWorkers - 1);
+  const std::string worker = "worker=" + std::to_string(index);
+  const int down_ms = Between(20, 800);
+  const int entry_ms = Between(0, 4500);
+  const std::string silent = Between(0, 1) == 0 ? "&silent=1" : "";
+  this->SendControl("/control/restart?" + worker +
+                    "&ms=" + std::to_string(down_ms) +
+                    "&entry_ms=" + std::to_string(entry_ms) + silent);
+  const milliseconds cut_after(down_ms + Between(20, 2600));
+  const milliseconds length(Between(6500, 9500));
+  const milliseconds listed(Between(500, 4500));
+  Proxy* const proxy = this->workers[static_cast<std::size_t>(index)].get();
+  this->loop->After(cut_after, [this, proxy, length] {
+    proxy->SetMode(ProxyMode::kBlocked);
+    // Calls that wait in the proxy are carried out late.
+    this->loop->After(length, [proxy] { proxy->SetMode(ProxyMode::kForward); });
+  });
+  this->loop->After(cut_after + listed, [this, worker, length, listed] {
+    this->SendControl("/control/unlist?" + worker +
+                      "&ms=" + std::to_string((length - listed).count()));
+  });
+}
+
 void Soak::SendControl(const std::string& path) {
   HttpRequest request;
   request.method = HttpMethod::kPost;
@@ -554,9 +626,10 @@
 void Soak::EndFaults() {
   this->injecting_faults = this->submitting = false;
   // The timers of active faults fire within this time.
-  const Instant end = this->loop->Now() + milliseconds(7500);
+  const Instant end =
+      this->loop->Now() + milliseconds(this->options.recuts ? 13500 : 7500);
   this->loop->RunUntil([&] { return this->loop->Now() >= end; },
-                       milliseconds(15000));
+                       milliseconds(20000));
   for (Daemon& daemon : this->daemons) {
     daemon.store->SetMode(ProxyMode::kForward);
     // A daemon must not exit by itself.
@@ -679,8 +752,10 @@
                            "entries among those of the endpoints")(
       "advice", po::bool_switch(&soak_options.advice),
       "tasks need tickets of the advice service")(
-      "restarts", po::bool_switch(&soak_options.restarts),
-      "workers crash and start again under their ids")(
+      "recuts", po::bool_switch(&soak_options.recuts),
+      "restarted workers are cut off for longer than a lease, and some tasks "
+      "outlast it")("restarts", po::bool_switch(&soak_options.restarts),
+                    "workers crash and start again under their ids")(
       "ends-outlast-leases", po::bool_switch(&soak_options.ends_outlast_leases),
       "an end stays valid when its worker's lease expires")(
       "keep", po::value(&logs_folder),
--- a/tests/soak/proxy.h
+++ b/tests/soak/proxy.h
@@ -61,6 +61,9 @@
     return ntohs(address.sin_port);
   }
 
+  // Sets the port to which later connections are forwarded.
+  void SetTarget(std::uint16_t port) { this->target = port; }
+
   // Buffered bytes are forwarded as soon as the mode allows it.
   void SetMode(ProxyMode new_mode) {
     this->mode = new_mode;
