Cover new processes that the owner has not noticed

Change: - A start order without an answer that was the first on its connection may have reached a new process: if the endpoint then fails a poll, its lease counts as the longest one. A used connection does not outlive a process, so that other failures wait no longer than before. - The clock of an answer is compared with the lowest reading possible by then, also after a rise of the token. - The record for the next owner names the start time of each process, is written at once when a lease may be long, and also with a release. A new owner that finds another process assumes the longest lease. - An endpoint that is listed anew gets a new token; if it was known before, its lease counts as long. - The list of hosts does not end an endpoint whose process is not known yet. - A poll over another connection does not wait, so that the next one renews the lease.

--- a/bench/job_scheduler_bench.cc
+++ b/bench/job_scheduler_bench.cc
@@ -197,7 +197,7 @@
     this->tasks_started += static_cast<int>(actions.starts.size());
     for (const StartRun& start : actions.starts) {
       this->unstarted.erase(start.task.job);
-      this->scheduler.OnStartReply(start, OrderReply::kDone, this->now);
+      this->scheduler.OnStartReply(start, {OrderReply::kDone}, this->now);
       this->scheduled_ends.push(
           ScheduledEnd{this->now + milliseconds(300 + this->random() % 1200),
                        start.target.endpoint, start.task, start.run});
--- a/src/coordination/job_scheduler.cc
+++ b/src/coordination/job_scheduler.cc
@@ -687,7 +687,11 @@
     const auto found = state.endpoints.find(id);
     std::erase(found->second->service->endpoints, found->second.get());
     state.endpoints.erase(found);
+    state.forgotten[id] = now;
   }
+  std::erase_if(state.forgotten, [&](const auto& entry) {
+    return now - entry.second > kForgottenTime;
+  });
   state.RankDueJobs(now);
   state.may_start = may_start;
   if (may_start && !state.fenced) {
--- a/src/coordination/job_scheduler.h
+++ b/src/coordination/job_scheduler.h
@@ -196,7 +196,9 @@
   std::string checkpoint;           // empty: start from the beginning
   std::string ticket;               // empty: no advice needed
   std::int64_t lease_until_ms = 0;  // on the endpoint's clock
-  std::int64_t clock_ms = 0;        // last reading of that clock
+  // A lower reading of the clock is that of another process.
+  std::int64_t min_clock_ms = 0;
+  Incarnation incarnation;  // of the process that the owner knows
 };
 
 struct StopRun {
@@ -260,6 +262,9 @@
 
 struct OrderAnswer {
   OrderReply reply = OrderReply::kUnknown;
+  // The order was the first request on its connection, which may reach another
+  // process than those before it.
+  bool new_connection = false;
   std::optional<std::int64_t>
       clock_ms{};  // the endpoint's clock; none: unknown
 };
@@ -327,6 +332,7 @@
   // Time until a lease has lapsed that may last longer than that of a renewal;
   // 0: there is none.
   std::int64_t long_lease_ms = 0;
+  std::int64_t start_time_ms = 0;  // of the process; 0: unknown
 
   friend bool operator==(const UsedEndpoint&, const UsedEndpoint&) = default;
 };
@@ -507,9 +513,9 @@
   // Instant by which Advance() must be called even without any input.
   Instant NextWake(Instant now) const;
   std::vector<EndpointSummary> Endpoints(Instant now) const;
-  // True if an endpoint answers that gets no work before
-  // OnUsedEndpointsStored(): its lease lapses by the stored record, or lasts
-  // longer than the next owner would assume.
+  // True if the next owner would assume a wrong lease before
+  // OnUsedEndpointsStored(): an endpoint answers again whose lease lapses by
+  // the stored record, or a lease may last longer than that of a renewal.
   bool HasUnstoredLeases(Instant now) const;
   std::map<ServiceId, ServiceDemand> Demand(Instant now);
   // The backlog of each service by client account and order of service, for the
--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -29,6 +29,10 @@
 
 inline constexpr Instant kNever = Instant::max();
 
+// Time after which no order for a process of a forgotten endpoint matters any
+// more: orders are carried out seconds late at most, and the lease lapses.
+inline constexpr Milliseconds kForgottenTime{60000};
+
 // Fencing tokens of an owner. They stay exact as doubles, as which some JSON
 // libraries read numbers, up to epoch 2^29.
 inline constexpr std::uint64_t kFencesPerEpoch = 1ULL << 24;
@@ -60,9 +64,10 @@
   bool unanswered = false;            // the start order got no answer
   Instant since{};                    // start of the current phase
   Instant answered{};                 // when the start was confirmed
-  Instant stop_sent{};                // when the last stop order was sent
-  bool stop_confirmed = false;        // the endpoint answered the stop order
-  bool waits_for_place = false;       // see StepPlaceWait
+  bool maybe_elsewhere = false;  // the start may have reached a new process
+  Instant stop_sent{};           // when the last stop order was sent
+  bool stop_confirmed = false;   // the endpoint answered the stop order
+  bool waits_for_place = false;  // see StepPlaceWait
   Instant stop_answered{};
   std::string checkpoint;       // newest one reported
   EndpointId avoided_endpoint;  // endpoint of the last failure or refusal
@@ -194,9 +199,12 @@
   ServiceState* service = nullptr;  // of row.service; set by SetRow()
   bool excluded = false;  // in an evacuated zone, or its host is about to leave
   bool listed = false;    // present in the newest list of endpoints
-  bool fenced = false;    // has answered a poll with the current token
-  // A process that has answered none yet replaces the one that had.
+  // The process has answered a poll with a token that was raised since it is
+  // known, so that it executes no order for an earlier one.
+  bool fenced = false;
+  // As above, another process had the id before, and no answer has come yet.
   bool replaced = false;
+  std::int64_t previous_start_ms = 0;  // as the previous owner knew it
   std::uint64_t fence = 0;  // State::last_fence when the token was last raised
   // Has listed all of its ends in a report of this epoch. Before that, a task
   // of a previous owner may have completed here.
@@ -339,6 +347,9 @@
   std::map<EndpointId, std::unique_ptr<EndpointState>> endpoints;
   std::map<ServiceId, ServiceState> services;
   std::map<std::string, EndpointId> addresses;  // of listed endpoints
+  // Endpoints that were removed from `endpoints`, and when. One that is listed
+  // again may have restarted meanwhile.
+  std::map<EndpointId, Instant> forgotten;
   // Listed entries that are not used: no configuration names their service.
   std::map<EndpointId, EndpointRow> unnamed;
   std::map<JobId, EarlierProgress> earlier;
@@ -484,9 +495,18 @@
   // Returns whether no order with a higher token was sent to this endpoint.
   bool HasCurrentToken(const OrderTarget& target) const;
   // An answer shows that another process has taken an order.
-  void OnClockOfOtherProcess(EndpointState* endpoint,
-                             std::int64_t clock_ms,
-                             Instant now);
+  void OnOtherProcess(EndpointState* endpoint,
+                      std::int64_t clock_ms,
+                      Instant now);
+  // Checks whether the process that answered a start order is the known one.
+  // Returns false if it is not, or may not be.
+  bool IsAnswerOfKnownProcess(const StartRun& order,
+                              const OrderAnswer& answer,
+                              Instant now);
+  // The previous owner knew another process: its orders may have set the
+  // longest lease in the current one.
+  void CheckPreviousProcess(EndpointState* endpoint, Instant now);
+  EndpointState* AddEndpoint(const EndpointRow& row, Instant now);
   // Until now an order may have set the longest lease: its deadline was on the
   // clock of an earlier process, so that the current one only shortened it to
   // its maximum.
--- a/src/coordination/job_scheduler_place.cc
+++ b/src/coordination/job_scheduler_place.cc
@@ -27,6 +27,9 @@
          (limit.accelerators == 0 || use.accelerators <= limit.accelerators);
 }
 
+// Bound on the error of clock readings, which are whole milliseconds.
+constexpr Milliseconds kClockTolerance{5};
+
 Milliseconds Scale(Milliseconds time, double factor) {
   return Milliseconds(
       static_cast<std::int64_t>(static_cast<double>(time.count()) * factor));
@@ -525,17 +528,21 @@
   order.payload = task->step->job->accepted.spec.payload;
   order.checkpoint = task->checkpoint;
   order.lease_until_ms = this->LeaseUntil(endpoint, now);
-  order.clock_ms = endpoint->clock_ms;
+  order.incarnation = endpoint->incarnation;
+  const auto since_read =
+      std::chrono::duration_cast<Milliseconds>(now - endpoint->clock_read);
+  order.min_clock_ms =
+      endpoint->clock_ms +
+      since_read.count() * (100 - this->config.clock_drift_percent) / 100 -
+      kClockTolerance.count();
   if (const StepTicket* ticket = this->TicketOf(*task->step, *endpoint, now)) {
     order.ticket = ticket->ticket;
   }
-  const auto age =
-      std::chrono::duration_cast<Milliseconds>(now - endpoint->clock_read);
   this->started_text +=
       (this->started_text.empty() ? "" : ",") + std::to_string(task->index) +
       ":" + std::to_string(order.run) + ":" + endpoint->row.id.value + ":" +
       std::to_string(FreeResources(*endpoint).milli_cores) + ":" +
-      std::to_string(age.count());
+      std::to_string(since_read.count());
   this->actions.starts.push_back(std::move(order));
 }
 
--- a/src/coordination/job_scheduler_runs.cc
+++ b/src/coordination/job_scheduler_runs.cc
@@ -50,15 +50,10 @@
     return;
   }
   state.unnamed.erase(row.id);
-  std::unique_ptr<EndpointState>& endpoint = state.endpoints[row.id];
-  if (endpoint == nullptr) {
-    endpoint = std::make_unique<EndpointState>();
-    endpoint->incarnation = Incarnation(++state.last_incarnation.value);
-    state.SetRow(endpoint.get(), row);
-    endpoint->lapse_at = endpoint->recovery_ends = state.recovery_ends;
-    endpoint->fence = state.last_fence;
-    endpoint->known_since = endpoint->start_known_since = now;
-  }
+  const auto known = state.endpoints.find(row.id);
+  EndpointState* const endpoint = known == state.endpoints.end()
+                                      ? state.AddEndpoint(row, now)
+                                      : known->second.get();
   const bool was_listed = std::exchange(endpoint->listed, true);
   if (!was_listed) {
     endpoint->next_poll = now;
@@ -78,14 +73,15 @@
     state.LogDecision("decision=endpoint_draining endpoint=" + row.id.value);
   }
   if (endpoint->row != row) {
-    state.SetRow(endpoint.get(), row);
+    state.SetRow(endpoint, row);
   }
   if (restarted) {
-    state.OnEndpointRestarted(endpoint.get(), row.start_time_ms, now);
+    state.OnEndpointRestarted(endpoint, row.start_time_ms, now);
   }
+  state.CheckPreviousProcess(endpoint, now);
   if (changed) {
     for (const auto& [id, job] : endpoint->service->unfit) {
-      if (!job->rank_due && state.FitsWhenIdle(*job, {endpoint.get()})) {
+      if (!job->rank_due && state.FitsWhenIdle(*job, {endpoint})) {
         state.MarkForRanking(job);
       }
     }
@@ -101,6 +97,34 @@
   }
 }
 
+EndpointState* JobScheduler::State::AddEndpoint(const EndpointRow& row,
+                                                Instant now) {
+  std::unique_ptr<EndpointState>& endpoint = this->endpoints[row.id];
+  endpoint = std::make_unique<EndpointState>();
+  endpoint->incarnation = Incarnation(++this->last_incarnation.value);
+  this->SetRow(endpoint.get(), row);
+  endpoint->lapse_at = endpoint->recovery_ends = this->recovery_ends;
+  endpoint->known_since = endpoint->start_known_since = now;
+  this->RaiseFence(endpoint.get());
+  endpoint->replaced = this->forgotten.erase(row.id) > 0;
+  return endpoint.get();
+}
+
+void JobScheduler::State::CheckPreviousProcess(EndpointState* endpoint,
+                                               Instant now) {
+  const std::int64_t previous = endpoint->previous_start_ms;
+  if (previous == 0 || endpoint->row.start_time_ms == 0) {
+    return;
+  }
+  endpoint->previous_start_ms = 0;
+  if (previous != endpoint->row.start_time_ms) {
+    endpoint->replaced = true;
+    this->AssumeLongestLease(endpoint, now);
+    endpoint->recovery_ends =
+        std::max(endpoint->recovery_ends, endpoint->lapse_at);
+  }
+}
+
 void JobScheduler::OnEndpointUnlisted(const EndpointId& id, Instant now) {
   State& state = *this->state;
   state.unnamed.erase(id);
@@ -241,8 +265,8 @@
 }
 
 void JobScheduler::State::RaiseFence(EndpointState* endpoint) {
-  // The number is never used again for an endpoint that was forgotten and is
-  // listed anew.
+  // One sequence for all endpoints: the token of an endpoint that was forgotten
+  // and is listed anew is higher than those before.
   this->last_fence = std::min(this->last_fence + 1, kFencesPerEpoch - 1);
   endpoint->fence = this->last_fence;
 }
@@ -258,9 +282,32 @@
          target.fence == this->TokenOf(*found->second);
 }
 
-void JobScheduler::State::OnClockOfOtherProcess(EndpointState* endpoint,
-                                                std::int64_t clock_ms,
-                                                Instant now) {
+bool JobScheduler::State::IsAnswerOfKnownProcess(const StartRun& order,
+                                                 const OrderAnswer& answer,
+                                                 Instant now) {
+  const auto found = this->endpoints.find(order.target.endpoint);
+  if (found == this->endpoints.end()) {
+    return true;
+  }
+  EndpointState* const endpoint = found->second.get();
+  if (order.incarnation != endpoint->incarnation) {
+    // The restart became known meanwhile. The new process may have executed the
+    // order as long as it is not fenced.
+    if (endpoint->replaced) {
+      this->AssumeLongestLease(endpoint, now);
+    }
+    return true;
+  }
+  if (answer.clock_ms && *answer.clock_ms < order.min_clock_ms) {
+    this->OnOtherProcess(endpoint, *answer.clock_ms, now);
+    return false;
+  }
+  return true;
+}
+
+void JobScheduler::State::OnOtherProcess(EndpointState* endpoint,
+                                         std::int64_t clock_ms,
+                                         Instant now) {
   this->LogDecision(
       "decision=clock_went_back endpoint=" + endpoint->row.id.value +
       " answered_clock_ms=" + std::to_string(clock_ms) + " " +
@@ -294,8 +341,9 @@
   const Instant lapse = now + this->LapseBound(this->config.endpoint_lease_max);
   endpoint->lapse_at = std::max(endpoint->lapse_at, lapse);
   if (this->config.endpoint_lease_max > this->OrdinaryLease()) {
-    endpoint->long_lease_until = lapse;
-    endpoint->long_lease_stored = false;
+    endpoint->long_lease_until = std::max(endpoint->long_lease_until, lapse);
+    // A write that is under way stores an earlier instant.
+    endpoint->long_lease_stored = endpoint->long_lease_taken = false;
   }
 }
 
@@ -373,7 +421,7 @@
   this->team_use[team] -= spec.per_task;
   task->endpoint = nullptr;
   task->service = nullptr;
-  task->unanswered = false;
+  task->unanswered = task->maybe_elsewhere = false;
   task->stop_confirmed = false;
   task->percent = -1;
   task->pace = 100;
@@ -470,15 +518,12 @@
   State& state = *this->state;
   OrderReply reply = answer.reply;
   ++state.counters.starts_by_reply[OrderReplyName(reply)];
-  if (state.HasCurrentToken(order.target)) {
-    state.fenced = state.fenced || reply == OrderReply::kFenced;
-    if (answer.clock_ms && *answer.clock_ms < order.clock_ms) {
-      state.OnClockOfOtherProcess(
-          state.endpoints.at(order.target.endpoint).get(), *answer.clock_ms,
-          now);
-      // Whether the run exists is up to the report of the new process.
-      reply = reply == OrderReply::kDone ? OrderReply::kUnknown : reply;
-    }
+  state.fenced = state.fenced || (reply == OrderReply::kFenced &&
+                                  state.HasCurrentToken(order.target));
+  if (!state.IsAnswerOfKnownProcess(order, answer, now) &&
+      reply == OrderReply::kDone) {
+    // Whether the run exists is up to the report of the new process.
+    reply = OrderReply::kUnknown;
   }
   ScheduledTask* task = state.FindTask(order.task);
   if (task == nullptr || !MayBeRunning(*task) || task->run != order.run ||
@@ -498,6 +543,10 @@
   }
   if (reply == OrderReply::kUnknown) {
     task->unanswered = true;
+    task->maybe_elsewhere = answer.new_connection;
+    if (answer.new_connection && endpoint->failed_polls > 0) {
+      state.AssumeLongestLease(endpoint, now);
+    }
     endpoint->next_poll = now;
     state.LogDecision("decision=start_unanswered task=" + TaskText(order.task) +
                       " run=" + std::to_string(order.run) +
@@ -560,8 +609,15 @@
   if (!report) {
     ++state.counters.polls_failed;
     if (++endpoint->failed_polls == 1) {
-      // The next answer may be that of a new process.
+      // The next answer may be that of a new process, and a start without an
+      // answer may have reached it.
       state.RaiseFence(endpoint);
+      if (std::any_of(endpoint->tasks.begin(), endpoint->tasks.end(),
+                      [](const ScheduledTask* task) {
+                        return task->unanswered && task->maybe_elsewhere;
+                      })) {
+        state.AssumeLongestLease(endpoint, now);
+      }
     }
     endpoint->next_poll = now + state.config.poll_retry;
     if (endpoint->failed_polls == state.config.failed_polls_to_unreachable) {
@@ -585,13 +641,18 @@
     endpoint->start_known_since = now;
   }
   endpoint->reported_start_ms = endpoint->row.start_time_ms;
+  state.CheckPreviousProcess(endpoint, now);
+  const bool current = state.HasCurrentToken(poll.target);
   if (report->session == poll.session) {
     endpoint->acknowledged =
         std::max(endpoint->acknowledged, poll.acknowledged);
+  } else if (poll.session != 0) {
+    // The connection is gone, perhaps with the process.
+    state.RaiseFence(endpoint);
   }
   endpoint->session = report->session;
   endpoint->failed_polls = 0;
-  if (state.HasCurrentToken(poll.target)) {
+  if (current) {
     endpoint->fenced = true;
     if (std::exchange(endpoint->replaced, false)) {
       state.AssumeLongestLease(endpoint, now);
--- a/src/coordination/job_scheduler_takeover.cc
+++ b/src/coordination/job_scheduler_takeover.cc
@@ -18,19 +18,16 @@
     const std::vector<UsedEndpoint>& endpoints,
     Instant now) {
   for (const UsedEndpoint& used : endpoints) {
-    std::unique_ptr<EndpointState>& endpoint = this->state->endpoints[used.id];
-    if (endpoint == nullptr) {
-      endpoint = std::make_unique<EndpointState>();
-      endpoint->incarnation =
-          Incarnation(++this->state->last_incarnation.value);
+    const auto known = this->state->endpoints.find(used.id);
+    EndpointState* endpoint = nullptr;
+    if (known != this->state->endpoints.end()) {
+      endpoint = known->second.get();
+    } else {
       EndpointRow row;
       row.id = used.id;
       row.service = used.service;
       row.capacity = used.capacity;
-      this->state->SetRow(endpoint.get(), row);
-      endpoint->lapse_at = endpoint->recovery_ends = this->state->recovery_ends;
-      endpoint->fence = this->state->last_fence;
-      endpoint->known_since = now;
+      endpoint = this->state->AddEndpoint(row, now);
       if (used.lapse_ms > 0) {
         endpoint->lapse_at =
             std::min(endpoint->lapse_at, now + Milliseconds(used.lapse_ms));
@@ -41,11 +38,15 @@
     }
     if (used.long_lease_ms > 0) {
       const Instant lapse = now + Milliseconds(used.long_lease_ms);
-      endpoint->long_lease_until = lapse;
-      endpoint->long_lease_stored = endpoint->long_lease_taken = true;
+      if (lapse > endpoint->long_lease_until) {
+        endpoint->long_lease_until = lapse;
+        endpoint->long_lease_stored = endpoint->long_lease_taken = true;
+      }
       endpoint->lapse_at = std::max(endpoint->lapse_at, lapse);
       endpoint->recovery_ends = std::max(endpoint->recovery_ends, lapse);
     }
+    endpoint->previous_start_ms = used.start_time_ms;
+    this->state->CheckPreviousProcess(endpoint, now);
   }
 }
 
@@ -68,6 +69,7 @@
                                 .count();
     }
     endpoint->long_lease_taken = entry.long_lease_ms > 0;
+    entry.start_time_ms = endpoint->row.start_time_ms;
   }
   return used;
 }
@@ -84,11 +86,10 @@
       this->state->endpoints.begin(), this->state->endpoints.end(),
       [this, now](const auto& entry) {
         const EndpointState& endpoint = *entry.second;
-        const bool long_lease_unstored =
-            !endpoint.long_lease_stored &&
-            this->state->HasLongLease(endpoint, now);
-        return (endpoint.lapse_stored || long_lease_unstored) &&
-               endpoint.listed && endpoint.fenced && endpoint.failed_polls == 0;
+        const bool returned = endpoint.lapse_stored && endpoint.listed &&
+                              endpoint.fenced && endpoint.failed_polls == 0;
+        return returned || (!endpoint.long_lease_stored &&
+                            this->state->HasLongLease(endpoint, now));
       });
 }
 
@@ -109,7 +110,8 @@
   for (const auto& [id, endpoint] : state.endpoints) {
     const bool answers =
         endpoint->fenced && endpoint->listed && endpoint->failed_polls == 0;
-    if (answers || endpoint->process_ended || current.contains(id) ||
+    if (answers || endpoint->process_ended || endpoint->replaced ||
+        current.contains(id) ||
         state.AgeOf(*endpoint, sent) < state.config.host_list_delay) {
       continue;
     }
--- a/src/daemon/owner_rounds.cc
+++ b/src/daemon/owner_rounds.cc
@@ -298,6 +298,17 @@
              : std::max<std::int64_t>(1, stored_ms - this->StoreMs());
 }
 
+void OwnerTask::AddUsedEndpoints(StoreTransaction* transaction) {
+  Ownership& owned = *this->owned;
+  std::vector<UsedEndpoint> used =
+      owned.scheduler.TakeUsedEndpoints(this->loop->Now());
+  for (UsedEndpoint& endpoint : used) {
+    endpoint.lapse_ms = this->StoredLapse(endpoint.lapse_ms);
+    endpoint.long_lease_ms = this->StoredLapse(endpoint.long_lease_ms);
+  }
+  owned.used_rows.AddChanges(used, transaction);
+}
+
 void OwnerTask::Write() {
   Ownership& owned = *this->owned;
   const Instant now = this->loop->Now();
@@ -331,12 +342,7 @@
   }
   owned.rows_in_write = batch.progress.size();
   if (owned.loaded) {
-    std::vector<UsedEndpoint> used = owned.scheduler.TakeUsedEndpoints(now);
-    for (UsedEndpoint& endpoint : used) {
-      endpoint.lapse_ms = this->StoredLapse(endpoint.lapse_ms);
-      endpoint.long_lease_ms = this->StoredLapse(endpoint.long_lease_ms);
-    }
-    owned.used_rows.AddChanges(used, &transaction);
+    this->AddUsedEndpoints(&transaction);
     owned.moves_in_write = owned.scheduler.TakeQueueMoves(now);
     if (owned.stored_moves != owned.moves_in_write) {
       owned.stored_moves.reset();
--- a/src/daemon/owner_task.cc
+++ b/src/daemon/owner_task.cc
@@ -332,6 +332,9 @@
   const OwnerRow row = this->lease.NextRow(this->StoreMs(), true);
   transaction.conditions.emplace_back(this->LeaseKey(), this->lease.Version());
   transaction.puts.emplace_back(this->LeaseKey(), EncodeOwner(row));
+  if (this->owned->loaded) {
+    this->AddUsedEndpoints(&transaction);
+  }
   this->EndOwnership("release");
   this->ports->transact(
       std::move(transaction),
--- a/src/daemon/owner_task.h
+++ b/src/daemon/owner_task.h
@@ -190,6 +190,8 @@
   void RecordHostOrdersAgain();
   void SendHostOrders();
   void Write();
+  // Adds the record of used endpoints to the transaction, as far as it changes.
+  void AddUsedEndpoints(StoreTransaction* transaction);
   // Converts the remaining time of a lease to the instant that is stored, on
   // the store's clock, and back. 0: there is none.
   std::int64_t StoredLapse(std::int64_t remaining_ms) const;
--- a/src/protocol/job_json.cc
+++ b/src/protocol/job_json.cc
@@ -288,14 +288,11 @@
 std::string EncodeUsedEndpoints(const std::vector<UsedEndpoint>& endpoints) {
   Json out = Json::array();
   for (const UsedEndpoint& endpoint : endpoints) {
-    Json entry = Json::array({endpoint.id.value, endpoint.service.value,
-                              endpoint.lapse_ms, endpoint.capacity.milli_cores,
-                              endpoint.capacity.memory_mb,
-                              endpoint.capacity.accelerators});
-    if (endpoint.long_lease_ms > 0) {
-      entry.push_back(endpoint.long_lease_ms);
-    }
-    out.push_back(std::move(entry));
+    out.push_back(Json::array(
+        {endpoint.id.value, endpoint.service.value, endpoint.lapse_ms,
+         endpoint.capacity.milli_cores, endpoint.capacity.memory_mb,
+         endpoint.capacity.accelerators, endpoint.long_lease_ms,
+         endpoint.start_time_ms}));
   }
   return out.dump();
 }
@@ -304,15 +301,19 @@
   return Decode<std::vector<UsedEndpoint>>(
       "endpoints", text, [](const Json& in) {
         std::vector<UsedEndpoint> endpoints;
+        // Rows of earlier versions have fewer numbers.
+        const auto number = [](const Json& entry, std::size_t i) {
+          return i < entry.size() ? entry.at(i).get<std::int64_t>() : 0;
+        };
         for (const Json& entry : in) {
-          endpoints.push_back(UsedEndpoint{
-              EndpointId(entry.at(0).get<std::string>()),
-              ServiceId(entry.at(1).get<std::string>()),
-              Resources{entry.at(3).get<std::int64_t>(),
-                        entry.at(4).get<std::int64_t>(),
-                        entry.at(5).get<std::int64_t>()},
-              entry.at(2).get<std::int64_t>(),
-              entry.size() > 6 ? entry.at(6).get<std::int64_t>() : 0});
+          endpoints.push_back(
+              UsedEndpoint{EndpointId(entry.at(0).get<std::string>()),
+                           ServiceId(entry.at(1).get<std::string>()),
+                           Resources{entry.at(3).get<std::int64_t>(),
+                                     entry.at(4).get<std::int64_t>(),
+                                     entry.at(5).get<std::int64_t>()},
+                           entry.at(2).get<std::int64_t>(), number(entry, 6),
+                           number(entry, 7)});
         }
         return endpoints;
       });
--- a/stand_ins/worker_model.cc
+++ b/stand_ins/worker_model.cc
@@ -9,10 +9,11 @@
     : settings(std::move(settings)), started_at(now) {}
 
 std::int64_t WorkerModel::ClockMs(Instant now) const {
-  return static_cast<std::int64_t>(
-      std::chrono::duration<double, std::milli>(now - this->started_at)
-          .count() *
-      this->settings.clock_rate);
+  return this->clock_at_start.count() +
+         static_cast<std::int64_t>(
+             std::chrono::duration<double, std::milli>(now - this->started_at)
+                 .count() *
+             this->settings.clock_rate);
 }
 
 void WorkerModel::Extend(std::int64_t lease_until_ms, Instant now) {
@@ -163,7 +164,7 @@
   this->ForgetAcknowledged();
 }
 
-void WorkerModel::Restart(Instant now) {
+void WorkerModel::Restart(Instant now, Milliseconds clock) {
   this->running.clear();
   this->highest_ended.clear();
   this->ended.clear();
@@ -174,6 +175,7 @@
   this->acknowledged_up_to = 0;
   this->listed_up_to = 0;
   this->started_at = now;
+  this->clock_at_start = clock;
   ++this->settings.row.start_time_ms;
 }
 
--- a/stand_ins/worker_model.h
+++ b/stand_ins/worker_model.h
@@ -67,8 +67,8 @@
   // Ends the runs that are due by their duration or a stop order, and all runs
   // if the lease has expired.
   void Advance(Instant now);
-  // Loses all state and starts again with the same id.
-  void Restart(Instant now);
+  // Loses all state and starts again with the same id and this clock reading.
+  void Restart(Instant now, Milliseconds clock = Milliseconds{0});
 
   // Reading of this worker's clock; it starts anew with each restart.
   std::int64_t ClockMs(Instant now) const;
@@ -103,6 +103,7 @@
 
   WorkerSettings settings;
   Instant started_at{};
+  Milliseconds clock_at_start{0};
   FencingToken fence;
   std::map<TaskName, Run> running;
   std::map<TaskName, RunNumber> highest_ended;  // highest run stopped or ended
--- a/tests/job_scheduler_restart_test.cc
+++ b/tests/job_scheduler_restart_test.cc
@@ -148,7 +148,7 @@
     fixture.scheduler.Advance(true, fixture.now);
     fixture.scheduler.Advance(true, fixture.now + std::chrono::minutes(1));
     fixture.scheduler.OnEndpoints(fixture.rows, fixture.now);
-    CHECK(fixture.scheduler.TargetOf(id).fence >= raised);
+    CHECK(fixture.scheduler.TargetOf(id).fence > raised);
   }
 }
 
@@ -162,7 +162,7 @@
                           this->now);
     this->start = this->Starts().at(0);
     this->scheduler.OnStartReply(
-        this->start, OrderAnswer{OrderReply::kDone, /*clock_ms=*/20},
+        this->start, OrderAnswer{.reply = OrderReply::kDone, .clock_ms = 20},
         this->now);
   }
 
@@ -232,6 +232,64 @@
   }
 }
 
+TEST_CASE("a start without an answer may have set the longest lease",
+          "[job_scheduler]") {
+  // Guards against two runs when the answer of a new process to a start order
+  // is lost. A connection that was used before does not reach a new process.
+  const bool new_connection = GENERATE(true, false);
+  SchedulerFixture fixture({Endpoint("e1"), Endpoint("e2")});
+  const JobSchedulerConfig config;
+  const StartRun start = fixture.StartJob("j");
+  const EndpointId id = start.target.endpoint;
+  fixture.scheduler.OnStartReply(
+      start, OrderAnswer{.new_connection = new_connection}, fixture.now);
+  fixture.FailPoll(id);
+  fixture.FailPoll(id);
+  fixture.scheduler.OnEndpointUnlisted(id, fixture.now);
+  fixture.now += config.endpoint_lease +
+                 config.endpoint_lease * config.clock_drift_percent / 100 +
+                 config.lapse_margin;
+  CHECK(fixture.Starts().size() == (new_connection ? 0 : 1));
+  fixture.now += config.endpoint_lease_max;
+  CHECK(fixture.Starts().size() == (new_connection ? 1 : 0));
+}
+
+TEST_CASE("a new owner assumes the longest lease of an unknown process",
+          "[job_scheduler]") {
+  // Guards against two runs when the previous owner did not learn of a restart.
+  const std::int64_t known_start_ms = GENERATE(7, 5);  // listed: 7
+  SchedulerFixture next({Endpoint("e1"), Endpoint("e2")}, OwnerEpoch(2), false);
+  const JobSchedulerConfig config;
+  next.scheduler.OnPreviousOwnerEndpoints(
+      {UsedEndpoint{.id = EndpointId("e1"),
+                    .service = ServiceId("s"),
+                    .start_time_ms = known_start_ms}},
+      next.now);
+  next.AnswerPoll(EndpointId("e2"), {});
+  next.scheduler.OnEndpointUnlisted(EndpointId("e1"), next.now);
+  next.scheduler.OnJob(Job("k", 1), RowVersion(0), /*before_takeover=*/true,
+                       Milliseconds(0), next.now);
+  next.now += config.endpoint_lease_max - Milliseconds(1);
+  const bool restarted = known_start_ms != 7;
+  CHECK(next.Starts().size() == (restarted ? 0 : 1));
+  next.now += Milliseconds(600);
+  CHECK(next.Starts().size() == (restarted ? 1 : 0));
+}
+
+TEST_CASE("an endpoint that is listed again may hold the longest lease",
+          "[job_scheduler]") {
+  // Guards against a restart that the owner does not see, because it has
+  // forgotten the endpoint meanwhile.
+  SchedulerFixture fixture({Endpoint("e1")});
+  fixture.scheduler.OnEndpointUnlisted(EndpointId("e1"), fixture.now);
+  fixture.scheduler.Advance(true, fixture.now);
+  fixture.FailPoll(EndpointId("e1"));
+  fixture.scheduler.Advance(true, fixture.now);  // forgets it
+  fixture.scheduler.OnEndpoints(fixture.rows, fixture.now);
+  fixture.AnswerPoll(EndpointId("e1"), {});
+  CHECK(fixture.scheduler.HasUnstoredLeases(fixture.now));
+}
+
 // Plays workers that restart and are cut off soon after, while tasks run that
 // outlive every lease.
 void CheckRestartsAndCuts(bool change_owners, bool late_calls) {
@@ -242,6 +300,7 @@
                              .change_owners = change_owners,
                              .prolong_cuts = false,
                              .late_entries = true,
+                             .random_clocks = true,
                              .cut_after_restart = true,
                              .long_task_share = 0.35});
     simulation.RunFor(Milliseconds(180000));
--- a/tests/job_scheduler_test.cc
+++ b/tests/job_scheduler_test.cc
@@ -622,6 +622,7 @@
   fixture.scheduler.OnEndpoints(fixture.rows, fixture.now);
   fixture.AnswerPoll(EndpointId("e1"),
                      {.ended = {End(1, starts[0], EndKind::kFailed)}});
+  fixture.StoreUsedEndpoints();  // it may have restarted while forgotten
   CHECK(fixture.scheduler.StateOf(JobId("j")) == JobState::kRunning);
   CHECK(fixture.Starts().size() == 1);
 }
--- a/tests/support/job_simulation.cc
+++ b/tests/support/job_simulation.cc
@@ -9,6 +9,7 @@
 
 constexpr int kMaxAttempts = 3;
 constexpr Milliseconds kRoundInterval{20};
+constexpr Milliseconds kPollSlack{700};  // timeout of a poll beyond its wait
 constexpr std::int64_t kLargeTeamMilliCores = 9000;  // milli-cores
 constexpr std::int64_t kMaxTaskMilliCores = 1250;    // milli-cores
 
@@ -26,6 +27,10 @@
   kLateAfterRestart,  // seconds later, to a later process
 };
 
+EndpointSession SessionOf(const WorkerModel& worker) {
+  return static_cast<EndpointSession>(worker.Row().start_time_ms);
+}
+
 std::string Text(const TaskName& name) {
   return name.job.value + "." + std::to_string(name.occurrence) + "." +
          std::to_string(name.step) + "." + std::to_string(name.index);
@@ -208,6 +213,9 @@
 void JobSimulation::StartOwner() {
   ++this->epoch.value;
   ++this->owner_number;
+  for (auto& [id, worker] : this->workers) {
+    worker.connected = 0;
+  }
   JobSchedulerConfig config;
   config.epoch = this->epoch;
   config.progress_layout = this->options.layout;
@@ -223,7 +231,16 @@
     this->owner->OnProgress(progress);
   }
   this->owner->OnStartable(this->stored_newest_job);
-  this->owner->OnPreviousOwnerEndpoints(this->stored_endpoints, this->now);
+  std::vector<UsedEndpoint> used = this->stored_endpoints;
+  const std::int64_t age_ms = std::chrono::duration_cast<Milliseconds>(
+                                  this->now - this->stored_endpoints_at)
+                                  .count();
+  for (UsedEndpoint& endpoint : used) {
+    for (std::int64_t* left : {&endpoint.lapse_ms, &endpoint.long_lease_ms}) {
+      *left = *left > 0 ? std::max<std::int64_t>(1, *left - age_ms) : 0;
+    }
+  }
+  this->owner->OnPreviousOwnerEndpoints(used, this->now);
   this->owner->OnPreviousQueueMoves(this->stored_moves);
   this->ListWorkers();
   for (const AcceptedJob& job : this->accepted) {
@@ -391,13 +408,15 @@
   }
   for (const StartRun& order : actions.starts) {
     const WorkerTask task = this->TaskOf(order.task);
+    const Worker& target = this->workers[order.target.endpoint];
+    const bool new_connection = target.connected != SessionOf(*target.model);
     this->Send(
         order.target.endpoint,
         [=, this](WorkerModel& worker, Delivery delivery) {
           if (delivery == Delivery::kNone ||
               (delivery == Delivery::kLateAfterRestart &&
                !this->options.late_calls_outlast_restarts)) {
-            return OrderAnswer{};
+            return OrderAnswer{.new_connection = new_connection};
           }
           const bool before = worker.Runs(order.task);
           if (!before && this->advice != nullptr &&
@@ -408,7 +427,8 @@
           if (!before && worker.Runs(order.task)) {
             this->CheckStart(order, worker);
           }
-          return OrderAnswer{reply, worker.ClockMs(this->now)};
+          return OrderAnswer{.reply = reply,
+                             .clock_ms = worker.ClockMs(this->now)};
         },
         [=, this](const OrderAnswer& answer) {
           this->owner->OnStartReply(order, answer, this->now);
@@ -436,15 +456,13 @@
 void JobSimulation::SendPoll(PollEndpoint poll) {
   // A connection reaches one process of the worker. If it is gone, the poll is
   // sent over another one, acknowledges nothing and renews no lease.
-  const auto session = [](const WorkerModel& worker) {
-    return static_cast<EndpointSession>(worker.Row().start_time_ms);
-  };
   const EndpointSession open =
-      session(*this->workers[poll.target.endpoint].model);
+      SessionOf(*this->workers[poll.target.endpoint].model);
   if (poll.session != open) {
     poll.session = 0;
     poll.acknowledged = 0;
     poll.lease_until_ms = 0;
+    poll.wait = Milliseconds(0);
   }
   const Instant sent = this->now;
   this->Send(
@@ -452,7 +470,7 @@
       [=, this](WorkerModel& worker,
                 Delivery delivery) -> std::optional<EndpointReportRows> {
         const bool closed =
-            delivery == Delivery::kPrompt && session(worker) != open;
+            delivery == Delivery::kPrompt && SessionOf(worker) != open;
         if (delivery == Delivery::kNone || closed) {
           return std::nullopt;
         }
@@ -464,15 +482,74 @@
         std::optional<EndpointReportRows> report =
             worker.Poll(received, this->now);
         if (report) {
-          report->session = session(worker);
+          report->session = SessionOf(worker);
         }
         return report;
       },
       [=, this](const std::optional<EndpointReportRows>& report) {
-        this->owner->OnPollResult(poll, report, sent, this->now);
+        if (report && report->ended.empty() && poll.wait.count() > 0) {
+          this->HoldPoll(poll, open, sent);
+        } else {
+          this->AnswerPoll(poll, report, sent, this->owner_number);
+        }
       });
 }
 
+void JobSimulation::HoldPoll(const PollEndpoint& poll,
+                             EndpointSession session,
+                             Instant sent) {
+  const std::uint64_t sender = this->owner_number;
+  Worker& worker = this->workers[poll.target.endpoint];
+  const bool cut_off = worker.disconnected_until > this->now;
+  const bool ended = SessionOf(*worker.model) != session;
+  if (cut_off || ended) {
+    // The connection is reset, or stays open without an answer.
+    const bool reset = !cut_off && this->Uniform() < 0.5;
+    const auto timeout = std::chrono::duration_cast<Milliseconds>(
+        sent + poll.wait + kPollSlack - this->now);
+    this->After(
+        reset ? Milliseconds(1) : std::max(timeout, Milliseconds(1)),
+        [=, this] { this->AnswerPoll(poll, std::nullopt, sent, sender); });
+    return;
+  }
+  PollEndpoint held = poll;
+  held.lease_until_ms = 0;
+  std::optional<EndpointReportRows> report =
+      worker.model->Poll(held, this->now);
+  if (!report || !report->ended.empty() || this->now >= sent + poll.wait) {
+    if (report) {
+      report->session = session;
+    }
+    this->AnswerPoll(poll, report, sent, sender);
+    return;
+  }
+  this->After(kRoundInterval, [=, this] {
+    if (sender == this->owner_number) {
+      this->HoldPoll(poll, session, sent);
+    }
+  });
+}
+
+void JobSimulation::AnswerPoll(const PollEndpoint& poll,
+                               const std::optional<EndpointReportRows>& report,
+                               Instant sent,
+                               std::uint64_t sender) {
+  if (sender != this->owner_number) {
+    return;
+  }
+  if (report) {
+    this->workers[poll.target.endpoint].connected = report->session;
+  }
+  this->owner->OnPollResult(poll, report, sent, this->now);
+}
+
+void JobSimulation::RestartWorker(const EndpointId& id) {
+  const bool random_clock =
+      this->options.random_clocks && this->Uniform() < 0.5;
+  this->workers[id].model->Restart(
+      this->now, random_clock ? this->RandomMs(0, 20000) : Milliseconds(0));
+}
+
 void JobSimulation::SendAdvice(const AdviceRequest& call) {
   const std::uint64_t sender = this->owner_number;
   const auto answer =
@@ -538,13 +615,7 @@
       this->owner->OnStartable(newest);
       this->owner->OnUsedEndpointsStored();
       this->owner->OnQueueMovesStored();
-      for (UsedEndpoint& endpoint : this->stored_endpoints) {
-        endpoint.lapse_ms +=
-            endpoint.lapse_ms > 0
-                ? std::chrono::duration_cast<Milliseconds>(sent - this->now)
-                      .count()
-                : 0;
-      }
+      this->stored_endpoints_at = sent;
     }
     this->owner->OnRecorded(
         batch.number,
@@ -574,7 +645,7 @@
         target->second.old_row = target->second.model->Row();
         target->second.old_row_until = this->now + this->RandomMs(0, 4500);
       }
-      target->second.model->Restart(this->now);
+      this->RestartWorker(target->first);
       if (this->options.cut_after_restart) {
         this->CutOffRestarted(target->first);
       }
--- a/tests/support/job_simulation.h
+++ b/tests/support/job_simulation.h
@@ -42,6 +42,9 @@
   bool move_hosts = false;
   // A worker that has restarted replaces its entry up to 4.5 s later.
   bool late_entries = false;
+  // Half of the processes begin with a random clock reading of up to 20 s, the
+  // others with 0.
+  bool random_clocks = false;
   // A worker that has restarted is cut off 20 ms to 2.6 s later for 6.5 to
   // 9.5 s, and leaves the list 0.5 to 4.5 s after that.
   bool cut_after_restart = false;
@@ -88,6 +91,8 @@
     Instant disconnected_until{};
     Instant unlisted_until{};
     Instant joined{};
+    // Process to which the owner has open connections; 0: none.
+    EndpointSession connected = 0;
     std::optional<EndpointRow> old_row{};  // listed after a restart until then
     Instant old_row_until{};
     std::optional<EndpointRow> last_row{};  // set once its host has moved
@@ -122,6 +127,17 @@
   void WriteBatch();
   void SendAdvice(const AdviceRequest& call);
   void SendPoll(PollEndpoint poll);
+  // A worker that has received a poll answers once a run has ended, or after
+  // the wait of the poll. `session` is that of the process that received it.
+  void HoldPoll(const PollEndpoint& poll,
+                EndpointSession session,
+                Instant sent);
+  // Calls OnPollResult(), unless the owner that sent the poll was replaced.
+  void AnswerPoll(const PollEndpoint& poll,
+                  const std::optional<EndpointReportRows>& report,
+                  Instant sent,
+                  std::uint64_t sender);
+  void RestartWorker(const EndpointId& id);
   void CheckStart(const StartRun& order, const WorkerModel& worker);
   void CheckOccurrenceDone(const AcceptedJob& job, int number);
   // Checks that no run started after an end that was acknowledged later.
@@ -140,6 +156,7 @@
   // Rows of progress in the store.
   std::map<std::pair<JobId, ProgressBlock>, JobProgress> stored_progress;
   std::vector<UsedEndpoint> stored_endpoints;
+  Instant stored_endpoints_at{};
   QueueMoves stored_moves;
   RowVersion
       stored_newest_job;  // newest job that may have been started, as stored
