--- a/stand_ins/worker_model.cc
+++ b/stand_ins/worker_model.cc
@@ -9,10 +9,11 @@
     : settings(std::move(settings)), started_at(now) {}
 
 std::int64_t WorkerModel::ClockMs(Instant now) const {
-  return static_cast<std::int64_t>(
-      std::chrono::duration<double, std::milli>(now - this->started_at)
-          .count() *
-      this->settings.clock_rate);
+  return this->clock_at_start.count() +
+         static_cast<std::int64_t>(
+             std::chrono::duration<double, std::milli>(now - this->started_at)
+                 .count() *
+             this->settings.clock_rate);
 }
 
 void WorkerModel::Extend(std::int64_t lease_until_ms, Instant now) {
@@ -50,7 +51,7 @@
     return OrderReply::kNoRoom;
   }
   this->running[order.task] =
-      Run{order.run, task,
+      Run{order.run, task, now,
           task.long_running ? Instant::max() : now + task.duration, false};
   return OrderReply::kDone;
 }
@@ -91,7 +92,13 @@
   report.clock_ms = this->ClockMs(now);
   report.start_time_ms = this->settings.row.start_time_ms;
   for (const auto& [name, run] : this->running) {
-    report.running.push_back(RunningTask{name, run.number, "", 100, 0});
+    const int percent =
+        run.task.long_running || run.task.duration.count() == 0
+            ? 100
+            : static_cast<int>(
+                  std::min<Duration>(now - run.started_at, run.task.duration) *
+                  100 / run.task.duration);
+    report.running.push_back(RunningTask{name, run.number, "", percent, 0});
   }
   const std::size_t listed =
       std::min(this->ended.size(), this->settings.max_ends_listed);
@@ -157,7 +164,7 @@
   this->ForgetAcknowledged();
 }
 
-void WorkerModel::Restart(Instant now) {
+void WorkerModel::Restart(Instant now, Milliseconds clock) {
   this->running.clear();
   this->highest_ended.clear();
   this->ended.clear();
@@ -168,6 +175,7 @@
   this->acknowledged_up_to = 0;
   this->listed_up_to = 0;
   this->started_at = now;
+  this->clock_at_start = clock;
   ++this->settings.row.start_time_ms;
 }
 
