Extend the recovery of a new owner when an endpoint restarts during it

A restart that becomes known while the new owner has not reached the endpoint yet moved the end of the lease, but not the time for which earlier jobs of the service are held back. Found by reading.

--- a/src/coordination/job_scheduler.h
+++ b/src/coordination/job_scheduler.h
@@ -265,8 +265,8 @@
   // The order was the first request on its connection, which may reach another
   // process than those before it.
   bool new_connection = false;
-  std::optional<std::int64_t>
-      clock_ms{};  // the endpoint's clock; none: unknown
+  // The endpoint's clock; none: unknown.
+  std::optional<std::int64_t> clock_ms{};
 };
 
 // Returns a stable lower-case name, such as "no_room".
--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -199,10 +199,10 @@
   ServiceState* service = nullptr;  // of row.service; set by SetRow()
   bool excluded = false;  // in an evacuated zone, or its host is about to leave
   bool listed = false;    // present in the newest list of endpoints
-  // The process has answered a poll with a token that was raised since it is
-  // known, so that it executes no order for an earlier one.
+  // The process has answered a poll whose token was raised after it became
+  // known, so that it executes no order for an earlier process.
   bool fenced = false;
-  // As above, another process had the id before, and no answer has come yet.
+  // Another process had the id before, and the current one is not fenced yet.
   bool replaced = false;
   std::int64_t previous_start_ms = 0;  // as the previous owner knew it
   std::uint64_t fence = 0;  // State::last_fence when the token was last raised
@@ -506,6 +506,7 @@
   // The previous owner knew another process: its orders may have set the
   // longest lease in the current one.
   void CheckPreviousProcess(EndpointState* endpoint, Instant now);
+  // Precondition: the endpoint is not known.
   EndpointState* AddEndpoint(const EndpointRow& row, Instant now);
   // Until now an order may have set the longest lease: its deadline was on the
   // clock of an earlier process, so that the current one only shortened it to
--- a/src/coordination/job_scheduler_runs.cc
+++ b/src/coordination/job_scheduler_runs.cc
@@ -120,8 +120,6 @@
   if (previous != endpoint->row.start_time_ms) {
     endpoint->replaced = true;
     this->AssumeLongestLease(endpoint, now);
-    endpoint->recovery_ends =
-        std::max(endpoint->recovery_ends, endpoint->lapse_at);
   }
 }
 
@@ -340,6 +338,9 @@
                                              Instant now) {
   const Instant lapse = now + this->LapseBound(this->config.endpoint_lease_max);
   endpoint->lapse_at = std::max(endpoint->lapse_at, lapse);
+  if (!endpoint->recovered && now < endpoint->recovery_ends) {
+    endpoint->recovery_ends = std::max(endpoint->recovery_ends, lapse);
+  }
   if (this->config.endpoint_lease_max > this->OrdinaryLease()) {
     endpoint->long_lease_until = std::max(endpoint->long_lease_until, lapse);
     // A write that is under way stores an earlier instant.
