Start no task elsewhere while its unanswered start may be executed

An endpoint leaves a start order unanswered, the owner stops the run, the stop is answered, and the task starts elsewhere. The endpoint loses power, starts again under its id and then executes the order.

Cause: the owner took the answered stop for the end of the order. Stops, fencing tokens and deadlines bind the process that received them, while the order outlasts it: it ends when it is executed, refused, or too old, 12 s after the call at most.

Change: the owner keeps every start order until it is answered, its run is listed or ended, or it is too old. Gangs wait for all members. A long-running task starts again at once on the same endpoint only. Starts without an answer for 100 ms are recorded for the next owner.

Why it works: no other run exists that the late one could meet or follow. Ruled out: reaching the new process sooner only shortens the window.

Two tests change with the rule and stay as strict: "a stopped run beyond the ends" lets the order become too old before it expects the stop, and "a start without an answer may have set the longest lease" uses a long-running task, which is still given up with the lease.

--- a/src/coordination/job_scheduler.cc
+++ b/src/coordination/job_scheduler.cc
@@ -275,7 +275,9 @@
   const std::set<ScheduledTask*> tasks = found->second->tasks;
   for (ScheduledTask* task : tasks) {
     const StepSpec& spec = *task->step->spec;
-    if (!spec.long_running || task->phase == TaskPhase::kStopping) {
+    // A task with an open start may not start elsewhere yet.
+    if (!spec.long_running || task->phase == TaskPhase::kStopping ||
+        state.HasOpenStart(NameOf(*task))) {
       continue;
     }
     // Without a stated limit, one task may be unavailable at a time.
@@ -742,6 +744,7 @@
       state.FinishIfDone(job);
     }
   }
+  state.RemoveExpiredStarts(now);
   std::vector<EndpointId> gone;
   for (auto& [id, endpoint] : state.endpoints) {
     // The lease is no longer renewed once a poll fails, listed or not.
@@ -760,7 +763,8 @@
     if (!endpoint->listed && endpoint->tasks.empty() &&
         !endpoint->poll_in_flight && !endpoint->lapse_stored &&
         (endpoint->recovered || endpoint->process_ended ||
-         endpoint->lapse_at <= now)) {
+         endpoint->lapse_at <= now) &&
+        !state.HasOpenStartOn(id)) {
       gone.push_back(id);
     }
     if (endpoint->stopping == 0) {
--- a/src/coordination/job_scheduler.h
+++ b/src/coordination/job_scheduler.h
@@ -50,6 +50,14 @@
   int clock_drift_percent = 2;
   // Added to the instant at which a lease lapses; covers late timers.
   Milliseconds lapse_margin{300};
+  // Longest time after which an endpoint executes an order that gets no answer.
+  // The order may outlast the process that it was sent to.
+  Milliseconds late_order_limit{12000};
+  // Time after which the call of an order has returned, answered or not.
+  Milliseconds order_call_limit{1000};
+  // A start order that is not answered within this time is stored for the next
+  // owner: endpoints answer within a few milliseconds.
+  Milliseconds slow_answer{100};
 
   // An endpoint that is listed is up and keeps the ends of its runs, even if it
   // answers no poll and its lease has expired. Its short tasks are given up
@@ -341,6 +349,17 @@
   Resources capacity;
 };
 
+// A start order that has no answer, or none yet, and that its endpoint may
+// still execute.
+struct UnansweredStart {
+  TaskName task;
+  RunNumber run = 0;
+  std::int64_t remaining_ms = 0;  // until it is too old to be executed
+
+  friend bool operator==(const UnansweredStart&,
+                         const UnansweredStart&) = default;
+};
+
 // An endpoint that may hold work; stored for the next owner.
 struct UsedEndpoint {
   EndpointId id;
@@ -353,6 +372,7 @@
   // 0: there is none.
   std::int64_t long_lease_ms = 0;
   std::int64_t start_time_ms = 0;  // of the process; 0: unknown
+  std::vector<UnansweredStart> unanswered_starts;
 
   friend bool operator==(const UsedEndpoint&, const UsedEndpoint&) = default;
 };
@@ -541,6 +561,9 @@
   // OnUsedEndpointsStored(): an endpoint answers again whose lease lapses by
   // the stored record, or a lease may last longer than that of a renewal.
   bool HasUnstoredLeases(Instant now) const;
+  // True if the next owner would not learn of an unanswered start before
+  // OnUsedEndpointsStored().
+  bool HasUnstoredStarts(Instant now) const;
   std::map<ServiceId, ServiceDemand> Demand(Instant now);
   // The backlog of each service by client account and order of service, for the
   // admission of jobs. Services that may still run work of a previous owner
--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -64,8 +64,9 @@
   ServiceState* service = nullptr;    // whose team_milli_cores count the run
   RunNumber run = 0;                  // number of the last start; 0: none
   bool unanswered = false;            // the start order got no answer
-  Instant since{};                    // start of the current phase
-  Instant answered{};                 // when the start was confirmed
+  bool overdue = false;          // and a later report does not list the run
+  Instant since{};               // start of the current phase
+  Instant answered{};            // when the start was confirmed
   bool maybe_elsewhere = false;  // the start may have reached a new process
   Instant stop_sent{};           // when the last stop order was sent
   bool stop_confirmed = false;   // the endpoint answered the stop order
@@ -80,6 +81,19 @@
   Instant pace_changed_at{};
 };
 
+// A start order that an endpoint may still execute, in any of its processes.
+// The task must not start elsewhere meanwhile.
+struct OpenStart {
+  EndpointId endpoint;
+  Instant sent{};
+  // Too old to be executed from then on, or, with `may_run`, any run of it has
+  // lapsed. kNever: the call has not returned yet.
+  Instant until = kNever;
+  bool may_run = false;  // was too old when its endpoint did not answer
+  bool stored = false;   // the store holds it for the next owner
+  bool taken = false;    // as of the last TakeUsedEndpoints()
+};
+
 // Ticket of the advice service for the tasks of a step on one endpoint process.
 struct StepTicket {
   std::string ticket;
@@ -415,6 +429,10 @@
   std::set<ZoneId> zones_out;
   std::set<EndpointId> cordoned;
   std::map<TeamId, Resources> team_use;
+  // By task and run. Removed once the run is known to have been executed or
+  // refused, or when the order is too old.
+  std::map<std::pair<TaskName, RunNumber>, OpenStart> open_starts;
+  Instant open_starts_check = kNever;              // earliest OpenStart::until
   std::map<std::string, DurationModel> durations;  // by queue
   std::map<ServiceId, ArrivalHistory> arrivals;
   std::map<ServiceId, double> completed_core_seconds;  // as predicted
@@ -634,6 +652,43 @@
   OrderTarget TargetOf(const EndpointState& endpoint) const;
   std::int64_t LeaseUntil(EndpointState* endpoint, Instant now);
 
+  // Start orders without an answer (job_scheduler_open_starts.cc) ------------
+  // The call of the order has returned without an answer.
+  void OnStartUnanswered(const StartRun& order, Instant now);
+  // The run has been executed, or never will be.
+  void CloseStart(const TaskName& task, RunNumber run);
+  // No process of the endpoint can follow any more.
+  void CloseStartsOn(const EndpointId& endpoint);
+  void RemoveExpiredStarts(Instant now);
+  // True if the endpoint does not answer although its host may still run it.
+  bool IsSilent(const EndpointId& id) const;
+  // A report that was requested at `sent` shows what has become of the starts
+  // that were too old by then.
+  void CloseOldStartsOn(const EndpointId& endpoint, Instant sent);
+  // Returns whether the next owner needs to know of the start.
+  bool IsToRecord(const OpenStart& start, Instant now) const;
+  // Returns the starts to record, by endpoint.
+  std::map<EndpointId, std::vector<UnansweredStart>> TakeUnansweredStarts(
+      Instant now);
+  bool HasOpenStart(const TaskName& task) const;
+  bool HasOpenStartOn(const EndpointId& endpoint) const;
+  // True if a task of the step has an open start.
+  bool HasOpenStart(const ScheduledStep& step) const;
+  // Returns whether the task keeps its place until its open start is executed
+  // or too old.
+  bool WaitsForOpenStart(const ScheduledTask& task) const;
+  // Returns the jobs that wait in the service for the start of a long-running
+  // task which has an open start.
+  std::vector<ScheduledJob*> LongRunningWithOpenStarts(
+      const ServiceState& service) const;
+  // Returns the endpoints of `usable` on which the task may start beside its
+  // open starts.
+  std::vector<EndpointState*> PlacesBesideOpenStarts(
+      const TaskName& task,
+      const StepSpec& spec,
+      const std::vector<EndpointState*>& usable,
+      Instant now) const;
+
   // Advice (job_scheduler_advice.cc) ----------------------------------------
   // Notes that the step lacks a ticket, unless a call could not help it now.
   void AddAdviceCandidate(ScheduledStep* step,
--- a/src/coordination/job_scheduler_place.cc
+++ b/src/coordination/job_scheduler_place.cc
@@ -229,6 +229,13 @@
     return job.version > this->startable || !this->IsMoveStored(job) ||
            this->MayRunUnseen(job);
   };
+  // Before others take the room that a stopped run has left: these tasks may
+  // start nowhere else.
+  for (ScheduledJob* job : this->LongRunningWithOpenStarts(*service)) {
+    if (!held_back(*job)) {
+      this->PlaceJob(job, usable, now);
+    }
+  }
   std::map<TeamId, int> failed;  // jobs that did not fit
   int without_room = 0;
   bool all_visited = true;
@@ -423,6 +430,7 @@
          IsDone(*step, step->first_open)) {
     ++step->first_open;
   }
+  const bool has_open_start = this->HasOpenStart(*step);
   int untracked_waits = 0;  // for their place, among the tasks visited
   for (int index = step->first_open; index < step->spec->task_count; ++index) {
     ScheduledTask* task = FindTracked(step, index);
@@ -430,6 +438,17 @@
                         : IsDone(*step, index)) {
       continue;
     }
+    const TaskName name{step->job->accepted.id, step->occurrence, step->number,
+                        index};
+    const bool restricted = has_open_start && this->HasOpenStart(name);
+    std::vector<EndpointState*> allowed;
+    if (restricted) {
+      allowed = this->PlacesBesideOpenStarts(name, *step->spec, usable, now);
+      if (allowed.empty()) {
+        continue;
+      }
+    }
+    const std::vector<EndpointState*>& places = restricted ? allowed : usable;
     if (!this->WithinTeamLimit(team, step->spec->per_task)) {
       return PlaceResult::kTeamLimit;
     }
@@ -445,11 +464,14 @@
     }
     EndpointState* endpoint = nullptr;
     if (!waits || !this->WaitsAsWell(task, queue, now)) {
-      endpoint = this->ChooseEndpoint(*step, *task, queue, usable, now);
+      endpoint = this->ChooseEndpoint(*step, *task, queue, places, now);
+      if (endpoint == nullptr && restricted) {
+        continue;
+      }
       if (endpoint == nullptr) {
         return this->OnNoEndpoint(*step, queue);
       }
-      if (prefers_place) {
+      if (prefers_place && !restricted) {
         endpoint = this->PreferPlace(task, endpoint, queue, usable, now);
       }
     }
@@ -488,7 +510,7 @@
                                     Instant now) {
   // A gang restarts as a whole, once no run of the previous attempt is left.
   const int members = step->spec->task_count;
-  if (step->waiting < members) {
+  if (step->waiting < members || this->HasOpenStart(*step)) {
     return;
   }
   RunNumber run = step->gang_run;
@@ -599,6 +621,12 @@
       std::to_string(FreeResources(*endpoint).milli_cores) + ":" +
       std::to_string(since_read.count());
   this->order_bytes += OrderBytes(order);
+  // Copies of a speculative task may run in parallel.
+  if (!task->step->spec->speculative) {
+    this->open_starts.emplace(
+        std::pair(order.task, order.run),
+        OpenStart{.endpoint = endpoint->row.id, .sent = now});
+  }
   this->actions.starts.push_back(std::move(order));
 }
 
--- a/src/coordination/job_scheduler_polls.cc
+++ b/src/coordination/job_scheduler_polls.cc
@@ -109,6 +109,8 @@
     constraint = "advice";
   } else if (accepting == 0) {
     constraint = "placement";
+  } else if (state.HasOpenStart(task->name)) {
+    constraint = "open_start";
   } else if (task->waits_for_place) {
     constraint = "preferred_place";
   }
@@ -209,7 +211,8 @@
     for (const ScheduledTask* task : endpoint->tasks) {
       latency_critical =
           latency_critical || task->step->spec->target_tail.count() > 0;
-      needs_answer = needs_answer || task->unanswered || task->stop_confirmed;
+      needs_answer = needs_answer || (task->unanswered && !task->overdue) ||
+                     task->stop_confirmed;
     }
     PollEndpoint poll;
     poll.target = this->TargetOf(*endpoint);
--- a/src/coordination/job_scheduler_runs.cc
+++ b/src/coordination/job_scheduler_runs.cc
@@ -147,6 +147,7 @@
                                                  Instant now) {
   const auto holder = this->addresses.find(endpoint->row.address);
   if (holder != this->addresses.end() && holder->second != endpoint->row.id) {
+    this->CloseStartsOn(endpoint->row.id);
     this->ReleaseLapsed(endpoint, "address_reused", false, now);
   }
 }
@@ -195,6 +196,10 @@
   endpoint->next_poll = now;
   const std::set<ScheduledTask*> tasks = endpoint->tasks;
   for (ScheduledTask* task : tasks) {
+    if (task->phase == TaskPhase::kStarting && this->WaitsForOpenStart(*task)) {
+      task->overdue = false;
+      continue;
+    }
     // The restarted endpoint may still execute a start that got no answer; a
     // stop that arrives first prevents this. A start that was answered after
     // the last report may have been executed before or after the restart.
@@ -217,6 +222,9 @@
   const std::set<ScheduledTask*> tasks = endpoint->tasks;
   std::uint64_t given_up = 0;
   for (ScheduledTask* task : tasks) {
+    if (this->WaitsForOpenStart(*task)) {
+      continue;
+    }
     // Long-running work starts again however its run has ended.
     if (task->step->spec->long_running || !may_know_ends) {
       this->ReturnToWaiting(task, reason, now);
@@ -427,7 +435,7 @@
   this->team_use[team] -= spec.per_task;
   task->endpoint = nullptr;
   task->service = nullptr;
-  task->unanswered = task->maybe_elsewhere = false;
+  task->unanswered = task->overdue = task->maybe_elsewhere = false;
   task->stop_confirmed = false;
   task->percent = -1;
   task->pace = 100;
@@ -541,6 +549,11 @@
   state.OnOrderAnswered(OrderBytes(order));
   OrderReply reply = answer.reply;
   ++state.counters.starts_by_reply[OrderReplyName(reply)];
+  if (reply == OrderReply::kUnknown) {
+    state.OnStartUnanswered(order, now);
+  } else {
+    state.CloseStart(order.task, order.run);
+  }
   state.fenced = state.fenced || (reply == OrderReply::kFenced &&
                                   state.HasCurrentToken(order.target));
   if (!state.IsAnswerOfKnownProcess(order, answer, now) &&
@@ -614,6 +627,7 @@
     task->endpoint->next_poll = now;
   } else if (reply == OrderReply::kOtherIncarnation) {
     // The endpoint process that may have executed the run has exited.
+    state.CloseStartsOn(order.target.endpoint);
     state.ReturnToWaiting(task, "other_life", now);
   }
 }
@@ -699,6 +713,9 @@
   for (const RunningTask& row : report->running) {
     state.OnListed(endpoint, row, now);
   }
+  if (report->all_ends_listed) {
+    state.CloseOldStartsOn(endpoint->row.id, sent);
+  }
   state.ResolveUnlistedRuns(endpoint, *report, sent, now);
   if (report->all_ends_listed) {
     endpoint->recovered = true;
@@ -727,6 +744,7 @@
 void JobScheduler::State::OnListed(EndpointState* endpoint,
                                    const RunningTask& row,
                                    Instant now) {
+  this->CloseStart(row.task, row.run);
   ScheduledTask* task = this->FindReportedTask(row.task, now);
   if (task == nullptr || task->phase == TaskPhase::kDone ||
       (MayBeRunning(*task) &&
@@ -754,7 +772,7 @@
     task->since = now;
   }
   if (task->unanswered) {
-    task->unanswered = false;
+    task->unanswered = task->overdue = false;
     task->answered = now;
   }
   if (!row.checkpoint.empty()) {
@@ -788,6 +806,12 @@
       if (task->stop_confirmed && task->stop_answered <= sent) {
         this->ReturnToWaiting(task, "stopped", now);
       }
+    } else if (task->unanswered && this->WaitsForOpenStart(*task)) {
+      if (!std::exchange(task->overdue, true)) {
+        this->LogDecision(
+            "decision=start_overdue task=" + TaskText(NameOf(*task)) + " run=" +
+            std::to_string(task->run) + " endpoint=" + endpoint->row.id.value);
+      }
     } else if (task->unanswered) {
       this->RequestStop(task, "start_unanswered", now);
     } else if (task->phase == TaskPhase::kRunning && task->answered <= sent &&
@@ -803,6 +827,7 @@
                                    const RunEnd& end,
                                    Instant now) {
   ++this->counters.ends_by_kind[EndKindName(end.kind)];
+  this->CloseStart(end.task, end.run);
   ScheduledTask* task = this->FindReportedTask(end.task, now);
   this->ended_text += (this->ended_text.empty() ? "" : ",") +
                       std::to_string(end.number) + ":" + TaskText(end.task) +
--- a/src/coordination/job_scheduler_takeover.cc
+++ b/src/coordination/job_scheduler_takeover.cc
@@ -45,12 +45,25 @@
       endpoint->lapse_at = std::max(endpoint->lapse_at, lapse);
       endpoint->recovery_ends = std::max(endpoint->recovery_ends, lapse);
     }
+    for (const UnansweredStart& start : used.unanswered_starts) {
+      const Instant until = now + Milliseconds(start.remaining_ms);
+      this->state->open_starts[{start.task, start.run}] =
+          OpenStart{.endpoint = used.id,
+                    .sent = now,
+                    .until = until,
+                    .stored = true,
+                    .taken = true};
+      this->state->open_starts_check =
+          std::min(this->state->open_starts_check, until);
+    }
     endpoint->previous_start_ms = used.start_time_ms;
     this->state->CheckPreviousProcess(endpoint, now);
   }
 }
 
 std::vector<UsedEndpoint> JobScheduler::TakeUsedEndpoints(Instant now) {
+  std::map<EndpointId, std::vector<UnansweredStart>> unanswered =
+      this->state->TakeUnansweredStarts(now);
   std::vector<UsedEndpoint> used;
   for (const auto& [id, endpoint] : this->state->endpoints) {
     UsedEndpoint& entry = used.emplace_back(
@@ -70,6 +83,9 @@
     }
     endpoint->long_lease_taken = entry.long_lease_ms > 0;
     entry.start_time_ms = endpoint->row.start_time_ms;
+    if (const auto found = unanswered.find(id); found != unanswered.end()) {
+      entry.unanswered_starts = std::move(found->second);
+    }
   }
   return used;
 }
@@ -79,6 +95,9 @@
     endpoint->lapse_stored = endpoint->lapse_taken;
     endpoint->long_lease_stored = endpoint->long_lease_taken;
   }
+  for (auto& [run, start] : this->state->open_starts) {
+    start.stored = start.taken;
+  }
 }
 
 bool JobScheduler::HasUnstoredLeases(Instant now) const {
--- a/src/daemon/owner_load.cc
+++ b/src/daemon/owner_load.cc
@@ -137,6 +137,9 @@
               endpoint.lapse_ms = this->RemainingLapse(endpoint.lapse_ms);
               endpoint.long_lease_ms =
                   this->RemainingLapse(endpoint.long_lease_ms);
+              for (UnansweredStart& start : endpoint.unanswered_starts) {
+                start.remaining_ms = this->RemainingLapse(start.remaining_ms);
+              }
             }
             this->owned->scheduler.OnPreviousOwnerEndpoints(used.value(),
                                                             this->loop->Now());
--- a/src/daemon/owner_rounds.cc
+++ b/src/daemon/owner_rounds.cc
@@ -305,8 +305,12 @@
   for (UsedEndpoint& endpoint : used) {
     endpoint.lapse_ms = this->StoredLapse(endpoint.lapse_ms);
     endpoint.long_lease_ms = this->StoredLapse(endpoint.long_lease_ms);
+    for (UnansweredStart& start : endpoint.unanswered_starts) {
+      start.remaining_ms = this->StoredLapse(start.remaining_ms);
+    }
   }
-  owned.used_rows.AddChanges(used, transaction);
+  owned.used_rows.AddChanges(used, this->settings.store.max_row_bytes,
+                             transaction);
 }
 
 void OwnerTask::Write() {
@@ -324,7 +328,8 @@
       owned.orders_to_record.empty() && !this->lease.RenewalDue(now) &&
       !(owned.loaded && (owned.scheduler.HasHeldJobs() ||
                          owned.scheduler.HasUnstoredQueueMoves() ||
-                         owned.scheduler.HasUnstoredLeases(now)))) {
+                         owned.scheduler.HasUnstoredLeases(now) ||
+                         owned.scheduler.HasUnstoredStarts(now)))) {
     return;
   }
   // Each write renews the lease and fails if another daemon holds it.
--- a/src/daemon/used_endpoint_rows.cc
+++ b/src/daemon/used_endpoint_rows.cc
@@ -5,6 +5,7 @@
 
 #include "src/daemon/job_store.h"
 #include "src/protocol/job_json.h"
+#include "src/transport/log.h"
 
 namespace peridot {
 
@@ -22,6 +23,21 @@
   return sum % UsedEndpointRows::kRows;
 }
 
+std::string EncodeRow(const std::vector<UsedEndpoint>& endpoints,
+                      std::size_t max_bytes) {
+  std::string text = EncodeUsedEndpoints(endpoints);
+  if (text.size() <= max_bytes) {
+    return text;
+  }
+  LogEvent(LogLevel::kError, "unanswered_starts_not_recorded",
+           {{"bytes", std::to_string(text.size())}});
+  std::vector<UsedEndpoint> smaller = endpoints;
+  for (UsedEndpoint& endpoint : smaller) {
+    endpoint.unanswered_starts.clear();
+  }
+  return EncodeUsedEndpoints(smaller);
+}
+
 }  // namespace
 
 void UsedEndpointRows::OnRead(const std::string& key) {
@@ -34,6 +50,7 @@
 }
 
 void UsedEndpointRows::AddChanges(const std::vector<UsedEndpoint>& endpoints,
+                                  std::size_t max_bytes,
                                   StoreTransaction* transaction) {
   for (Row& row : this->writing) {
     row.clear();
@@ -46,7 +63,7 @@
       this->stored[row].reset();
       transaction->puts.emplace_back(
           StoreKey{kUsedTable, kOwnerPart, RowKey(row)},
-          EncodeUsedEndpoints(this->writing[row]));
+          EncodeRow(this->writing[row], max_bytes));
     }
   }
   for (const std::string& key : this->obsolete) {
--- a/src/daemon/used_endpoint_rows.h
+++ b/src/daemon/used_endpoint_rows.h
@@ -41,7 +41,10 @@
 
   // Adds the rows that differ from the stored ones to the transaction: at most
   // kRows entries, and one removal of each row with a key of an older version.
+  // A row that would exceed `max_bytes` omits the unanswered starts, since the
+  // store would reject the whole transaction.
   void AddChanges(const std::vector<UsedEndpoint>& endpoints,
+                  std::size_t max_bytes,
                   StoreTransaction* transaction);
 
   // The last transaction passed to AddChanges() has been stored.
--- a/src/protocol/job_json.cc
+++ b/src/protocol/job_json.cc
@@ -288,11 +288,20 @@
 std::string EncodeUsedEndpoints(const std::vector<UsedEndpoint>& endpoints) {
   Json out = Json::array();
   for (const UsedEndpoint& endpoint : endpoints) {
-    out.push_back(Json::array(
+    Json& entry = out.emplace_back(Json::array(
         {endpoint.id.value, endpoint.service.value, endpoint.lapse_ms,
          endpoint.capacity.milli_cores, endpoint.capacity.memory_mb,
          endpoint.capacity.accelerators, endpoint.long_lease_ms,
          endpoint.start_time_ms}));
+    if (endpoint.unanswered_starts.empty()) {
+      continue;
+    }
+    Json& starts = entry.emplace_back(Json::array());
+    for (const UnansweredStart& start : endpoint.unanswered_starts) {
+      starts.push_back(
+          Json::array({start.task.job.value, EncodeName(start.task), start.run,
+                       start.remaining_ms}));
+    }
   }
   return out.dump();
 }
@@ -301,12 +310,12 @@
   return Decode<std::vector<UsedEndpoint>>(
       "endpoints", text, [](const Json& in) {
         std::vector<UsedEndpoint> endpoints;
-        // Rows of earlier versions have fewer numbers.
+        // Rows of earlier versions have fewer fields.
         const auto number = [](const Json& entry, std::size_t i) {
           return i < entry.size() ? entry.at(i).get<std::int64_t>() : 0;
         };
         for (const Json& entry : in) {
-          endpoints.push_back(
+          UsedEndpoint& endpoint = endpoints.emplace_back(
               UsedEndpoint{EndpointId(entry.at(0).get<std::string>()),
                            ServiceId(entry.at(1).get<std::string>()),
                            Resources{entry.at(3).get<std::int64_t>(),
@@ -314,6 +323,12 @@
                                      entry.at(5).get<std::int64_t>()},
                            entry.at(2).get<std::int64_t>(), number(entry, 6),
                            number(entry, 7)});
+          const Json starts = entry.size() > 8 ? entry.at(8) : Json::array();
+          for (const Json& start : starts) {
+            endpoint.unanswered_starts.push_back(UnansweredStart{
+                DecodeName(JobId(start.at(0).get<std::string>()), start.at(1)),
+                start.at(2).get<RunNumber>(), start.at(3).get<std::int64_t>()});
+          }
         }
         return endpoints;
       });
--- a/tests/job_scheduler_restart_test.cc
+++ b/tests/job_scheduler_restart_test.cc
@@ -239,9 +239,14 @@
   // Guards against two runs when the answer of a new process to a start order
   // is lost. A connection that was used before does not reach a new process.
   const bool new_connection = GENERATE(true, false);
+  // Other tasks wait until the start is too old, and so for longer.
   SchedulerFixture fixture({Endpoint("e1"), Endpoint("e2")});
   const JobSchedulerConfig config;
-  const StartRun start = fixture.StartJob("j");
+  AcceptedJob job = Job("j", 1);
+  job.spec.steps[0].long_running = true;
+  fixture.scheduler.OnJob(job, RowVersion(0), false, Milliseconds(0),
+                          fixture.now);
+  const StartRun start = fixture.Starts().at(0);
   const EndpointId id = start.target.endpoint;
   fixture.scheduler.OnStartReply(
       start, OrderAnswer{.new_connection = new_connection}, fixture.now);
@@ -292,19 +297,23 @@
   CHECK(fixture.scheduler.HasUnstoredLeases(fixture.now));
 }
 
+// Orders without an answer that reach the next process of a worker.
+enum class LateCalls { kNone, kStarts, kStartsAndAcknowledgements };
+
 // Plays workers that restart and are cut off soon after, while tasks run that
 // outlive every lease.
-void CheckRestartsAndCuts(bool change_owners, bool late_calls) {
+void CheckRestartsAndCuts(bool change_owners, LateCalls late_calls) {
   for (unsigned seed = 1; seed <= kLongSeeds; ++seed) {
-    JobSimulation simulation(
-        JobSimulationOptions{.seed = seed,
-                             .late_calls_outlast_restarts = late_calls,
-                             .change_owners = change_owners,
-                             .prolong_cuts = false,
-                             .late_entries = true,
-                             .random_clocks = true,
-                             .cut_after_restart = true,
-                             .long_task_share = 0.35});
+    JobSimulation simulation(JobSimulationOptions{
+        .seed = seed,
+        .late_calls_outlast_restarts = late_calls != LateCalls::kNone,
+        .late_starts_only = late_calls == LateCalls::kStarts,
+        .change_owners = change_owners,
+        .prolong_cuts = false,
+        .late_entries = true,
+        .random_clocks = true,
+        .cut_after_restart = true,
+        .long_task_share = 0.35});
     simulation.RunFor(Milliseconds(180000));
     CAPTURE(seed, simulation.Violations());
     CHECK(simulation.Violations().empty());
@@ -316,20 +325,34 @@
           "[job_scheduler]") {
   // Guards against runs that are given up before the lease of the new process
   // has lapsed (incident of 2026-12-07).
-  CheckRestartsAndCuts(/*change_owners=*/false, /*late_calls=*/false);
+  CheckRestartsAndCuts(/*change_owners=*/false, LateCalls::kNone);
 }
 
 TEST_CASE("no second run while a restarted worker is cut off during takeovers",
           "[job_scheduler]") {
   // As above for the lease that a previous owner's order has set.
-  CheckRestartsAndCuts(/*change_owners=*/true, /*late_calls=*/false);
+  CheckRestartsAndCuts(/*change_owners=*/true, LateCalls::kNone);
+}
+
+TEST_CASE("no second run when late starts reach the next process of a worker",
+          "[job_scheduler]") {
+  // Guards against a start order that a new process takes before it has
+  // received a higher fencing token (review/12).
+  CheckRestartsAndCuts(/*change_owners=*/false, LateCalls::kStarts);
+}
+
+TEST_CASE("no second run when late starts reach a new process after a takeover",
+          "[job_scheduler]") {
+  // As above for start orders of a previous owner.
+  CheckRestartsAndCuts(/*change_owners=*/true, LateCalls::kStarts);
 }
 
 TEST_CASE("no second run when late calls reach the next process of a worker",
           "[job_scheduler]") {
   // Guards against late start orders and acknowledgements that a new process
   // takes before it has received a higher fencing token.
-  CheckRestartsAndCuts(/*change_owners=*/false, /*late_calls=*/true);
+  CheckRestartsAndCuts(/*change_owners=*/false,
+                       LateCalls::kStartsAndAcknowledgements);
 }
 
 }  // namespace
--- a/tests/job_scheduler_test.cc
+++ b/tests/job_scheduler_test.cc
@@ -111,6 +111,9 @@
   SchedulerFixture fixture({Endpoint("e1")});
   const StartRun start = fixture.StartJob("j");
   fixture.scheduler.OnStartReply(start, {OrderReply::kUnknown}, fixture.now);
+  fixture.now +=
+      JobSchedulerConfig{}.late_order_limit + JobSchedulerConfig{}.lapse_margin;
+  CHECK(fixture.Stops().empty());
   fixture.AnswerPoll(EndpointId("e1"), {});
   const std::vector<StopRun> stops = fixture.Stops();
   REQUIRE(stops.size() == 1);
--- a/tests/job_store_test.cc
+++ b/tests/job_store_test.cc
@@ -439,8 +439,11 @@
         progress.block);
   CHECK(ProgressKey(job.id, progress.block).key == job.id.value + ".3.1.2");
 
-  const std::vector<UsedEndpoint> used = {
-      {EndpointId("e"), ServiceId("s"), Resources{1, 2, 3}, 40}};
+  std::vector<UsedEndpoint> used = {
+      {EndpointId("e"), ServiceId("s"), Resources{1, 2, 3}, 40},
+      {EndpointId("f"), ServiceId("s"), Resources{1, 2, 3}, 0}};
+  used[0].unanswered_starts = {
+      UnansweredStart{TaskName{JobId("j"), 3, 1, 2}, 1025, 12300}};
   CHECK(DecodeUsedEndpoints(EncodeUsedEndpoints(used)).value() == used);
   const QueueMoves moves{.unknown = true,
                          .services = {{"q", {ServiceId("s"), ServiceId("t")}}}};
--- a/tests/support/job_simulation.cc
+++ b/tests/support/job_simulation.cc
@@ -239,6 +239,10 @@
     for (std::int64_t* left : {&endpoint.lapse_ms, &endpoint.long_lease_ms}) {
       *left = *left > 0 ? std::max<std::int64_t>(1, *left - age_ms) : 0;
     }
+    for (UnansweredStart& start : endpoint.unanswered_starts) {
+      start.remaining_ms =
+          std::max<std::int64_t>(1, start.remaining_ms - age_ms);
+    }
   }
   this->owner->OnPreviousOwnerEndpoints(used, this->now);
   this->owner->OnPreviousQueueMoves(this->stored_moves);
@@ -476,7 +480,8 @@
         }
         PollEndpoint received = poll;
         if (delivery == Delivery::kLateAfterRestart &&
-            !this->options.late_calls_outlast_restarts) {
+            (!this->options.late_calls_outlast_restarts ||
+             this->options.late_starts_only)) {
           received.acknowledged = 0;
         }
         std::optional<EndpointReportRows> report =
--- a/tests/support/job_simulation.h
+++ b/tests/support/job_simulation.h
@@ -33,6 +33,8 @@
   // and late acknowledgements as well. It always executes late stop orders and
   // renewals of its lease.
   bool late_calls_outlast_restarts = false;
+  // Of these, only the start orders.
+  bool late_starts_only = false;
   double faults_per_second = 0.7;
   bool change_owners = true;
   bool prolong_cuts = true;    // a worker that is cut off may be cut off again
--- a/tests/used_endpoint_rows_test.cc
+++ b/tests/used_endpoint_rows_test.cc
@@ -32,7 +32,7 @@
   // write, so that the owner can neither renew its lease nor start a job.
   UsedEndpointRows rows;
   StoreTransaction transaction;
-  rows.AddChanges(Endpoints(10000), &transaction);
+  rows.AddChanges(Endpoints(10000), kMaxRowBytes, &transaction);
   CHECK(transaction.puts.size() <= UsedEndpointRows::kRows);
   std::size_t listed = 0;
   for (const auto& [key, value] : transaction.puts) {
@@ -50,17 +50,17 @@
   UsedEndpointRows rows;
   std::vector<UsedEndpoint> endpoints = Endpoints(500);
   StoreTransaction first;
-  rows.AddChanges(endpoints, &first);
+  rows.AddChanges(endpoints, kMaxRowBytes, &first);
   rows.OnStored();
   StoreTransaction unchanged;
-  rows.AddChanges(endpoints, &unchanged);
+  rows.AddChanges(endpoints, kMaxRowBytes, &unchanged);
   CHECK(unchanged.puts.empty());
   endpoints[7].lapse_ms = 900;
   StoreTransaction failed;
-  rows.AddChanges(endpoints, &failed);
+  rows.AddChanges(endpoints, kMaxRowBytes, &failed);
   CHECK(failed.puts.size() == 1);
   StoreTransaction repeated;
-  rows.AddChanges(endpoints, &repeated);
+  rows.AddChanges(endpoints, kMaxRowBytes, &repeated);
   CHECK(repeated.puts.size() == 1);
 }
 
@@ -71,21 +71,21 @@
   UsedEndpointRows rows;
   std::vector<UsedEndpoint> endpoints = Endpoints(500);
   StoreTransaction first;
-  rows.AddChanges(endpoints, &first);
+  rows.AddChanges(endpoints, kMaxRowBytes, &first);
   rows.OnStored();
   const UsedEndpoint removed = endpoints.back();
   endpoints.pop_back();
   StoreTransaction unanswered;
-  rows.AddChanges(endpoints, &unanswered);
+  rows.AddChanges(endpoints, kMaxRowBytes, &unanswered);
   REQUIRE(unanswered.puts.size() == 1);
   endpoints.push_back(removed);
   StoreTransaction replacement;
-  rows.AddChanges(endpoints, &replacement);
+  rows.AddChanges(endpoints, kMaxRowBytes, &replacement);
   REQUIRE(replacement.puts.size() == 1);
   CHECK(replacement.puts[0].first.key == unanswered.puts[0].first.key);
   rows.OnStored();
   StoreTransaction unchanged;
-  rows.AddChanges(endpoints, &unchanged);
+  rows.AddChanges(endpoints, kMaxRowBytes, &unchanged);
   CHECK(unchanged.puts.empty());
 }
 
@@ -95,14 +95,35 @@
   rows.OnRead("all");
   rows.OnRead("row-3");
   StoreTransaction transaction;
-  rows.AddChanges(Endpoints(3), &transaction);
+  rows.AddChanges(Endpoints(3), kMaxRowBytes, &transaction);
   REQUIRE(transaction.removals.size() == 1);
   CHECK(transaction.removals[0].key == "all");
   rows.OnStored();
   StoreTransaction next;
-  rows.AddChanges(Endpoints(3), &next);
+  rows.AddChanges(Endpoints(3), kMaxRowBytes, &next);
   CHECK(next.removals.empty());
 }
 
+TEST_CASE("a row that would be too large omits the unanswered starts",
+          "[used_endpoint_rows]") {
+  // Guards against a store that rejects every write of the owner.
+  std::vector<UsedEndpoint> endpoints = Endpoints(2000);
+  for (UsedEndpoint& endpoint : endpoints) {
+    for (int i = 0; i < 20; ++i) {
+      endpoint.unanswered_starts.push_back(UnansweredStart{
+          TaskName{JobId("5c0e7a21d94b36f8"), 0, 0, i}, 1025, 12300});
+    }
+  }
+  UsedEndpointRows rows;
+  StoreTransaction transaction;
+  rows.AddChanges(endpoints, kMaxRowBytes, &transaction);
+  std::size_t listed = 0;
+  for (const auto& [key, value] : transaction.puts) {
+    CHECK(value.size() <= kMaxRowBytes);
+    listed += DecodeUsedEndpoints(value).value().size();
+  }
+  CHECK(listed == endpoints.size());
+}
+
 }  // namespace
 }  // namespace peridot
