Let a report show the outcome of a start that is too old

A start order may be executed just before it is too old. The owner took an endpoint without a failed poll for one that answers, although its last report could be a second old and list no such run. A task that the next owner holds without a place, or one on an endpoint that is cut off at that moment, could start elsewhere beside that run. Seen in the code; the section "until they are too old" of "the next owner waits for recorded starts without an answer" fails before this change.

Now only a report that was requested after that time closes the start.

--- a/src/coordination/job_scheduler_internal.h
+++ b/src/coordination/job_scheduler_internal.h
@@ -86,10 +86,10 @@
 struct OpenStart {
   EndpointId endpoint;
   Instant sent{};
-  // Too old to be executed from then on, or, with `may_run`, any run of it has
-  // lapsed. kNever: the call has not returned yet.
+  // Too old to be executed from then on; with `may_run`, any run of it has
+  // lapsed by then. kNever: the call has not returned yet.
   Instant until = kNever;
-  bool may_run = false;  // was too old when its endpoint did not answer
+  bool may_run = false;  // too old, but no report since shows its outcome
   bool stored = false;   // the store holds it for the next owner
   bool taken = false;    // as of the last TakeUsedEndpoints()
 };
@@ -660,8 +660,8 @@
   // No process of the endpoint can follow any more.
   void CloseStartsOn(const EndpointId& endpoint);
   void RemoveExpiredStarts(Instant now);
-  // True if the endpoint does not answer although its host may still run it.
-  bool IsSilent(const EndpointId& id) const;
+  // True if no host runs the endpoint of the start any more.
+  bool HasEnded(const OpenStart& start) const;
   // A report that was requested at `sent` shows what has become of the starts
   // that were too old by then.
   void CloseOldStartsOn(const EndpointId& endpoint, Instant sent);
--- a/src/coordination/job_scheduler_open_starts.cc
+++ b/src/coordination/job_scheduler_open_starts.cc
@@ -44,9 +44,9 @@
   for (auto entry = this->open_starts.begin();
        entry != this->open_starts.end();) {
     OpenStart& start = entry->second;
-    if (start.until <= now && !start.may_run &&
-        this->IsSilent(start.endpoint)) {
+    if (start.until <= now && !start.may_run && !this->HasEnded(start)) {
       // It may have been executed at the last moment, for the longest lease.
+      // The next report shows that.
       start.may_run = true;
       start.until += this->LapseBound(this->config.endpoint_lease_max);
     }
@@ -59,14 +59,9 @@
   }
 }
 
-bool JobScheduler::State::IsSilent(const EndpointId& id) const {
-  const auto found = this->endpoints.find(id);
-  if (found == this->endpoints.end()) {
-    return false;
-  }
-  const EndpointState& endpoint = *found->second;
-  return !endpoint.process_ended &&
-         (!endpoint.listed || endpoint.failed_polls > 0);
+bool JobScheduler::State::HasEnded(const OpenStart& start) const {
+  const auto found = this->endpoints.find(start.endpoint);
+  return found == this->endpoints.end() || found->second->process_ended;
 }
 
 void JobScheduler::State::CloseOldStartsOn(const EndpointId& endpoint,
@@ -116,8 +111,11 @@
     return waiting;  // no order is without an answer
   }
   for (const auto& [run, start] : this->open_starts) {
+    if (start.until == kNever) {
+      continue;
+    }
     const auto found = this->jobs.find(run.first.job);
-    if (start.until == kNever || found == this->jobs.end() ||
+    if (found == this->jobs.end() ||
         (!waiting.empty() && waiting.back() == found->second.get())) {
       continue;
     }
--- a/tests/job_scheduler_open_starts_test.cc
+++ b/tests/job_scheduler_open_starts_test.cc
@@ -326,6 +326,9 @@
     next.now = loaded + Milliseconds(12000);
     CHECK(next.Starts().empty());
     next.now += Milliseconds(300);
+    // Executed at the last moment, it would be listed by the next report only.
+    CHECK(next.Starts().empty());
+    next.AnswerPoll(fixture.at, {});
     CHECK(next.Starts().size() == 1);
   }
   SECTION("or executed") {
