--- a/tests/job_scheduler_open_starts_test.cc
+++ b/tests/job_scheduler_open_starts_test.cc
@@ -2,10 +2,10 @@
 // executed seconds later, also by the next process of their endpoint.
 
 #include <catch2/catch.hpp>
+#include <cstdint>
 #include <string>
 #include <vector>
 
-#include "tests/support/job_simulation.h"
 #include "tests/support/scheduler_fixture.h"
 
 namespace peridot {
