Record that a start waits for the longest lease

Cause: once an order is too old and its endpoint does not answer, the task waits for the longest lease. The record for the next owner held only the time left, so that the next owner took this second wait for the first one and added the longest lease again; with each takeover during the wait, once more.

Evidence: the new test "owners that follow one another add the longest lease once" fails before the change (the task does not start when the recorded time is over) and passes with it.

Change: the record says which of the two waits the time left is of.

--- a/src/coordination/job_scheduler.h
+++ b/src/coordination/job_scheduler.h
@@ -354,7 +354,10 @@
 struct UnansweredStart {
   TaskName task;
   RunNumber run = 0;
-  std::int64_t remaining_ms = 0;  // until it is too old to be executed
+  // Until it is too old to be executed; with `may_run`, until any run of it has
+  // lapsed.
+  std::int64_t remaining_ms = 0;
+  bool may_run = false;  // too old, but no report since shows its outcome
 
   friend bool operator==(const UnansweredStart&,
                          const UnansweredStart&) = default;
--- a/src/coordination/job_scheduler_open_starts.cc
+++ b/src/coordination/job_scheduler_open_starts.cc
@@ -177,7 +177,8 @@
                                       this->config.lapse_margin;
       unanswered[start.endpoint].push_back(UnansweredStart{
           run.first, run.second,
-          std::chrono::duration_cast<Milliseconds>(until - now).count()});
+          std::chrono::duration_cast<Milliseconds>(until - now).count(),
+          start.may_run});
     }
   }
   return unanswered;
--- a/src/coordination/job_scheduler_takeover.cc
+++ b/src/coordination/job_scheduler_takeover.cc
@@ -51,6 +51,7 @@
           OpenStart{.endpoint = used.id,
                     .sent = now,
                     .until = until,
+                    .may_run = start.may_run,
                     .stored = true,
                     .taken = true};
       this->state->open_starts_check =
--- a/src/protocol/job_json.cc
+++ b/src/protocol/job_json.cc
@@ -300,7 +300,7 @@
     for (const UnansweredStart& start : endpoint.unanswered_starts) {
       starts.push_back(
           Json::array({start.task.job.value, EncodeName(start.task), start.run,
-                       start.remaining_ms}));
+                       start.remaining_ms, start.may_run}));
     }
   }
   return out.dump();
@@ -327,7 +327,8 @@
           for (const Json& start : starts) {
             endpoint.unanswered_starts.push_back(UnansweredStart{
                 DecodeName(JobId(start.at(0).get<std::string>()), start.at(1)),
-                start.at(2).get<RunNumber>(), start.at(3).get<std::int64_t>()});
+                start.at(2).get<RunNumber>(), start.at(3).get<std::int64_t>(),
+                start.at(4).get<bool>()});
           }
         }
         return endpoints;
--- a/tests/job_scheduler_open_starts_test.cc
+++ b/tests/job_scheduler_open_starts_test.cc
@@ -347,5 +347,33 @@
   }
 }
 
+TEST_CASE("owners that follow one another add the longest lease once",
+          "[job_scheduler]") {
+  // Guards against a task that waits for the longest lease again after each
+  // takeover, while its endpoint does not answer (platform_soak seed 9123).
+  const JobSchedulerConfig config;
+  UnansweredFixture fixture(Job("j", 1));
+  fixture.FailPoll(fixture.at);
+  fixture.now = fixture.lost + kOrderLife;
+  CHECK(fixture.Starts().empty());  // the longest lease begins
+  std::vector<UsedEndpoint> used = fixture.StoreUsedEndpoints();
+  std::erase_if(used,
+                [&](const auto& entry) { return entry.id != fixture.at; });
+  REQUIRE(used.size() == 1);
+  REQUIRE(used[0].unanswered_starts.size() == 1);
+  const Milliseconds left(used[0].unanswered_starts[0].remaining_ms);
+  CHECK(left > config.endpoint_lease_max);
+
+  SchedulerFixture next({Endpoint("e9")}, OwnerEpoch(2));
+  next.scheduler.OnPreviousOwnerEndpoints(used, next.now);
+  const Instant loaded = next.now;
+  next.scheduler.OnJob(Job("j", 1), RowVersion(0), /*before_takeover=*/true,
+                       Milliseconds(0), next.now);
+  next.now = loaded + left - Milliseconds(1);
+  CHECK(next.Starts().empty());
+  next.now += Milliseconds(1);
+  CHECK(next.Starts().size() == 1);
+}
+
 }  // namespace
 }  // namespace peridot
--- a/tests/job_store_test.cc
+++ b/tests/job_store_test.cc
@@ -443,7 +443,8 @@
       {EndpointId("e"), ServiceId("s"), Resources{1, 2, 3}, 40},
       {EndpointId("f"), ServiceId("s"), Resources{1, 2, 3}, 0}};
   used[0].unanswered_starts = {
-      UnansweredStart{TaskName{JobId("j"), 3, 1, 2}, 1025, 12300}};
+      UnansweredStart{TaskName{JobId("j"), 3, 1, 2}, 1025, 12300},
+      UnansweredStart{TaskName{JobId("j"), 3, 1, 3}, 1025, 900, true}};
   CHECK(DecodeUsedEndpoints(EncodeUsedEndpoints(used)).value() == used);
   const QueueMoves moves{.unknown = true,
                          .services = {{"q", {ServiceId("s"), ServiceId("t")}}}};
